--- /dev/null
+++ b/mallowvalve/__main__.py
@@ -0,0 +1,3 @@
+from mallowvalve.cli import main
+
+main()
--- /dev/null
+++ b/mallowvalve/beat/board.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from mallowvalve.count import Counts
+from mallowvalve.kind import Address, Locality
+
+SILENT = 8.0
+TOMBSTONE = 600.0
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    service: str
+    instance: str
+    incarnation: int
+    sequence: int
+    usage: float
+    state: Literal["ready", "leaving", "gone"]
+    locality: Locality
+    address: Address
+
+    @property
+    def name(self) -> str:
+        return f"{self.service}/{self.instance}"
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        return self.incarnation, self.sequence
+
+
+class Aged(msgspec.Struct, frozen=True, array_like=True):
+    beat: Beat
+    age: float
+
+
+class Row:
+    __slots__ = ("beat", "heard", "since", "broken")
+
+    def __init__(self, beat: Beat, heard: float, since: float):
+        self.beat, self.heard, self.since, self.broken = beat, heard, since, -1e9
+
+
+class Board:
+    __slots__ = ("rows", "counts")
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.counts = Counts()
+
+    def hear(self, b: Beat, now: float, age: float = 0.0) -> bool:
+        r = self.rows.get(b.name)
+        heard = now - age
+        if r is None:
+            self.rows[b.name] = Row(b, heard, heard)
+            self.counts.add("beat_new")
+            return True
+        if b.rank <= r.beat.rank:
+            return False
+        if b.incarnation > r.beat.incarnation:
+            self.rows[b.name] = Row(b, heard, heard)
+            self.counts.add("beat_reborn")
+            return True
+        if r.beat.state != "ready" and b.state == "ready" or r.beat.state == "gone":
+            self.counts.add("beat_after_leaving")
+            return False
+        if heard - r.heard > SILENT:
+            r.since = heard
+        r.beat, r.heard = b, max(r.heard, heard)
+        return True
+
+    def usable(self, service: str, now: float) -> list[Row]:
+        return [
+            r for r in self.rows.values()
+            if r.beat.service == service and r.beat.state == "ready" and now - r.heard < SILENT
+        ]
+
+    def all(self, now: float) -> list[tuple[Beat, str, float]]:
+        return [(r.beat, self.health(r, now), now - r.heard) for _, r in sorted(self.rows.items())]
+
+    def health(self, r: Row, now: float) -> str:
+        if r.beat.state != "ready":
+            return r.beat.state
+        return "silent" if now - r.heard >= SILENT else "ready"
+
+    def digest(self) -> dict[str, tuple[int, int]]:
+        return {n: r.beat.rank for n, r in self.rows.items()}
+
+    def newer_than(self, digest: dict[str, tuple[int, int]], now: float) -> list[Aged]:
+        return [
+            Aged(r.beat, max(0.0, now - r.heard)) for n, r in self.rows.items() if r.beat.rank > digest.get(n, (-1, -1))
+        ]
+
+    def forget(self, now: float) -> None:
+        for n in [n for n, r in self.rows.items() if now - r.heard > TOMBSTONE]:
+            del self.rows[n]
--- /dev/null
+++ b/mallowvalve/beat/task.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import random
+import time
+
+import gevent
+import msgspec
+from gevent.lock import RLock
+
+from mallowvalve.beat.board import Aged, Beat, Board, Row
+from mallowvalve.bond.task import BondTask
+from mallowvalve.count import change, vital
+from mallowvalve.kind import Address
+from mallowvalve.mesh.task import Mesh
+
+ROUND = 1.0
+encode = msgspec.msgpack.Encoder().encode
+_aged = msgspec.msgpack.Decoder(list[Aged]).decode
+_digest = msgspec.msgpack.Decoder(dict[str, tuple[int, int]]).decode
+
+
+class BeatTask:
+    __slots__ = ("board", "bond", "mesh", "_lock", "_job", "_rng", "_known")
+
+    def __init__(self, bond: BondTask, mesh: Mesh):
+        self.board, self.bond, self.mesh = Board(), bond, mesh
+        self._lock, self._rng = RLock(), random.Random()
+        self._known: dict[str, tuple[int, str]] = {}
+        mesh.on("beats", self._beats, quick=True)
+        mesh.on("digest", self._on_digest, quick=True)
+
+    def __enter__(self) -> BeatTask:
+        self._job = vital(gevent.spawn(self._run))
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._job.kill()
+
+    def hear(self, b: Beat) -> bool:
+        with self._lock:
+            fresh = self.board.hear(b, time.monotonic())
+        if fresh:
+            body = encode([Aged(b, 0.0)])
+            for r in self.bond.alive():
+                self.mesh.cast(r.addr, "beats", body)
+            self._log(b)
+        return fresh
+
+    def usable(self, service: str) -> list[Row]:
+        with self._lock:
+            return self.board.usable(service, time.monotonic())
+
+    def _beats(self, _sender: Address, body: bytes) -> None:
+        self._merge(_aged(body))
+
+    def _merge(self, aged: list[Aged]) -> None:
+        now = time.monotonic()
+        for a in aged:
+            with self._lock:
+                fresh = self.board.hear(a.beat, now, a.age)
+            if fresh:
+                self._log(a.beat)
+
+    def _on_digest(self, _sender: Address, body: bytes) -> bytes:
+        with self._lock:
+            return encode(self.board.newer_than(_digest(body), time.monotonic()))
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(ROUND * (0.8 + 0.4 * self._rng.random()))
+            with self._lock:
+                self.board.forget(time.monotonic())
+                body = encode(self.board.digest())
+            peers = self.bond.alive()
+            if not peers:
+                continue
+            r = self.mesh.call(self._rng.choice(peers).addr, "digest", body, ROUND)
+            if r.is_ok():
+                try:
+                    self._merge(_aged(r.ok_value))
+                except msgspec.DecodeError:
+                    self.mesh.counts.add("beat_garbage")
+
+    def _log(self, b: Beat) -> None:
+        if self._known.get(b.name) == (b.incarnation, b.state):
+            return
+        self._known[b.name] = (b.incarnation, b.state)
+        change(f"upstream_{b.state}", upstream=b.name, incarnation=b.incarnation, address=str(b.address))
--- /dev/null
+++ b/mallowvalve/claim/ledger.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import msgspec
+
+KEEP_MS = 900_000
+OPEN, DONE, RELEASED, LOST = "open", "done", "released", "lost"
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    key: str
+    digest: str
+    holder: str
+    nonce: str
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
+    key: str
+    nonce: str
+    status: int
+    kind: str
+    body: bytes | None
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
+    key: str
+    nonce: str
+
+
+class Forfeit(msgspec.Struct, frozen=True, array_like=True, tag="forfeit"):
+    key: str
+    nonce: str
+
+
+class Lose(msgspec.Struct, frozen=True, array_like=True, tag="lose"):
+    holder: str
+
+
+class Row(msgspec.Struct, array_like=True):
+    digest: str
+    state: str
+    holder: str
+    nonce: str
+    at: int
+    status: int = 0
+    kind: str = ""
+    body: bytes | None = None
+
+
+class Verdict(msgspec.Struct, array_like=True, frozen=True):
+    state: str
+    status: int = 0
+    kind: str = ""
+    body: bytes | None = None
+
+
+class Ledger:
+    __slots__ = ("rows",)
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+
+    def apply(self, c: Claim | Done | Release | Forfeit | Lose, at: int) -> Verdict:
+        self._forget(at)
+        match c:
+            case Claim():
+                return self._claim(c, at)
+            case Done():
+                return self._close(c.key, c.nonce, DONE, at, c)
+            case Release():
+                return self._close(c.key, c.nonce, RELEASED, at)
+            case Forfeit():
+                return self._close(c.key, c.nonce, LOST, at)
+            case Lose():
+                for r in self.rows.values():
+                    if r.state == OPEN and r.holder == c.holder:
+                        r.state = LOST
+                return Verdict("ok")
+
+    def look(self, key: str, digest: str) -> Verdict | None:
+        r = self.rows.get(key)
+        if r is None:
+            return None
+        return Verdict("conflict") if r.digest != digest else Verdict(r.state, r.status, r.kind, r.body)
+
+    def _claim(self, c: Claim, at: int) -> Verdict:
+        r = self.rows.get(c.key)
+        if r is None or r.state == RELEASED and r.digest == c.digest and r.nonce != c.nonce:
+            self.rows.pop(c.key, None)
+            self.rows[c.key] = Row(c.digest, OPEN, c.holder, c.nonce, at)
+            return Verdict("granted")
+        if r.digest != c.digest:
+            return Verdict("conflict")
+        if r.state == OPEN and r.nonce == c.nonce:
+            return Verdict("granted")
+        return Verdict(r.state, r.status, r.kind, r.body)
+
+    def _close(self, key: str, nonce: str, state: str, at: int, d: Done | None = None) -> Verdict:
+        r = self.rows.get(key)
+        if r is None or r.nonce != nonce:
+            return Verdict("gone")
+        if r.state == DONE or r.state == LOST and state == RELEASED:
+            return Verdict(r.state)
+        r.state = state
+        if d is not None:
+            r.status, r.kind, r.body = d.status, d.kind, d.body
+        return Verdict(state)
+
+    def _forget(self, at: int) -> None:
+        while self.rows:
+            key, r = next(iter(self.rows.items()))
+            if r.at + KEEP_MS > at:
+                return
+            del self.rows[key]
+
+    def dump(self) -> list:
+        return list(self.rows.items())
+
+    def load(self, rows: list) -> None:
+        self.rows = {k: msgspec.convert(r, Row) for k, r in rows}
--- /dev/null
+++ b/mallowvalve/flow/draw.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import math
+import random
+
+from mallowvalve.beat.board import Row
+from mallowvalve.kind import Address, Locality
+from mallowvalve.word.compiler import Policy
+
+BROKEN = 2.0
+COLD = 0.05
+
+
+def warmth(r: Row, ramp_ms: int, now: float) -> float:
+    if ramp_ms <= 0:
+        return 1.0
+    return max(COLD, min(1.0, (now - r.since) * 1000 / ramp_ms))
+
+
+def cap(r: Row, policy: Policy, proxies: int, now: float) -> int:
+    return max(1, math.ceil(policy.width * warmth(r, policy.ramp_ms, now) / max(1, proxies)))
+
+
+def allowed(r: Row, homes: frozenset[str] | None, evacuated: dict[str, int]) -> bool:
+    at = r.beat.locality
+    if homes is not None and at.region not in homes:
+        return False
+    return not any(n in evacuated for n in (at.region, at.zone, str(at)))
+
+
+class Draw:
+    __slots__ = ("near", "rng", "busy")
+
+    def __init__(self, near: Locality, rng: random.Random):
+        self.near, self.rng = near, rng
+        self.busy: dict[Address, int] = {}
+
+    def pick(self, rows: list[Row], policy: Policy, proxies: int, tried: set[Address], now: float) -> Row | None:
+        rows = [r for r in rows if r.beat.address not in tried]
+        rows = [r for r in rows if now - r.broken > BROKEN] or rows
+        rows = [r for r in rows if self.busy.get(r.beat.address, 0) < cap(r, policy, proxies, now)]
+        if not rows:
+            return None
+        if policy.draw == "near":
+            best = min(self.near.distance(r.beat.locality) for r in rows)
+            rows = [r for r in rows if self.near.distance(r.beat.locality) == best]
+        w = [warmth(r, policy.ramp_ms, now) for r in rows]
+        a, b = self.rng.choices(rows, w, k=2)
+        return min((a, b), key=lambda r: self._usage(r))
+
+    def enter(self, a: Address) -> None:
+        self.busy[a] = self.busy.get(a, 0) + 1
+
+    def leave(self, a: Address) -> None:
+        n = self.busy.get(a, 0) - 1
+        if n > 0:
+            self.busy[a] = n
+        else:
+            self.busy.pop(a, None)
+
+    def _usage(self, r: Row) -> float:
+        return self.busy.get(r.beat.address, 0) + r.beat.usage
--- /dev/null
+++ b/mallowvalve/flow/main.py
@@ -0,0 +1,20 @@
+from __future__ import annotations
+
+from mallowvalve.flow.claims import Claims
+from mallowvalve.flow.pool import Pool
+from mallowvalve.flow.serve import Serve
+from mallowvalve.law.echotask import EchoTask
+from mallowvalve.node import Node
+from mallowvalve.params import Params
+from mallowvalve.way.main import evacuated
+
+
+def run(params: Params) -> None:
+    node = Node(params)
+    echo = EchoTask(node)
+    pool = Pool(node.beats, echo, params.locality, node.counts)
+    claims = Claims(echo, f"{params.mesh}#{node.boot}", node.counts)
+    node.app.add_sink(Serve(node, echo, pool, claims), "/")
+    node.gauge("busy", lambda: sum(pool.draw.busy.values()))
+    with node, echo, pool:
+        node.run(lambda: echo.admits() and not evacuated(params.locality, echo.echo.state.settings.evacuated))
--- /dev/null
+++ b/mallowvalve/flow/serve.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import time
+from urllib.parse import unquote
+
+import falcon
+import msgspec
+
+from mallowvalve import web
+from mallowvalve.claim.ledger import Verdict
+from mallowvalve.finding import Finding
+from mallowvalve.flow.claims import Claims, digest
+from mallowvalve.flow.pool import Failure, Lease, Pool, stream
+from mallowvalve.flow.session import Answer
+from mallowvalve.law.echotask import EchoTask
+from mallowvalve.node import Node
+from mallowvalve.tree.model import Plan
+from mallowvalve.way.main import evacuated
+from mallowvalve.web import NOT_RUN, UNDECIDED, UNKNOWN, bounce
+from mallowvalve.word.compiler import Request
+
+HOP = frozenset((
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "host",
+    "content-length", "expect", "mallow-limit", "mallow-again",
+))
+KEY_BYTES = 200
+CLAIM_LIMIT = 3.0
+
+
+class Call(msgspec.Struct):
+    plan: Plan
+    tenant: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    key: str
+    end: float
+    again: bool
+
+    def wire(self, host: str) -> bytes:
+        lines = [f"{self.method} {self.target} HTTP/1.1", f"Host: {host}"]
+        lines += [f"{k}: {v}" for k, v in self.headers.items()]
+        if self.body or self.method in ("POST", "PUT", "PATCH"):
+            lines.append(f"Content-Length: {len(self.body)}")
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
+
+
+class Serve:
+    def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims):
+        self.node, self.echo, self.pool, self.claims = node, echo, pool, claims
+        self.counts = node.counts
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
+        self.counts.add("requests")
+        if not self._admits(req, resp):
+            return
+        c = self._understand(req, resp)
+        if c is None:
+            return
+        now = time.monotonic()
+        again = c.again and not self.pool.budget(c.plan.service).again(now)
+        if again:
+            return self._refuse(resp, c, 503, UNDECIDED if c.key else NOT_RUN, "too many repeats just now", 2)
+        if not c.again:
+            self.pool.budget(c.plan.service).first(now)
+        if c.plan.kind == "once":
+            return self._once(c, resp)
+        return self._read(c, resp)
+
+    def _admits(self, req, resp) -> bool:
+        maybe = UNDECIDED if req.get_header("Mallow-Key") else NOT_RUN
+        if not self.echo.admits():
+            self.counts.add("bounced_not_fresh")
+            bounce(resp, 503, maybe, [Finding("proxy", "its settings may be out of date")], 1)
+            return False
+        if evacuated(self.node.params.locality, self.echo.echo.state.settings.evacuated):
+            self.counts.add("bounced_evacuated")
+            bounce(resp, 503, maybe, [Finding("proxy", "its zone is evacuated: ask a directory again")], 1)
+            resp.set_header("Connection", "close")
+            return False
+        return True
+
+    def _understand(self, req, resp) -> Call | None:
+        def no(status: int, place: str, text: str) -> None:
+            self.counts.add(f"bounced_{status}")
+            bounce(resp, status, NOT_RUN, [Finding(place, text)])
+
+        target = req.env["mallow.target"]
+        path = unquote(target.partition("?")[0], errors="surrogateescape")
+        if not clean(target, path):
+            return no(400, "path", "must be absolute, without . or .. parts, empty parts or encoded slashes")
+        tenant = req.get_header("Mallow-Tenant")
+        if not tenant:
+            return no(400, "Mallow-Tenant", "missing")
+        tree = self.echo.tree
+        if tenant not in tree.cell_of:
+            return no(404, "Mallow-Tenant", f"no tenant {tenant[:64]!r}")
+        headers = {k.lower(): v for k, v in req.headers.items()}
+        plan = tree.draw(tenant, Request(req.method, path, headers))
+        if plan is None:
+            return no(404, "path", "no route takes this request")
+        key = req.get_header("Mallow-Key") or ""
+        if plan.kind == "once" and not key or len(key) > KEY_BYTES:
+            return no(400, "Mallow-Key", "this route runs once: a key of 1 to 200 characters is needed")
+        limit = req.get_header("Mallow-Limit") or str(plan.policy.limit_ms)
+        if not limit.isascii() or not limit.isdigit() or not 0 < int(limit) < 1 << 31:
+            return no(400, "Mallow-Limit", "want milliseconds")
+        end = time.monotonic() + min(int(limit), plan.policy.limit_ms) / 1000
+        try:
+            body = web.body_of(req, self.node.params.body_bytes)
+        except OSError:
+            return no(400, "body", "broken off or badly chunked")
+        if body is None:
+            return no(413, "body", f"larger than {self.node.params.body_bytes} bytes")
+        if req.content_length is not None and len(body) != req.content_length:
+            return no(400, "body", "shorter than its length")
+        kind = (req.content_type or "").partition(";")[0].strip().lower()
+        if body and kind == "application/json":
+            try:
+                msgspec.json.decode(body)
+            except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as e:
+                return no(400, "body", f"not JSON: {e}")
+        dropped = {h.strip().lower() for h in headers.get("connection", "").split(",")} | HOP
+        headers = {k: v for k, v in headers.items() if k not in dropped}
+        again = bool(req.get_header("Mallow-Again"))
+        return Call(plan, tenant, req.method, target, headers, body, f"{tenant}\0{key}" if key else "", end, again)
+
+    def _read(self, c: Call, resp) -> None:
+        tried: set = set()
+        tries = 1 + c.plan.policy.retry
+        for n in range(tries):
+            if n and not self.pool.budget(c.plan.service).again(time.monotonic()):
+                return self._refuse(resp, c, 502, UNKNOWN, "the upstream failed and the retry budget is spent", 1)
+            lease = self.pool.take(c.plan, c.tenant, tried, c.end)
+            if isinstance(lease, Failure):
+                return self._refuse(resp, c, lease.status, UNKNOWN if n else NOT_RUN, lease.why, lease.retry_after)
+            if time.monotonic() >= c.end:
+                lease.back(keep=True)
+                return self._refuse(resp, c, 504, UNKNOWN if n else NOT_RUN, "the limit is over", 1)
+            a = self._exchange(lease, c)
+            if a is not None:
+                return self._answer(resp, c, lease, a)
+            tried.add(lease.row.beat.address)
+        return self._refuse(resp, c, 502, UNKNOWN, "the upstreams did not answer well", 1)
+
+    def _once(self, c: Call, resp) -> None:
+        dig = digest(c.method, c.target, c.body)
+        v, nonce = self.claims.claim(c.key, dig, min(c.end, time.monotonic() + CLAIM_LIMIT))
+        while v.state in ("open", "released"):
+            if v.state == "open":
+                v = self.claims.wait(c.key, dig, c.end)
+            if v.state == "open" or time.monotonic() >= c.end:
+                return self._refuse(resp, c, 504, UNKNOWN, "an earlier try of this key is still open", 1)
+            if v.state == "released":
+                v, nonce = self.claims.claim(c.key, dig, min(c.end, time.monotonic() + CLAIM_LIMIT))
+        if v.state != "granted":
+            return self._known(resp, c, v)
+        lease = self.pool.take(c.plan, c.tenant, set(), c.end)
+        if isinstance(lease, Lease) and (time.monotonic() >= c.end or not self.echo.admits()):
+            lease.back(keep=True)
+            lease = Failure("the limit is over, or the proxy is out of date", 504, 1)
+        if isinstance(lease, Failure):
+            out = NOT_RUN if self.claims.release(c.key, nonce, c.end) else UNDECIDED
+            return self._refuse(resp, c, lease.status, out, lease.why, lease.retry_after)
+        a = self._exchange(lease, c)
+        if a is None:
+            self.claims.forfeit(c.key, nonce)
+            return self._refuse(resp, c, 502, UNKNOWN, "sent, but no whole answer came back", None)
+        kind = next((v for k, v in a.headers if k.lower() == "content-type"), "")
+        kept = a.body if a.body is not None and len(a.body) <= c.plan.policy.keep else None
+        self.claims.done(c.key, nonce, a.status, kind, kept)
+        return self._answer(resp, c, lease, a)
+
+    def _exchange(self, lease: Lease, c: Call) -> Answer | None:
+        s = lease.session
+        if not s.send(c.wire(str(s.beat.address)), c.end):
+            self.counts.add("upstream_broken")
+            lease.row.broken = time.monotonic()
+            lease.back(keep=False)
+            return None
+        r = s.receive(c.method, c.end)
+        if r.is_ok():
+            return r.ok_value
+        self.counts.add("upstream_" + r.err_value.partition(":")[0])
+        if r.err_value != "limit":
+            lease.row.broken = time.monotonic()
+        lease.back(keep=False)
+        return None
+
+    def _answer(self, resp, c: Call, lease: Lease, a: Answer) -> None:
+        self.counts.add("answers")
+        resp.status = a.status
+        for k, v in a.headers:
+            if k.lower() == "content-type":
+                resp.content_type = v
+            else:
+                resp.append_header(k, v)
+        if a.rest is not None:
+            resp.stream = stream(lease, a)
+            if a.length is not None:
+                resp.content_length = a.length
+            return
+        lease.back(keep=a.keep)
+        resp.data = a.body
+
+    def _known(self, resp, c: Call, v: Verdict) -> None:
+        self.counts.add(f"repeat_{v.state}")
+        if v.state == "done" and v.body is not None:
+            resp.status, resp.content_type, resp.data = v.status, v.kind or "application/octet-stream", v.body
+            resp.set_header("Mallow-Repeat", "1")
+            return
+        if v.state == "conflict":
+            return self._refuse(resp, c, 409, UNDECIDED, "this key was used for another request", None)
+        if v.state == "undecided":
+            return self._refuse(resp, c, 503, UNDECIDED, "the ledger did not answer in time", 1)
+        why = "ran; its answer was too large to keep" if v.state == "done" else "an earlier try may have run"
+        return self._refuse(resp, c, 502, UNKNOWN, why, None)
+
+    def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
+        self.counts.add(f"bounced_{outcome}")
+        self.counts.add(f"bounced_route_{c.plan.route}")
+        bounce(resp, status, outcome, [Finding(f"routes.{c.plan.route}", why)], after)
+
+
+def clean(target: str, path: str) -> bool:
+    if not target.startswith("/") or "#" in target or "\\" in path or "%2f" in target.lower():
+        return False
+    parts = path.split("/")[1:]
+    return not any(p in (".", "..") for p in parts) and not any(p == "" for p in parts[:-1])
--- /dev/null
+++ b/mallowvalve/flow/session.py
@@ -0,0 +1,183 @@
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import gevent
+import msgspec
+from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPSocketResponse
+from gevent import socket
+from result import Err, Ok, Result
+
+from mallowvalve.beat.board import Beat
+
+WHOLE = 256 << 10
+SKIP = frozenset((
+    "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-connection", "content-length",
+    "mallow-outcome", "server", "date",
+))
+IDLE = 30.0
+
+
+class Identity(msgspec.Struct):
+    service: str
+    instance: str
+    incarnation: int
+
+
+class Strict(HTTPSocketResponse):
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.get_code() >= 200:
+            raise HTTPProtocolViolationError("bytes after the answer")
+        super()._on_message_begin()
+
+
+class Answer(msgspec.Struct):
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | None
+    length: int | None
+    rest: Iterator[bytes] | None
+    keep: bool = False
+
+
+class Session:
+    __slots__ = ("beat", "sock", "since")
+
+    def __init__(self, beat: Beat, sock):
+        self.beat, self.sock, self.since = beat, sock, time.monotonic()
+
+    @classmethod
+    def open(cls, beat: Beat, health: str, end: float) -> Result[Session, str]:
+        left = end - time.monotonic()
+        if left <= 0:
+            return Err("limit")
+        try:
+            sock = socket.create_connection(beat.address.pair, timeout=min(1.0, left))
+        except OSError as e:
+            return Err(f"unreachable: {e.strerror or e}")
+        s = cls(beat, sock)
+        s.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        why = s._identify(health, min(end, time.monotonic() + 1.0))
+        if why is None:
+            return Ok(s)
+        s.close()
+        return Err(why)
+
+    def send(self, data: bytes, end: float) -> bool:
+        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        try:
+            self.sock.sendall(data)
+        except OSError:
+            return False
+        return True
+
+    def receive(self, method: str, end: float) -> Result[Answer, str]:
+        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        try:
+            with gevent.Timeout(max(0.001, end - time.monotonic())):
+                return self._receive(method)
+        except gevent.Timeout:
+            return Err("limit")
+        except (HTTPParseError, ValueError) as e:
+            return Err(f"garbage: {e}")
+        except OSError as e:
+            return Err(f"broken: {e}")
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def stale(self, now: float) -> bool:
+        if now - self.since > IDLE:
+            return True
+        self.sock.setblocking(False)
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK) is not None
+        except BlockingIOError:
+            return False
+        except OSError as e:
+            return getattr(e, "errno", None) != 11
+        finally:
+            self.sock.setblocking(True)
+
+    def _identify(self, health: str, end: float) -> str | None:
+        if not self.send(f"GET {health} HTTP/1.1\r\nHost: {self.beat.address}\r\n\r\n".encode(), end):
+            return "health: not sent"
+        r = self.receive("GET", end)
+        if r.is_err():
+            return f"health: {r.err_value}"
+        a = r.ok_value
+        if a.status != 200 or a.body is None:
+            return f"health: status {a.status}"
+        try:
+            who = msgspec.json.decode(a.body, type=Identity)
+        except msgspec.DecodeError:
+            return "health: not understood"
+        b = self.beat
+        if (who.service, who.instance, who.incarnation) != (b.service, b.instance, b.incarnation):
+            return "health: another upstream answers here"
+        return None if a.keep else "health: the connection does not stay open"
+
+    def _receive(self, method: str) -> Result[Answer, str]:
+        r = Strict(self.sock, method=method)
+        if not 200 <= r.status_code < 600:
+            return Err(f"garbage: status {r.status_code}")
+        length, chunked = r.get("content-length"), r.get("transfer-encoding")
+        bodiless = method == "HEAD" or r.status_code in (204, 304)
+        if length is None and chunked is None and not bodiless:
+            return Err("garbage: an answer of unknown length")
+        if isinstance(length, list) or isinstance(chunked, list) or length is not None and chunked is not None:
+            return Err("garbage: ambiguous length")
+        headers = [(k, v) for k, v in r.headers if k.lower() not in SKIP]
+        if bodiless:
+            return Ok(Answer(r.status_code, headers, b"", None, None, not r.should_close()))
+        body = bytearray()
+        while len(body) < WHOLE:
+            part = r.read(65536)
+            if not part:
+                break
+            body += part
+        if r.message_complete and len(body) < WHOLE:
+            return Ok(Answer(r.status_code, headers, bytes(body), len(body), None, not r.should_close()))
+        if len(body) < WHOLE:
+            return Err("broken: half an answer")
+        n = int(length) if length is not None else None
+        return Ok(Answer(r.status_code, headers, None, n, self._rest(r, bytes(body))))
+
+    def _rest(self, r: HTTPSocketResponse, first: bytes) -> Iterator[bytes]:
+        yield first
+        while part := r.read(65536):
+            yield bytes(part)
+        if not r.message_complete:
+            raise ConnectionError("the upstream broke off mid-answer")
+
+
+class Sessions:
+    __slots__ = ("_idle",)
+
+    def __init__(self):
+        self._idle: dict[tuple[str, int], list[Session]] = {}
+
+    def take(self, b: Beat) -> Session | None:
+        idle = self._idle.get((b.name, b.incarnation), [])
+        while idle:
+            s = idle.pop()
+            if s.beat.address == b.address and not s.stale(time.monotonic()):
+                return s
+            s.close()
+        return None
+
+    def give(self, s: Session) -> None:
+        s.since = time.monotonic()
+        self._idle.setdefault((s.beat.name, s.beat.incarnation), []).append(s)
+
+    def keep(self, live: set[tuple[str, int]]) -> None:
+        for k in [k for k in self._idle if k not in live]:
+            for s in self._idle.pop(k):
+                s.close()
+
+    def __enter__(self) -> Sessions:
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.keep(set())
--- /dev/null
+++ b/mallowvalve/law/core.py
@@ -0,0 +1,278 @@
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from mallowvalve.count import Counts
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law import grow
+from mallowvalve.law.force import Echoes
+from mallowvalve.law.state import Change, Enrol, Evacuate, Outcome, State, Strike, Tick, command, encode
+from mallowvalve.law.wire import Fed, Held, Took, Want, Who
+from mallowvalve.vote.log import Log
+from mallowvalve.vote.raft import Raft, Ready
+from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
+
+SETTINGS = (Change, Evacuate, Enrol, Strike)
+HOLD = 0.5
+
+
+class Pending(msgspec.Struct):
+    token: Any
+    term: int
+    limit: float
+    settings: bool
+    outcome: Outcome | None = None
+
+
+class Parked(msgspec.Struct):
+    token: Any
+    want: Want
+    at: float
+
+
+class Read(msgspec.Struct):
+    token: Any
+    need: int
+    limit: float
+
+
+class Core:
+    __slots__ = (
+        "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "seen",
+        "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_picture", "_ticked",
+        "_grown", "_base_index",
+    )
+
+    def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random):
+        self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
+        self.raft: Raft | None = None
+        self.state: State | None = None
+        self.counts = Counts()
+        self.replies: list[tuple[Any, Took | Fed]] = []
+        self.seen: dict[str, grow.Seen] = {}
+        self.echoes = Echoes(locality)
+        self._pending: dict[int, Pending] = {}
+        self._waiting: deque[tuple[int, Pending]] = deque()
+        self._parked: dict[Address, Parked] = {}
+        self._reads: list[Read] = []
+        self._led = False
+        self._clock_base, self._clock_at = 0, 0.0
+        self._picture: tuple[int, bytes] = (-1, b"")
+        self._ticked = self._grown = -1e9
+        self._base_index = 0
+
+    def start(self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float) -> None:
+        hard = hard if hard is not None and hard.group == picture.group else Hard(picture.group, 0, "")
+        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now)
+        self.state = State.load(picture.state, picture.group.generation)
+        self.state.index = picture.index
+        self._base_index = picture.index
+        self._led = False
+
+    def stop(self, new_id: str) -> None:
+        self.raft = self.state = None
+        self.id = new_id
+        self._fail_all()
+
+    @property
+    def leads(self) -> bool:
+        return self.raft is not None and self.raft.settled
+
+    @property
+    def unborn(self) -> bool:
+        return self.raft is not None and self.raft.commit <= self._base_index
+
+    def leader(self) -> Address | None:
+        if self.raft is None or not self.raft.leader:
+            return None
+        return self.raft.log.voters.address(self.raft.leader)
+
+    def who(self, role: str, seeds: list[Address]) -> Who:
+        r = self.raft
+        return Who(
+            role, self.id, self.addr, self.locality, seeds, r is None, r.group if r else None,
+            self.state.index if r else 0, r.log.voters if r else None, self.leader(),
+        )
+
+    def held(self) -> Held:
+        if self.raft is None:
+            return Held(None, None, b"")
+        return Held(self.raft.group, self.raft.log.voters_at(self.state.index), self.state.dump())
+
+    def here(self, w: Who, now: float) -> None:
+        if w.role == "law" and (w.group is None or self.raft and w.group == self.raft.group):
+            self.seen[w.id] = grow.Seen(w.addr, w.locality, now)
+
+    def wakeup(self, now: float) -> float:
+        return min(now + 0.1, self.raft.wakeup()) if self.raft else now + 0.1
+
+    def tick(self, now: float) -> None:
+        if self.raft is None:
+            return
+        self.raft.tick(now)
+        self._settle(now)
+
+    def receive(self, e: Envelope, now: float) -> None:
+        if self.raft is None or e.group != self.raft.group or e.to != self.id:
+            self.counts.add("vote_foreign")
+            return
+        self.raft.receive(e.sender, e.body, now)
+
+    def propose(self, data: bytes, token: Any, limit: float, now: float) -> None:
+        if not self.leads:
+            self.replies.append((token, Took("leader", leader=self.leader())))
+            return
+        index = self.raft.propose(COMMAND, data, self._clock(now))
+        if index is None:
+            self.replies.append((token, Took("leader")))
+            return
+        settings = isinstance(command(data), SETTINGS)
+        self._pending[index] = Pending(token, self.raft.term, limit, settings)
+
+    def read(self, token: Any, limit: float, now: float) -> None:
+        if not self.leads:
+            self.replies.append((token, Took("leader", leader=self.leader())))
+            return
+        self._reads.append(Read(token, self.raft.ask_quorum(), limit))
+
+    def want(self, w: Want, token: Any, now: float) -> None:
+        if not self.leads:
+            self.replies.append((token, Fed(self.leader())))
+            return
+        old = self._parked.pop(w.addr, None)
+        if old is not None:
+            self.replies.append((old.token, Fed(self.addr)))
+        self.echoes.heard(w, self.raft.group, self.raft.seq + 1, now)
+        self._parked[w.addr] = Parked(token, w, now)
+
+    def ready(self, now: float) -> Ready | None:
+        return self.raft.ready(now) if self.raft else None
+
+    def saved(self, r: Ready, now: float) -> None:
+        if r.install is not None:
+            self.state = State.load(r.install.state, r.install.group.generation)
+            self.state.index = r.install.index
+        self.raft.saved(r)
+        self._apply()
+        self._settle(now)
+
+    def picture(self) -> Picture:
+        i = self.state.index
+        return Picture(self.raft.group, i, self.raft.log.term(i), self.raft.log.voters_at(i), self.state.dump())
+
+    def compact(self, p: Picture) -> None:
+        self.raft.log.compact(p)
+
+    def _clock(self, now: float) -> int:
+        return self._clock_base + int((now - self._clock_at) * 1000)
+
+    def _apply(self) -> None:
+        while self.state.index < self.raft.commit:
+            e = self.raft.log.get(self.state.index + 1)
+            out = self.state.apply(e.index, e.at, e.data if e.kind == COMMAND else b"")
+            p = self._pending.pop(e.index, None)
+            if p is None:
+                continue
+            if p.term != e.term:
+                self.replies.append((p.token, Took("replaced")))
+                continue
+            p.outcome = out
+            self._waiting.append((e.index, p))
+
+    def _settle(self, now: float) -> None:
+        if not self.raft.leads:
+            if self._led:
+                self._fail_all()
+            self._led = False
+            return
+        if self.raft.settled and not self._led:
+            self._led, self._clock_base, self._clock_at = True, self.state.clock, now
+            self.echoes.begin(now)
+        if not self._led:
+            return
+        self.echoes.watch(self.state.settings, now)
+        self._answer_waiting(now)
+        self._answer_reads(now)
+        self._answer_wants(now)
+        self._housekeep(now)
+
+    def _answer_waiting(self, now: float) -> None:
+        keep: deque[tuple[int, Pending]] = deque()
+        for index, p in self._waiting:
+            o = p.outcome
+            held = self.echoes.held_elsewhere(index, now)
+            if held and (not p.settings or self.echoes.in_force(o.revision, now)):
+                self.replies.append((p.token, Took(o.code, o.revision, o.body)))
+            elif now >= p.limit:
+                self.replies.append((p.token, Took("undecided", o.revision)))
+            else:
+                keep.append((index, p))
+        self._waiting = keep
+        for i in [i for i, p in self._pending.items() if now >= p.limit]:
+            self.replies.append((self._pending.pop(i).token, Took("undecided")))
+
+    def _answer_reads(self, now: float) -> None:
+        keep = []
+        for r in self._reads:
+            if r.need <= self.raft.confirmed:
+                self.replies.append((r.token, Took("ok", self.state.revision)))
+            elif now >= r.limit:
+                self.replies.append((r.token, Took("undecided")))
+            else:
+                keep.append(r)
+        self._reads = keep
+
+    def _answer_wants(self, now: float) -> None:
+        for a, p in list(self._parked.items()):
+            same = p.want.group == self.raft.group
+            if same and p.want.index >= self.state.index and now - p.at < HOLD:
+                continue
+            del self._parked[a]
+            sure = self.echoes.sure(a, self.raft.confirmed)
+            body, entries = b"", []
+            if not same or p.want.index < self.raft.log.base or p.want.index > self.state.index:
+                body = self._dump()
+            else:
+                es = self.raft.log.since(p.want.index)
+                entries = [e for e in es if e.index <= self.state.index]
+            self.replies.append((p.token, Fed(
+                self.addr, self.raft.group, body, entries, self.state.index, self.state.settings.revision, sure,
+                self.raft.log.voters_at(self.state.index),
+            )))
+
+    def _dump(self) -> bytes:
+        if self._picture[0] != self.state.revision:
+            self._picture = (self.state.revision, self.state.dump())
+        return self._picture[1]
+
+    def _housekeep(self, now: float) -> None:
+        if now - self._ticked > 1.0 and self.state.tie.restless():
+            self._ticked = now
+            self.raft.propose(COMMAND, encode(Tick()), self._clock(now))
+        if now - self._grown < 0.1:
+            return
+        self._grown = now
+        v = grow.next_voters(self.raft, self.seen, now)
+        if v is not None and self.raft.change_voters(v, self._clock(now)) is not None:
+            self.counts.add("vote_changes")
+        step = self.echoes.roster_step(self.state.settings, now)
+        if step is not None:
+            self.raft.propose(COMMAND, encode(step), self._clock(now))
+
+    def _fail_all(self) -> None:
+        for p in [*self._pending.values(), *(p for _, p in self._waiting)]:
+            self.replies.append((p.token, Took("undecided")))
+        for r in self._reads:
+            self.replies.append((r.token, Took("leader")))
+        for p in self._parked.values():
+            self.replies.append((p.token, Fed(None)))
+        self._pending, self._waiting, self._reads, self._parked = {}, deque(), [], {}
+
+
+def founding(group: Group, voters: Voters, base: Held | None) -> Picture:
+    state = State.load(base.state, group.generation) if base is not None and base.state else State(group.generation)
+    return Picture(group, state.index, 0, voters, state.dump())
--- /dev/null
+++ b/mallowvalve/law/echo.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mallowvalve.count import Counts
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law.state import State
+from mallowvalve.law.wire import Fed, Held, Round, Told, Want
+from mallowvalve.vote.wire import Group, Voters
+
+WINDOW = 2.0
+QUIET = 0.6
+
+
+class Echo:
+    __slots__ = (
+        "addr", "boot", "role", "locality", "group", "voters", "state", "leader", "counts", "lost_leader",
+        "_sure", "_answers", "_led", "_on_settings",
+    )
+
+    def __init__(self, addr: Address, boot: int, role: str, locality: Locality, on_settings: Callable[[State], None]):
+        self.addr, self.boot, self.role, self.locality = addr, boot, role, locality
+        self.group: Group | None = None
+        self.voters: Voters | None = None
+        self.state: State | None = None
+        self.leader: Address | None = None
+        self.lost_leader = True
+        self.counts = Counts()
+        self._sure = self._led = -1e9
+        self._answers: dict[float, set[Address]] = {}
+        self._on_settings = on_settings
+
+    @property
+    def revision(self) -> int:
+        return self.state.settings.revision if self.state else 0
+
+    def fresh(self, now: float) -> bool:
+        return self.state is not None and now - self._sure <= WINDOW
+
+    def fresh_for(self, now: float) -> float:
+        return max(0.0, WINDOW - (now - self._sure))
+
+    def quiet(self, now: float) -> bool:
+        return now - self._led > QUIET
+
+    def want(self, now: float) -> Want:
+        index = self.state.index if self.state else 0
+        return Want(self.addr, self.boot, self.role, self.locality, self.group, index, self.revision, now)
+
+    def fed(self, f: Fed, now: float) -> None:
+        if f.group is None:
+            self.leader = f.leader
+            return
+        if f.picture and not self._adopt(f.group, f.picture):
+            self.counts.add("echo_older_refused")
+            return
+        if f.group != self.group:
+            return
+        self.leader, self._led = f.leader, now
+        self.voters = f.voters
+        self._apply(f)
+        if self.revision >= f.revision and f.sure >= 0:
+            self._sure = max(self._sure, f.sure)
+
+    def round(self, now: float) -> Round | None:
+        if self.state is None:
+            return None
+        self._answers = {t: a for t, a in self._answers.items() if now - t < WINDOW}
+        self._answers[now] = {self.addr}
+        self._count(now)
+        return Round(self.addr, now)
+
+    def roster(self) -> list[Address]:
+        return [Address.read(a).ok_value for a in self.state.settings.roster] if self.state else []
+
+    def tell(self, r: Round) -> Told:
+        return Told(self.addr, self.boot, r.stamp, self.group, self.revision, self.state.index if self.state else 0)
+
+    def told(self, t: Told) -> bool:
+        if t.group is None or self.state is None:
+            return False
+        if self._newer(t):
+            return True
+        if t.group != self.group or t.stamp not in self._answers:
+            return False
+        seat = self.state.settings.roster.get(str(t.sender))
+        if seat is not None and seat.boot == t.boot:
+            self._answers[t.stamp].add(t.sender)
+            self._count(t.stamp)
+        return False
+
+    def held(self) -> Held:
+        return Held(self.group, self.voters, self.state.dump() if self.state else b"")
+
+    def adopt(self, h: Held) -> None:
+        if h.group is not None and h.state and self._adopt(h.group, h.state):
+            self.voters = h.voters
+
+    def _newer(self, t: Told) -> bool:
+        if t.group != self.group:
+            return t.group.generation > self.group.generation
+        return t.revision > self.revision
+
+    def _count(self, stamp: float) -> None:
+        roster = self.state.settings.roster
+        if str(self.addr) not in roster:
+            return
+        if len(self._answers[stamp]) > len(roster) // 2:
+            self._sure = max(self._sure, stamp)
+
+    def _adopt(self, group: Group, data: bytes) -> bool:
+        if self.group is not None and group.generation < self.group.generation:
+            return False
+        s = State.load(data, group.generation)
+        if self.state is not None and group == self.group and s.index <= self.state.index:
+            return True
+        if self.group is not None and group.generation == self.group.generation and group != self.group:
+            if s.index < self.state.index:
+                return False
+        before = self.revision if self.group == group else -1
+        self.group, self.state = group, s
+        if self.revision != before:
+            self._on_settings(s)
+        return True
+
+    def _apply(self, f: Fed) -> None:
+        before = self.revision
+        for e in f.entries:
+            if e.index == self.state.index + 1:
+                self.state.apply(e.index, e.at, e.data if e.kind == 1 else b"")
+        if self.revision != before:
+            self._on_settings(self.state)
--- /dev/null
+++ b/mallowvalve/law/echotask.py
@@ -0,0 +1,133 @@
+from __future__ import annotations
+
+import random
+import time
+
+import gevent
+import msgspec
+
+from mallowvalve.count import change, vital
+from mallowvalve.kind import Address
+from mallowvalve.law import wire
+from mallowvalve.law.echo import Echo
+from mallowvalve.law.state import State
+from mallowvalve.node import Node
+from mallowvalve.tree.build import EMPTY, build
+from mallowvalve.tree.model import Tree
+
+ROUND = 0.3
+
+
+class EchoTask:
+    __slots__ = ("node", "echo", "tree", "_jobs", "_rng")
+
+    def __init__(self, node: Node):
+        self.node = node
+        p = node.params
+        self.tree: Tree = EMPTY
+        self.echo = Echo(p.mesh, node.boot, p.role, p.locality, self._settings)
+        self._rng = random.Random()
+        on = node.mesh.on
+        on("round", lambda s, b: wire.encode(self.echo.tell(wire.round_(b))), quick=True)
+        on("held", lambda s, b: wire.encode(self.echo.held()))
+        on("who", lambda s, b: wire.encode(self._who()), quick=True)
+        node.gauge("revision", lambda: self.echo.revision)
+        node.gauge("held_index", lambda: self.echo.state.index if self.echo.state else 0)
+        node.gauge("fresh", lambda: self.echo.fresh(time.monotonic()))
+        node.allow(lambda service: service in self.tree.doc.services)
+
+    def __enter__(self) -> EchoTask:
+        self._jobs = [vital(gevent.spawn(self._follow)), vital(gevent.spawn(self._rounds))]
+        return self
+
+    def __exit__(self, *_) -> None:
+        gevent.killall(self._jobs)
+
+    def admits(self) -> bool:
+        e, now = self.echo, time.monotonic()
+        if not e.fresh(now):
+            return False
+        seat = e.state.settings.roster.get(str(e.addr))
+        return seat is not None and seat.boot == e.boot
+
+    def law(self) -> Address | None:
+        if self.echo.leader is not None:
+            return self.echo.leader
+        laws = [r.addr for r in self.node.bond.alive("law")]
+        return self._rng.choice(laws) if laws else None
+
+    def offer(self, command: bytes, limit: float) -> wire.Took:
+        end = time.monotonic() + limit
+        while (left := end - time.monotonic()) > 0:
+            to = self.law()
+            if to is None:
+                gevent.sleep(min(0.05, left))
+                continue
+            r = self.node.mesh.call(to, "offer", wire.encode(wire.Offer(command, left)), left)
+            if r.is_err():
+                self._forget(to)
+                gevent.sleep(min(0.05, left))
+                continue
+            t = wire.took(r.ok_value)
+            if t.code not in ("leader", "replaced"):
+                return t
+            self.echo.leader = t.leader
+            gevent.sleep(min(0.05, left))
+        return wire.Took("undecided")
+
+    def _forget(self, a: Address) -> None:
+        if self.echo.leader == a:
+            self.echo.leader = None
+
+    def _settings(self, s: State) -> None:
+        r = build(msgspec.json.decode(s.settings.doc))
+        if r.is_err():
+            change("picture_not_understood", revision=s.settings.revision, findings=[str(f) for f in r.err_value])
+            return
+        self.tree = r.ok_value
+        self.node.counts.add("pictures")
+
+    def _who(self) -> wire.Who:
+        p, e = self.node.params, self.echo
+        return wire.Who(
+            p.role, "", p.mesh, p.locality, p.seeds, e.state is None, e.group, e.state.index if e.state else 0,
+            e.voters, e.leader,
+        )
+
+    def _follow(self) -> None:
+        while True:
+            to = self.law()
+            if to is None:
+                gevent.sleep(0.1)
+                continue
+            r = self.node.mesh.call(to, "want", wire.encode(self.echo.want(time.monotonic())), 1.5)
+            if r.is_err():
+                self._forget(to)
+                gevent.sleep(0.1)
+                continue
+            f = wire.fed(r.ok_value)
+            self.echo.fed(f, time.monotonic())
+            if f.group is None:
+                gevent.sleep(0.05)
+
+    def _rounds(self) -> None:
+        while True:
+            gevent.sleep(ROUND)
+            now = time.monotonic()
+            if not self.echo.quiet(now):
+                continue
+            m = self.echo.round(now)
+            if m is None:
+                continue
+            body = wire.encode(m)
+            for a in self.echo.roster():
+                if a != self.echo.addr:
+                    gevent.spawn(self._ask, a, body)
+
+    def _ask(self, a: Address, body: bytes) -> None:
+        r = self.node.mesh.call(a, "round", body, 1.0)
+        if r.is_err() or not self.echo.told(wire.told(r.ok_value)):
+            return
+        h = self.node.mesh.call(a, "held", b"", 2.0)
+        if h.is_ok():
+            self.echo.adopt(wire.held(h.ok_value))
--- /dev/null
+++ b/mallowvalve/law/force.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import msgspec
+
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law.echo import WINDOW
+from mallowvalve.law.state import Enrol, Settings, Strike
+from mallowvalve.law.wire import Want
+from mallowvalve.vote.wire import Group
+
+SLACK = 0.1
+REACHED = 1.5
+COPIES = 2
+GONE = 15.0
+
+
+class Heard(msgspec.Struct):
+    want: Want
+    at: float
+    first: float
+    asks: list[tuple[int, float]]
+
+
+class Echoes:
+    __slots__ = ("locality", "heard_of", "_settings", "_majority_at", "_calm", "_group", "_struck")
+
+    def __init__(self, locality: Locality):
+        self.locality = locality
+        self.heard_of: dict[Address, Heard] = {}
+        self._settings = Settings()
+        self._majority_at: dict[int, float] = {}
+        self._calm = 0.0
+        self._group: Group | None = None
+        self._struck: dict[str, float] = {}
+
+    def begin(self, now: float) -> None:
+        self.heard_of, self._majority_at = {}, {}
+        self._struck = {}
+        self._calm = now + WINDOW + SLACK
+
+    def heard(self, w: Want, group: Group, need: int, now: float) -> None:
+        self._group = group
+        h = self.heard_of.get(w.addr)
+        if h is None or h.want.boot != w.boot:
+            h = self.heard_of[w.addr] = Heard(w, now, now, [])
+        h.want, h.at = w, now
+        h.asks = [*h.asks[-16:], (need, w.stamp)]
+
+    def sure(self, a: Address, confirmed: int) -> float:
+        h = self.heard_of.get(a)
+        return max((s for n, s in h.asks if n <= confirmed), default=-1.0) if h else -1.0
+
+    def held_elsewhere(self, index: int, now: float) -> bool:
+        near = [h for h in self.heard_of.values() if now - h.at < REACHED and h.want.locality != self.locality]
+        have = sum(h.want.group == self._group and h.want.index >= index for h in near)
+        return have >= min(COPIES, len(near))
+
+    def watch(self, s: Settings, now: float) -> None:
+        for a in self._settings.roster:
+            if a not in s.roster:
+                self._struck[a] = now + WINDOW + SLACK
+        self._settings = msgspec.structs.replace(s, roster=dict(s.roster))
+        most = not s.roster or 2 * len(self._holders(s.revision)) > len(s.roster)
+        if most and s.revision not in self._majority_at:
+            self._majority_at[s.revision] = now
+        if len(self._majority_at) > 256:
+            del self._majority_at[next(iter(self._majority_at))]
+
+    def in_force(self, revision: int, now: float) -> bool:
+        s = self._settings
+        if revision > s.revision:
+            return False
+        since = min((t for r, t in self._majority_at.items() if r >= revision), default=None)
+        if since is None:
+            return False
+        if now >= since + WINDOW + SLACK:
+            return True
+        calm = now >= self._calm and all(t <= now for t in self._struck.values())
+        return calm and len(self._holders(revision)) == len(s.roster)
+
+    def roster_step(self, s: Settings, now: float) -> Enrol | Strike | None:
+        if not self.in_force(s.revision, now):
+            return None
+        for a, h in sorted(self.heard_of.items()):
+            if h.want.role != "flow" or now - h.at > REACHED:
+                continue
+            seat = s.roster.get(str(a))
+            if seat is None or seat.boot != h.want.boot:
+                return Enrol(a, h.want.boot, h.want.locality)
+        if now < self._calm + GONE:
+            return None
+        for text in sorted(s.roster):
+            a = Address.read(text).ok_value
+            h = self.heard_of.get(a)
+            if h is None or now - h.at > GONE:
+                return Strike(a)
+        return None
+
+    def _holders(self, revision: int) -> list[str]:
+        out = []
+        for a, h in self.heard_of.items():
+            seat = self._settings.roster.get(str(a))
+            if seat is None:
+                continue
+            former_life_over = seat.boot != h.want.boot
+            if former_life_over or h.want.group == self._group and h.want.revision >= revision:
+                out.append(str(a))
+        return out
--- /dev/null
+++ b/mallowvalve/law/found.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import msgspec
+
+from mallowvalve.kind import Address
+from mallowvalve.law.wire import Who
+from mallowvalve.vote.wire import Voters
+
+
+class Found(msgspec.Struct, frozen=True):
+    generation: int
+    voters: Voters
+    base: Who | None
+
+
+class Start(msgspec.Struct, frozen=True):
+    source: Who
+
+
+class Wipe(msgspec.Struct, frozen=True):
+    pass
+
+
+class Wait(msgspec.Struct, frozen=True):
+    why: str
+
+
+Decision = Found | Start | Wipe | Wait
+
+
+def decide(me: Who, answers: list[Who], first_generation: int, unborn: bool) -> Decision:
+    known = [w for w in answers if w.group is not None and w.voters is not None]
+    best = max(known, key=lambda w: (w.group.generation, w.index), default=None)
+    if best is None:
+        return _first(me, answers, first_generation) if me.blank else Wait("alone")
+    if me.group is not None and best.group.generation < me.group.generation:
+        return Wait("newest")
+    if me.group is not None and best.group.generation == me.group.generation:
+        strangers = [w for w in known if w.group.generation == me.group.generation and w.group != me.group]
+        if strangers and unborn and any(w.role == "law" and w.leader for w in strangers):
+            return Wipe()
+        return Wait("member")
+    return _join(me, known, best) or _renew(me, answers, best)
+
+
+def _first(me: Who, answers: list[Who], generation: int) -> Decision:
+    if me.addr not in _circle(me):
+        return Wait("not a seed")
+    by = {w.addr: w for w in answers} | {me.addr: me}
+    silent = [a for a in _circle(me) if a not in by]
+    if silent:
+        return Wait(f"silent seed {silent[0]}")
+    core = sorted((by[a] for a in _circle(me) if by[a].role == "law"), key=lambda w: w.addr)
+    odd = [w for w in core if not w.blank or set(_circle(w)) != set(_circle(me))]
+    if odd:
+        return Wait(f"seed {odd[0].addr} lists other seeds or is not blank")
+    if me.addr not in me.seeds and any(me.addr not in w.seeds for w in core if w.addr != me.addr):
+        return Wait("not a seed of the others")
+    if core[0].addr != me.addr:
+        return Wait(f"{core[0].addr} founds")
+    return Found(generation, Voters({w.id: w.addr for w in core}), None)
+
+
+def _circle(w: Who) -> list[Address]:
+    return sorted({*w.seeds, w.addr})
+
+
+def _join(me: Who, known: list[Who], best: Who) -> Decision | None:
+    homes = [w for w in known if w.group == best.group and w.role == "law"]
+    for w in homes:
+        if w.voters.address(me.id) is not None:
+            return Start(w)
+    if homes and not me.blank and me.group.generation < best.group.generation:
+        return Wipe()
+    return None
+
+
+def _renew(me: Who, answers: list[Who], best: Who) -> Decision:
+    if not me.blank:
+        return Wait("behind")
+    blank = {w.addr: w for w in [*answers, me] if w.role == "law" and w.blank}
+    last = best.voters.voters
+    lost = sorted(a for a in last.values() if a in blank)
+    if 2 * len(lost) <= len(last):
+        return Wait(f"{len(lost)} of {len(last)} voters answer as blank")
+    if lost[0] != me.addr:
+        return Wait(f"{lost[0]} founds anew")
+    voters = {(blank[a].id if a in blank else i): a for i, a in last.items()}
+    return Found(best.group.generation + 1, Voters(voters), best)
+
+
--- /dev/null
+++ b/mallowvalve/law/http.py
@@ -0,0 +1,229 @@
+from __future__ import annotations
+
+import time
+import uuid
+
+import falcon
+import gevent
+import msgspec
+
+from mallowvalve import finding, web
+from mallowvalve.finding import Finding
+from mallowvalve.law.state import Change, Evacuate, Settings, encode
+from mallowvalve.law.task import LawTask
+from mallowvalve.law.wire import Took
+from mallowvalve.tie.state import Lock, Next, Put, Renew, Said, Unlock
+from mallowvalve.tree.build import build
+
+APPLY_LIMIT = 8.0
+TIE_LIMIT = 3.0
+CONFIG_BYTES = 8 << 20
+WATCH_MOST = 25.0
+_said = msgspec.msgpack.Decoder(Said).decode
+
+
+class Api:
+    def __init__(self, task: LawTask):
+        self.task = task
+
+    def confirm(self, resp: falcon.Response) -> Settings | None:
+        t = self.task.read(2.0)
+        if t.code != "ok":
+            self.refuse(resp, t)
+            return None
+        return self.task.core.state.settings
+
+    def refuse(self, resp: falcon.Response, t: Took) -> None:
+        if t.code in ("leader", "replaced"):
+            web.bounce(resp, 503, web.NOT_RUN, [Finding("law", "no leader here just now")], 1)
+            if t.leader is not None:
+                resp.set_header("Mallow-Leader", self.web_of(t.leader))
+            return
+        web.bounce(resp, 504, web.UNDECIDED, [Finding("law", "not confirmed in time; safe to repeat with the same key")], 1)
+
+    def web_of(self, mesh) -> str:
+        r = next((r for r in self.task.node.bond.view() if r.addr == mesh), None)
+        return str(r.web) if r else ""
+
+
+class ConfigDoc(msgspec.Struct):
+    doc: dict
+    base: int | None = None
+
+
+class Config(Api):
+    def on_get(self, req, resp) -> None:
+        s = self.confirm(resp)
+        if s is None:
+            return
+        web.say(resp, {"revision": s.doc_revision, "doc": msgspec.json.decode(s.doc), "evacuated": sorted(s.evacuated)})
+
+    def on_put(self, req, resp) -> None:
+        data = web.json_of(req, resp, CONFIG_BYTES)
+        if data is None:
+            return
+        r = finding.read(ConfigDoc, data)
+        if r.is_err():
+            return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+        built = build(r.ok_value.doc)
+        if built.is_err():
+            return web.bounce(resp, 422, web.NOT_RUN, built.err_value)
+        ask = req.get_header("Mallow-Key") or uuid.uuid4().hex
+        t = self.task.offer(encode(Change(r.ok_value.base, msgspec.json.encode(r.ok_value.doc), ask)), APPLY_LIMIT)
+        if t.code == "conflict":
+            return web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {t.revision} now")])
+        if t.code != "ok":
+            return self.refuse(resp, t)
+        web.say(resp, {"revision": t.revision, "in_force": True})
+
+
+class EvacuateDoc(msgspec.Struct):
+    zone: str
+    evacuated: bool
+
+
+class Evacuations(Api):
+    def on_post(self, req, resp) -> None:
+        data = web.json_of(req, resp, 65536)
+        if data is None:
+            return
+        r = finding.read(EvacuateDoc, data)
+        if r.is_err():
+            return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+        s = self.confirm(resp)
+        if s is None:
+            return
+        regions = build(msgspec.json.decode(s.doc)).unwrap().doc.regions
+        known = {z for r_ in regions.values() for z in r_.zones} | {f"{n}/{z}" for n, r_ in regions.items() for z in r_.zones}
+        if r.ok_value.zone not in known | set(regions) and r.ok_value.evacuated:
+            return web.bounce(resp, 404, web.NOT_RUN, [Finding("zone", f"no zone {r.ok_value.zone!r}")])
+        t = self.task.offer(encode(Evacuate(r.ok_value.zone, r.ok_value.evacuated)), APPLY_LIMIT)
+        if t.code != "ok":
+            return self.refuse(resp, t)
+        web.say(resp, {"revision": t.revision, "in_force": True})
+
+
+class Leader(Api):
+    def on_get(self, req, resp) -> None:
+        c = self.task.core
+        r = c.raft
+        if r is None:
+            return web.say(resp, {"leader": None, "blank": True})
+        v = r.log.voters
+        web.say(resp, {
+            "leader": str(c.leader()) if c.leader() else None, "term": r.term, "generation": r.group.generation,
+            "role": r.role, "index": c.state.index, "revision": c.state.revision,
+            "voters": sorted(map(str, v.voters.values())), "learners": sorted(map(str, v.learners.values())),
+            "roster": sorted(c.state.settings.roster), "disk": "refuses" if self.task.stalled else "well",
+        })
+
+
+class TieDoc(msgspec.Struct):
+    holder: str = ""
+    ttl_ms: int = 10000
+    token: int = 0
+    value: str | None = None
+    base: int | None = None
+
+
+class Locks(Api):
+    def on_post(self, req, resp, name: str, act: str) -> None:
+        d = self.read(req, resp)
+        if d is None:
+            return
+        if not d.holder or not 100 <= d.ttl_ms <= 600_000:
+            return web.bounce(resp, 400, web.NOT_RUN, [Finding("holder, ttl_ms", "want a holder and 100 to 600000 ms")])
+        ask = req.get_header("Mallow-Key") or uuid.uuid4().hex
+        match act:
+            case "take":
+                self.run(resp, Lock(name, d.holder, d.ttl_ms, ask))
+            case "renew":
+                self.run(resp, Renew(name, d.holder, d.token, d.ttl_ms))
+            case "free":
+                self.run(resp, Unlock(name, d.holder, d.token))
+            case _:
+                web.bounce(resp, 404, web.NOT_RUN, [Finding("path", "want take, renew or free")])
+
+    def read(self, req, resp) -> TieDoc | None:
+        data = web.json_of(req, resp, 1 << 20)
+        if data is None:
+            return None
+        r = finding.read(TieDoc, data)
+        if r.is_err():
+            web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+            return None
+        return r.ok_value
+
+    def run(self, resp, c) -> None:
+        t = self.task.offer(encode(c), TIE_LIMIT)
+        if not t.body:
+            return self.refuse(resp, t)
+        s = _said(t.body)
+        status = {"ok": 200, "held": 409, "conflict": 409, "lost": 410, "missing": 404}[s.code]
+        body = {"code": s.code, "revision": t.revision}
+        if s.code == "held":
+            body |= {"holder": s.holder, "retry_ms": s.number}
+            resp.set_header("Retry-After", str(max(1, s.number // 1000)))
+        else:
+            body["number"] = s.number
+        web.say(resp, body, status)
+
+
+class Numbers(Locks):
+    def on_post(self, req, resp, name: str) -> None:
+        self.run(resp, Next(name, req.get_header("Mallow-Key") or uuid.uuid4().hex))
+
+
+class Keys(Locks):
+    def on_get(self, req, resp, name: str) -> None:
+        if self.confirm(resp) is None:
+            return
+        st = self.task.core.state
+        had = st.tie.keys.get(name)
+        body = {"name": name, "value": had[0] if had else None, "at": had[1] if had else 0, "revision": st.revision}
+        web.say(resp, body, 200 if had else 404)
+
+    def on_put(self, req, resp, name: str) -> None:
+        d = self.read(req, resp)
+        if d is None:
+            return
+        if d.value is None or len(d.value) > 65536:
+            return web.bounce(resp, 400, web.NOT_RUN, [Finding("value", "want text of at most 65536 characters")])
+        self.run(resp, Put(name, d.value, d.base, req.get_header("Mallow-Key") or uuid.uuid4().hex))
+
+    def on_delete(self, req, resp, name: str) -> None:
+        self.run(resp, Put(name, None, None, req.get_header("Mallow-Key") or uuid.uuid4().hex))
+
+
+class Watch(Api):
+    def on_get(self, req, resp) -> None:
+        since = req.get_param_as_int("since", required=True, min_value=0)
+        prefix = req.get_param("prefix") or ""
+        wait = min(WATCH_MOST, (req.get_param_as_int("wait_ms") or 0) / 1000)
+        end = time.monotonic() + wait
+        if self.confirm(resp) is None:
+            return
+        while True:
+            st = self.task.core.state
+            if st is None:
+                return self.refuse(resp, Took("leader"))
+            events = st.tie.since(since, prefix)
+            if events is None:
+                return web.bounce(resp, 410, web.NOT_RUN, [Finding("since", f"compacted up to {st.tie.compacted}")])
+            if events or time.monotonic() >= end or self.task.node.stopping.is_set():
+                break
+            gevent.sleep(0.05)
+        web.say(resp, {
+            "revision": events[-1].revision if events else max(since, 0),
+            "events": [{"revision": e.revision, "name": e.name, "value": e.value} for e in events],
+        })
+
+
+def add_routes(app: falcon.App, task: LawTask) -> None:
+    app.add_route("/config", Config(task))
+    app.add_route("/evacuations", Evacuations(task))
+    app.add_route("/leader", Leader(task))
+    app.add_route("/locks/{name}/{act}", Locks(task))
+    app.add_route("/numbers/{name}", Numbers(task))
+    app.add_route("/keys/{name}", Keys(task))
+    app.add_route("/watch", Watch(task))
--- /dev/null
+++ b/mallowvalve/law/store.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from mallowvalve.finding import Finding, Findings
+from mallowvalve.tale.log import Tale
+from mallowvalve.vote.raft import Ready
+from mallowvalve.vote.wire import Entry, Hard, Picture, encode, picture_of
+
+_hard = msgspec.msgpack.Decoder(Hard).decode
+_entry = msgspec.msgpack.Decoder(Entry).decode
+HARD, ENTRY = b"h", b"e"
+
+
+class Loaded(msgspec.Struct):
+    picture: Picture | None
+    hard: Hard | None
+    entries: list[Entry]
+
+
+def load(tale: Tale) -> Result[Loaded, Findings]:
+    if tale.picture is None:
+        return Err([Finding("log", "entries without a picture")]) if tale.batches else Ok(Loaded(None, None, []))
+    try:
+        return Ok(_replay(picture_of(tale.picture), tale))
+    except (msgspec.DecodeError, ValueError) as e:
+        return Err([Finding("log", f"not understood: {e}")])
+
+
+def _replay(p: Picture, tale: Tale) -> Loaded:
+    hard: Hard | None = None
+    entries: list[Entry] = []
+    base, group = -1, None
+    for batch in tale.batches:
+        for item in batch:
+            if item[:1] == HARD:
+                h = _hard(item[1:])
+                if h.group != group:
+                    entries, base, group = [], -1, h.group
+                hard = h
+                continue
+            e = _entry(item[1:])
+            if base < 0:
+                base = e.index
+            if e.index < base or e.index > base + len(entries):
+                entries, base = [], e.index
+            del entries[e.index - base :]
+            entries.append(e)
+    if hard is not None and hard.group != p.group:
+        return Loaded(p, None, [])
+    return Loaded(p, hard, _tail(p, entries))
+
+
+def _tail(p: Picture, entries: list[Entry]) -> list[Entry]:
+    at = next((i for i, e in enumerate(entries) if e.index == p.index), None)
+    if at is not None and entries[at].term != p.term:
+        return []
+    tail = [e for e in entries if e.index > p.index]
+    return tail if tail and tail[0].index == p.index + 1 else []
+
+
+def items(r: Ready) -> list[bytes]:
+    out = [HARD + encode(r.hard)] if r.hard is not None else []
+    return out + [ENTRY + encode(e) for e in r.entries]
+
+
+def head(hard: Hard, tail: list[Entry]) -> list[bytes]:
+    return [HARD + encode(hard)] + [ENTRY + encode(e) for e in tail]
+
+
+def save(tale: Tale, r: Ready, hard: Hard) -> None:
+    if r.install is not None:
+        tale.turn(encode(r.install), head(hard, r.entries))
+        return
+    batch = items(r)
+    if batch:
+        tale.save(batch)
--- /dev/null
+++ b/mallowvalve/law/task.py
@@ -0,0 +1,269 @@
+from __future__ import annotations
+
+import random
+import time
+import uuid
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.queue import Empty, Queue
+
+from mallowvalve.count import change, vital
+from mallowvalve.kind import Address
+from mallowvalve.law import store, wire
+from mallowvalve.law.core import Core, founding
+from mallowvalve.law.found import Decision, Found, Start, Wipe, decide
+from mallowvalve.node import Node
+from mallowvalve.tale.log import Tale
+from mallowvalve.vote.wire import Envelope, Group, Hard, Picture, encode, envelope, picture_of
+
+FOUND_EVERY = 0.5
+STEADY = 2.0
+HERE = 1.0
+
+
+def first_generation() -> int:
+    return max(1, int(time.time() // 60) - 29_000_000)
+
+
+class LawTask:
+    __slots__ = ("node", "core", "tale", "_box", "_jobs", "_verdict", "_since", "stalled", "_role_said")
+
+    def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
+        self.node, self.tale = node, tale
+        p = node.params
+        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot))
+        if loaded.picture is not None:
+            self.core.start(loaded.picture, loaded.hard, loaded.entries, time.monotonic())
+        self._box: Queue = Queue()
+        self._verdict: tuple[str, float] = ("", 0.0)
+        self.stalled = False
+        self._role_said = ""
+        on = node.mesh.on
+        on("vote", self._vote, quick=True)
+        on("want", lambda s, b: wire.encode(self._do(lambda t, now: self.core.want(wire.want(b), t, now), 2.0) or wire.Fed(None)))
+        on("offer", lambda s, b: wire.encode(self._offer(wire.offer(b))))
+        on("read", lambda s, b: wire.encode(self._read(2.0)))
+        on("who", lambda s, b: wire.encode(self._who()), quick=True)
+        on("held", lambda s, b: wire.encode(self.core.held()))
+        on("here", lambda s, b: self._put(lambda now: self.core.here(wire.who(b), now)), quick=True)
+        on("picture", lambda s, b: encode(self.core.picture()) if self.core.raft else b"")
+
+    def __enter__(self) -> LawTask:
+        self._jobs = [vital(gevent.spawn(self._run)), vital(gevent.spawn(self._gather))]
+        return self
+
+    def __exit__(self, *_) -> None:
+        gevent.killall(self._jobs)
+
+    def offer(self, command: bytes, limit: float) -> wire.Took:
+        t = self._offer(wire.Offer(command, limit))
+        if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
+            return t
+        r = self.node.mesh.call(t.leader, "offer", wire.encode(wire.Offer(command, limit)), limit)
+        return wire.took(r.ok_value) if r.is_ok() else wire.Took("undecided")
+
+    def read(self, limit: float) -> wire.Took:
+        end = time.monotonic() + limit
+        t = self._read(limit)
+        if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
+            return t
+        r = self.node.mesh.call(t.leader, "read", b"", limit)
+        if r.is_err():
+            return wire.Took("undecided")
+        t = wire.took(r.ok_value)
+        while t.code == "ok" and (self.core.state is None or self.core.state.revision < t.revision):
+            if time.monotonic() > end:
+                return wire.Took("undecided")
+            gevent.sleep(0.01)
+        return t
+
+    def _read(self, limit: float) -> wire.Took:
+        t = self._do(lambda t, now: self.core.read(t, now + limit, now), limit + 0.5)
+        return t or wire.Took("undecided")
+
+    def hand_over(self) -> None:
+        self._put(lambda now: self.core.raft and self.core.raft.hand_over())
+
+    def _offer(self, o: wire.Offer) -> wire.Took:
+        t = self._do(lambda t, now: self.core.propose(o.command, t, now + o.limit, now), o.limit + 0.5)
+        return t or wire.Took("undecided")
+
+    def _do(self, act, limit: float):
+        w = AsyncResult()
+        self._put(lambda now: act(w, now))
+        try:
+            return w.get(timeout=limit)
+        except gevent.Timeout:
+            return None
+
+    def _put(self, act) -> None:
+        self._box.put(act)
+
+    def _vote(self, sender: Address, body: bytes) -> None:
+        e = envelope(body)
+        self._put(lambda now: self.core.receive(e, now))
+
+    def _who(self) -> wire.Who:
+        return self.core.who("law", self.node.params.seeds)
+
+    def _run(self) -> None:
+        while True:
+            now = time.monotonic()
+            for act in self._take(max(0.001, self.core.wakeup(now) - now)):
+                act(time.monotonic())
+            self.core.tick(time.monotonic())
+            self._flush()
+            self._log()
+
+    def _take(self, wait: float) -> list:
+        try:
+            out = [self._box.get(timeout=wait)]
+            while len(out) < 512:
+                out.append(self._box.get_nowait())
+        except Empty:
+            return out if "out" in locals() else []
+        return out
+
+    def _flush(self) -> None:
+        r = self.core.ready(time.monotonic())
+        if r is not None:
+            group = self.core.raft.group
+            self._send(group, r.early)
+            self._persist(lambda: store.save(self.tale, r, Hard(group, self.core.raft.term, self.core.raft.vote)))
+            self._send(group, r.late)
+            self.core.saved(r, time.monotonic())
+            if self.tale.full():
+                self._compact()
+        replies, self.core.replies = self.core.replies, []
+        for w, body in replies:
+            w.set(body)
+
+    def _persist(self, act) -> None:
+        pool = gevent.get_hub().threadpool
+        while True:
+            try:
+                t = time.monotonic()
+                pool.apply(act)
+                if time.monotonic() - t > 1.0:
+                    self.node.counts.add("disk_slow")
+                if self.stalled:
+                    change("disk_well")
+                self.stalled = False
+                return
+            except OSError as e:
+                if not self.stalled:
+                    change("disk_refuses", error=str(e))
+                self.stalled = True
+                self.node.counts.add("disk_errors")
+                gevent.sleep(0.5)
+
+    def _compact(self) -> None:
+        p = self.core.picture()
+        raft = self.core.raft
+        tail = [e for e in raft.log.entries if e.index > p.index]
+        hard = Hard(raft.group, raft.term, raft.vote)
+        self._persist(lambda: self.tale.turn(encode(p), store.head(hard, tail)))
+        self.core.compact(p)
+        self.node.counts.add("pictures_taken")
+
+    def _send(self, group: Group, out: list) -> None:
+        raft = self.core.raft
+        for to, m in out:
+            a = raft.log.voters.address(to)
+            s = self.core.seen.get(to)
+            a = a or (s.addr if s else None)
+            if a is not None:
+                self.node.mesh.cast(a, "vote", encode(Envelope(group, self.core.id, to, self.node.params.mesh, m)))
+
+    def _log(self) -> None:
+        r = self.core.raft
+        role = r.role if r else "blank"
+        if role == self._role_said or role == "pre":
+            return
+        self._role_said = role
+        change("vote_role", role=role, term=r.term if r else 0, generation=r.group.generation if r else 0)
+
+    def _gather(self) -> None:
+        while True:
+            answers = self._ask_all()
+            verdict = decide(self._who(), answers, first_generation(), self.core.unborn)
+            why = repr(verdict)
+            if why != self._verdict[0]:
+                self._verdict = (why, time.monotonic())
+            settled = time.monotonic() - self._verdict[1] >= (2.0 if isinstance(verdict, Found) and verdict.base else 0.5)
+            if isinstance(verdict, Start) or settled:
+                self._act(verdict)
+            self._say_here()
+            gevent.sleep(FOUND_EVERY if self.core.raft is None else HERE)
+
+    def _ask_all(self) -> list[wire.Who]:
+        p = self.node.params
+        to = {r.addr for r in self.node.bond.alive()} | set(p.seeds)
+        if self.core.raft is not None:
+            to |= set(self.core.raft.log.voters.voters.values())
+        best = [w for w in self._ask(to - {p.mesh})]
+        known = {a for w in best if w.voters for a in w.voters.voters.values()}
+        return best + self._ask(known - to - {p.mesh})
+
+    def _ask(self, to: set[Address]) -> list[wire.Who]:
+        jobs = [gevent.spawn(self.node.mesh.call, a, "who", b"", 0.8) for a in sorted(to)]
+        gevent.joinall(jobs)
+        out = []
+        for j in jobs:
+            if j.value is not None and j.value.is_ok():
+                out.append(wire.who(j.value.ok_value))
+        return out
+
+    def _act(self, v: Decision) -> None:
+        if isinstance(v, Found):
+            base = self._fetch_held(v.base)
+            if v.base is not None and base is None:
+                return
+            group = Group(v.generation, uuid.uuid4().hex)
+            change("founding", generation=v.generation, voters=[str(a) for a in v.voters.voters.values()],
+                   base=str(v.base.addr) if v.base else None)
+            self._begin(founding(group, v.voters, base))
+        elif isinstance(v, Start):
+            r = self.node.mesh.call(v.source.addr, "picture", b"", 3.0)
+            if r.is_ok() and r.ok_value:
+                self._begin(picture_of(r.ok_value))
+        elif isinstance(v, Wipe):
+            self._wipe()
+
+    def _fetch_held(self, w: wire.Who | None) -> wire.Held | None:
+        if w is None:
+            return None
+        r = self.node.mesh.call(w.addr, "held", b"", 3.0)
+        return wire.held(r.ok_value) if r.is_ok() else None
+
+    def _begin(self, p: Picture) -> None:
+        done = AsyncResult()
+
+        def act(now: float) -> None:
+            self._persist(lambda: self.tale.turn(encode(p), store.head(Hard(p.group, 0, ""), [])))
+            self.core.start(p, None, [], now)
+            done.set(True)
+
+        self._put(act)
+        done.get()
+        change("joined", generation=p.group.generation, index=p.index)
+
+    def _wipe(self) -> None:
+        done = AsyncResult()
+
+        def act(now: float) -> None:
+            new = uuid.uuid4().hex
+            self._persist(lambda: self.tale.wipe(new))
+            self.core.stop(new)
+            done.set(True)
+
+        self._put(act)
+        done.get()
+        change("wiped_to_rejoin")
+
+    def _say_here(self) -> None:
+        body = wire.encode(self._who())
+        for r in self.node.bond.alive("law"):
+            self.node.mesh.cast(r.addr, "here", body)
+        self._put(lambda now: self.core.here(self._who(), now))
--- /dev/null
+++ b/mallowvalve/mesh/task.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+from gevent.pool import Pool
+from gevent.queue import Empty, Full, Queue
+from gevent.server import StreamServer
+from result import Err, Ok, Result
+
+from mallowvalve.count import Counts
+from mallowvalve.kind import Address
+from mallowvalve.mesh.frame import VERSION, Cutter, Frame, Hello, seal
+
+Handler = Callable[[Address, bytes], bytes | None]
+OUTBOX = 4096
+REDIAL = 0.25
+
+
+class Line:
+    __slots__ = ("to", "hello", "counts", "_box", "_waits", "_next", "_job", "_sock")
+
+    def __init__(self, to: Address, hello: Hello, counts: Counts):
+        self.to, self.hello, self.counts = to, hello, counts
+        self._box: Queue = Queue(OUTBOX)
+        self._waits: dict[int, AsyncResult] = {}
+        self._next = 0
+        self._sock = None
+        self._job = gevent.spawn(self._run)
+
+    def put(self, kind: str, body: bytes, wait: AsyncResult | None = None) -> int:
+        self._next += 1
+        if wait is not None:
+            self._waits[self._next] = wait
+        try:
+            self._box.put_nowait(Frame(kind, self._next, False, body))
+        except Full:
+            self.counts.add("mesh_overflow")
+            self._fail("overflow")
+        return self._next
+
+    def forget(self, n: int) -> None:
+        self._waits.pop(n, None)
+
+    def close(self) -> None:
+        self._job.kill()
+        self._drop("closed")
+
+    def _run(self) -> None:
+        while True:
+            f = self._box.get()
+            if self._sock is None and not self._dial():
+                self._drop("unreachable")
+                gevent.sleep(REDIAL)
+                continue
+            buf = [seal(f)]
+            while len(buf) < 64:
+                try:
+                    buf.append(seal(self._box.get_nowait()))
+                except Empty:
+                    break
+            try:
+                self._sock.sendall(b"".join(buf))
+            except (OSError, AttributeError):
+                self._drop("broken")
+
+    def _dial(self) -> bool:
+        try:
+            self._sock = socket.create_connection(self.to.pair, timeout=1.0)
+            self._sock.settimeout(None)
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock.sendall(seal(self.hello))
+        except OSError:
+            return False
+        gevent.spawn(self._listen, self._sock)
+        return True
+
+    def _listen(self, sock) -> None:
+        cut = Cutter(self.hello.fleet, greeted=True)
+        while True:
+            try:
+                data = sock.recv(65536)
+            except OSError:
+                data = b""
+            r = cut.feed(data) if data else Err("closed")
+            if isinstance(r, Err):
+                break
+            for f in r.ok_value:
+                w = self._waits.pop(f.id, None)
+                if w is not None:
+                    w.set(Ok(f.body))
+        if self._sock is sock:
+            self._drop("closed")
+
+    def _drop(self, why: str) -> None:
+        s, self._sock = self._sock, None
+        if s is not None:
+            s.close()
+        while not self._box.empty():
+            self._box.get_nowait()
+        self._fail(why)
+
+    def _fail(self, why: str) -> None:
+        waits, self._waits = self._waits, {}
+        for w in waits.values():
+            w.set(Err(why))
+
+
+class Mesh:
+    __slots__ = ("me", "fleet", "counts", "_on", "_lines", "_server", "_pool")
+
+    def __init__(self, me: Address, fleet: str, counts: Counts):
+        self.me, self.fleet, self.counts = me, fleet, counts
+        self._on: dict[str, tuple[Handler, bool]] = {}
+        self._lines: dict[Address, Line] = {}
+        self._pool = Pool(1024)
+
+    def on(self, kind: str, handler: Handler, quick: bool = False) -> None:
+        self._on[kind] = (handler, quick)
+
+    def __enter__(self) -> Mesh:
+        self._server = StreamServer(self.me.pair, self._serve)
+        self._server.start()
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._server.stop(timeout=0.1)
+        for line in self._lines.values():
+            line.close()
+
+    def cast(self, to: Address, kind: str, body: bytes) -> None:
+        self._line(to).put(kind, body)
+
+    def call(self, to: Address, kind: str, body: bytes, limit: float) -> Result[bytes, str]:
+        w = AsyncResult()
+        line = self._line(to)
+        n = line.put(kind, body, w)
+        try:
+            return w.get(timeout=limit)
+        except gevent.Timeout:
+            return Err("limit")
+        finally:
+            line.forget(n)
+
+    def _line(self, to: Address) -> Line:
+        line = self._lines.get(to)
+        if line is None:
+            line = self._lines[to] = Line(to, Hello(VERSION, self.fleet, self.me), self.counts)
+        return line
+
+    def _serve(self, sock, _addr) -> None:
+        cut, sender = Cutter(self.fleet), None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with sock:
+            while True:
+                try:
+                    data = sock.recv(65536)
+                except OSError:
+                    return
+                if not data:
+                    return
+                r = cut.feed(data)
+                if isinstance(r, Err):
+                    self.counts.add(f"mesh_{r.err_value}")
+                    return
+                for f in r.ok_value:
+                    if isinstance(f, Hello):
+                        sender = f.sender
+                        continue
+                    self._handle(sender, f, sock)
+
+    def _handle(self, sender: Address, f: Frame, sock) -> None:
+        h = self._on.get(f.kind)
+        if h is None:
+            self.counts.add("mesh_unknown")
+            return
+        act, quick = h
+        if quick:
+            self._answer(act, sender, f, sock)
+            return
+        self._pool.spawn(self._answer, act, sender, f, sock)
+
+    def _answer(self, act: Handler, sender: Address, f: Frame, sock) -> None:
+        try:
+            body = act(sender, f.body)
+        except ValueError:
+            self.counts.add("mesh_garbage")
+            return
+        if body is None:
+            return
+        try:
+            sock.sendall(seal(Frame(f.kind, f.id, True, body)))
+        except OSError:
+            self.counts.add("mesh_unanswered")
--- /dev/null
+++ b/mallowvalve/node.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+import signal
+import time
+
+import falcon
+import gevent
+import msgspec
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from mallowvalve import finding, web
+from mallowvalve.beat.board import Beat
+from mallowvalve.beat.task import BeatTask
+from mallowvalve.bond import formula
+from mallowvalve.bond.detector import Bond, fresh_record
+from mallowvalve.bond.task import NAMES, BondTask
+from mallowvalve.count import Counts, change
+from mallowvalve.finding import Finding, Findings
+from mallowvalve.kind import Address, Locality
+from mallowvalve.mesh.task import Mesh
+from mallowvalve.params import Params
+
+
+class BeatDoc(msgspec.Struct):
+    service: str
+    instance: str
+    incarnation: int
+    sequence: int
+    state: str
+    locality: str
+    address: str
+    usage: float = 0.0
+
+
+def read_beat(data: object) -> Result[Beat, Findings]:
+    r = finding.read(BeatDoc, data)
+    if r.is_err():
+        return r
+    d, found = r.ok_value, []
+    loc, addr = Locality.read(d.locality), Address.read(d.address)
+    if loc.is_err():
+        found.append(Finding("locality", loc.err_value))
+    if addr.is_err():
+        found.append(Finding("address", addr.err_value))
+    if d.state not in ("ready", "leaving", "gone"):
+        found.append(Finding("state", "want ready, leaving or gone"))
+    for f in ("incarnation", "sequence"):
+        if not 0 <= getattr(d, f) < 1 << 62:
+            found.append(Finding(f, "out of range"))
+    if found:
+        return Err(found)
+    return Ok(Beat(d.service, d.instance, d.incarnation, d.sequence, d.usage, d.state, loc.ok_value, addr.ok_value))
+
+
+class Node:
+    __slots__ = ("params", "boot", "counts", "bond", "mesh", "beats", "app", "server", "stopping", "_stack", "_gauges", "_allowed")
+
+    def __init__(self, params: Params):
+        self.params = params
+        self.boot = random.SystemRandom().getrandbits(62)
+        self.counts = Counts()
+        d = params.detector
+        me = fresh_record(params.mesh, self.boot, params.role, params.name, params.locality, params.web)
+        self.bond = BondTask(Bond(
+            me, params.fleet, params.seeds, random.Random(self.boot),
+            d.period or formula.period(d.detect, d.fail),
+            d.helpers or formula.helpers(d.mistake, d.fail, d.loss), d.round_trip,
+        ))
+        self.mesh = Mesh(params.mesh, params.fleet, self.counts)
+        self.beats = BeatTask(self.bond, self.mesh)
+        self.app = web.make_app()
+        self.server = web.Server(params.web, self.app, self.counts, params.sessions)
+        self.stopping = Event()
+        self._gauges: dict[str, object] = {}
+        self._allowed = lambda service: True
+
+    def __enter__(self) -> Node:
+        self._stack = contextlib.ExitStack()
+        self.app.add_route("/-/ready", Ready(self))
+        self.app.add_route("/-/counts", CountsView(self))
+        self.app.add_route("/-/nodes", Nodes(self))
+        self.app.add_route("/-/upstreams", Upstreams(self))
+        self.app.add_route("/-/beats", Beats(self))
+        with self._stack as s:
+            for part in (self.mesh, self.bond, self.beats, self.server):
+                s.enter_context(part)
+            for sig in (signal.SIGTERM, signal.SIGINT):
+                gevent.signal_handler(sig, self.stopping.set)
+            self._stack = s.pop_all()
+        change("started", role=self.params.role, name=self.params.name, pid=os.getpid())
+        return self
+
+    def __exit__(self, *a) -> None:
+        change("stopped", role=self.params.role, name=self.params.name)
+        self._stack.__exit__(*a)
+
+    def gauge(self, name: str, read) -> None:
+        self._gauges[name] = read
+
+    def allow(self, test) -> None:
+        self._allowed = test
+
+    def run(self, ready) -> None:
+        before = None
+        while not self.stopping.wait(timeout=0.2):
+            now = bool(ready())
+            if now != before:
+                change("ready" if now else "unready", name=self.params.name)
+                before = now
+            self.bond.ready(now)
+        self.bond.leave(final=False)
+        self.server.drain(self.params.polite * 0.8, grace=min(0.3, self.params.polite / 8))
+        self.bond.leave(final=True)
+
+    def is_ready(self) -> bool:
+        return self.bond.bond.me.ready and not self.stopping.is_set()
+
+
+class Ready:
+    def __init__(self, node: Node):
+        self.node = node
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        ok = self.node.is_ready()
+        web.say(resp, {"ready": ok, "role": self.node.params.role, "name": self.node.params.name}, 200 if ok else 503)
+
+
+class CountsView(Ready):
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        n = self.node
+        counts = n.counts.picture() | n.bond.bond.counts.picture() | n.beats.board.counts.picture()
+        web.say(resp, {"counts": counts, "gauges": {k: g() for k, g in n._gauges.items()}})
+
+
+class Nodes(Ready):
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        web.say(resp, {"nodes": [
+            {"name": r.name, "role": r.role, "mesh": str(r.addr), "web": str(r.web), "locality": str(r.locality),
+             "health": NAMES[r.state], "ready": r.ready, "incarnation": r.incarnation}
+            for r in sorted(self.node.bond.view(), key=lambda r: r.addr)
+        ]})
+
+
+class Upstreams(Ready):
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        web.say(resp, {"upstreams": [
+            {"service": b.service, "instance": b.instance, "incarnation": b.incarnation, "health": h,
+             "usage": b.usage, "locality": str(b.locality), "address": str(b.address), "silent_ms": int(age * 1000)}
+            for b, h, age in self.node.beats.board.all(time.monotonic())
+        ]})
+
+
+class Beats(Ready):
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        data = web.json_of(req, resp, 65536)
+        if data is None:
+            return
+        r = read_beat(data)
+        if r.is_err():
+            self.node.counts.add("beat_refused")
+            return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+        if not self.node._allowed(r.ok_value.service):
+            self.node.counts.add("beat_unallowed")
+            return web.bounce(resp, 403, web.NOT_RUN, [Finding("service", "no configuration allows it")], 5)
+        fresh = self.node.beats.hear(r.ok_value)
+        web.say(resp, {"news": fresh})
--- /dev/null
+++ b/mallowvalve/play/client.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import json
+import random
+import signal
+import time
+import uuid
+
+import gevent
+from gevent.event import Event
+from gevent.pool import Group
+from geventhttpclient import HTTPClient
+
+from mallowvalve.kind import Address
+
+
+class Share:
+    __slots__ = ("tenant", "method", "path", "once", "weight")
+
+    def __init__(self, tenant: str, method: str, path: str, once: bool, weight: float):
+        self.tenant, self.method, self.path, self.once, self.weight = tenant, method, path, once, weight
+
+
+class Client:
+    def __init__(self, name: str, ways: list[Address], locality: str, shares: list[Share], rate: float, journal, seed: int):
+        self.name, self.ways, self.locality, self.shares, self.rate = name, ways, locality, shares, rate
+        self.journal, self.rng = journal, random.Random(f"{seed}/{name}")
+        self.proxies: list[Address] = []
+        self.until = 0.0
+        self.session: HTTPClient | None = None
+        self.at: Address | None = None
+
+    def run(self, stop: Event) -> None:
+        while not stop.is_set():
+            s = self.rng.choices(self.shares, [s.weight for s in self.shares])[0]
+            self.ask(s, stop)
+            gevent.sleep(self.rng.expovariate(self.rate))
+
+    def ask(self, s: Share, stop: Event) -> None:
+        id = uuid.UUID(int=self.rng.getrandbits(128)).hex
+        key = f"k{id}" if s.once else ""
+        path = s.path.replace("{n}", str(self.rng.randrange(1000)))
+        start, tries, seen = time.time(), 0, []
+        while tries < 6 and time.time() < start + 8:
+            status, outcome, body, after = self.go(s, path, id, key, tries)
+            seen.append([status, outcome])
+            tries += 1
+            if status and status < 500 and status != 404 or not (outcome in ("not-run", "undecided") or key or status == 0 or not s.once):
+                break
+            gevent.sleep(min(2.0, after or 0.1) if not stop.is_set() else 0)
+        good = False
+        if seen[-1][0] == 200:
+            d = json.loads(body)
+            good = d.get("id") == id and d.get("key", "") == key and d.get("path") == path
+        self.journal.write(json.dumps({
+            "at": start, "took": time.time() - start, "tenant": s.tenant, "key": key, "id": id, "path": path,
+            "once": s.once, "tries": seen, "whole": good, "ok": seen[-1][0] == 200,
+        }) + "\n")
+
+    def go(self, s: Share, path: str, id: str, key: str, tries: int):
+        if not self.connect():
+            return 0, "no proxy", b"", 0.3
+        h = {"Mallow-Tenant": s.tenant, "Play-Id": id, "Mallow-Limit": "4000"}
+        if key:
+            h["Mallow-Key"] = key
+        if tries:
+            h["Mallow-Again"] = str(tries)
+        body = b""
+        if s.method == "POST":
+            h["Content-Type"] = "application/json"
+            body = json.dumps({"id": id}).encode()
+        try:
+            r = self.session.request(s.method, path, body=body, headers=h)
+            data = bytes(r.read())
+            out = r.status_code, r.get("mallow-outcome"), data, float(r.get("retry-after") or 0)
+            if (r.get("connection") or "").lower() == "close" or r.status_code == 503:
+                self.drop(r.status_code == 503)
+            return out
+        except Exception as e:
+            self.drop(True)
+            return 0, type(e).__name__, b"", 0.05
+
+    def drop(self, ask: bool) -> None:
+        if self.session is not None:
+            self.session.close()
+        self.session = None
+        if ask:
+            self.until = 0.0
+
+    def connect(self) -> bool:
+        now = time.monotonic()
+        if now >= self.until:
+            self.ask_way(now)
+        if self.session is not None and self.at in self.proxies:
+            return True
+        if not self.proxies:
+            return False
+        self.drop(False)
+        self.at = self.rng.choice(self.proxies[:3])
+        self.session = HTTPClient(self.at.host, self.at.port, connection_timeout=1.0, network_timeout=5.0, concurrency=1)
+        return True
+
+    def ask_way(self, now: float) -> None:
+        for a in self.rng.sample(self.ways, len(self.ways)):
+            c = HTTPClient(a.host, a.port, connection_timeout=1.0, network_timeout=2.0)
+            try:
+                r = c.get(f"/connect?locality={self.locality}")
+                d = json.loads(bytes(r.read()))
+                if r.status_code == 200:
+                    self.proxies = [Address.read(p["web"]).ok_value for p in d["proxies"]]
+                    self.until = now + d["life_ms"] / 1000
+                    return
+            except Exception:
+                continue
+            finally:
+                c.close()
+        self.until = now + 0.3
+
+
+def serve(ways: list[Address], localities: list[str], shares: list[Share], clients: int, rate: float, journal: str, seed: int, seconds: float) -> None:
+    stop = Event()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(sig, stop.set)
+    with open(journal, "a", buffering=1) as j:
+        g = Group()
+        for i in range(clients):
+            c = Client(f"c{i}", ways, localities[i % len(localities)], shares, rate / clients, j, seed)
+            g.spawn(c.run, stop)
+        stop.wait(timeout=seconds)
+        stop.set()
+        g.join(timeout=12)
--- /dev/null
+++ b/mallowvalve/play/main.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import json
+import sys
+
+import click
+
+from mallowvalve.kind import Address
+from mallowvalve.play import client, upstream
+
+
+def address(_ctx, _param, value):
+    many = value if isinstance(value, tuple) else (value,)
+    out = []
+    for v in many:
+        r = Address.read(v)
+        if r.is_err():
+            raise click.BadParameter(f"{v}: {r.err_value}")
+        out.append(r.ok_value)
+    return out if isinstance(value, tuple) else out[0]
+
+
+@click.group()
+def play() -> None:
+    """Stand-in clients and upstreams, for trying and testing a fleet."""
+
+
+@play.command("upstream")
+@click.option("--service", required=True)
+@click.option("--instance", required=True)
+@click.option("--at", required=True, callback=address)
+@click.option("--locality", required=True)
+@click.option("--tell", multiple=True, callback=address, help="web addresses of nodes that take beats")
+@click.option("--journal", default="/dev/null")
+@click.option("--work", default=0.005, help="seconds a request takes on average")
+def upstream_command(service, instance, at, locality, tell, journal, work) -> None:
+    """An upstream that beats, answers, journals what it ran and signs off."""
+    upstream.serve(upstream.Upstream(service, instance, at, locality, tell, journal, work))
+
+
+@play.command("clients")
+@click.option("--way", multiple=True, callback=address, required=True)
+@click.option("--locality", multiple=True, required=True)
+@click.option("--shares", required=True, help="JSON list of [tenant, method, path, once, weight]")
+@click.option("--clients", default=20)
+@click.option("--rate", default=50.0, help="requests a second, all clients together")
+@click.option("--journal", default="/dev/null")
+@click.option("--seed", default=1)
+@click.option("--seconds", default=1e9)
+def clients_command(way, locality, shares, clients, rate, journal, seed, seconds) -> None:
+    """Clients that ask a directory, keep sessions open and retry within a limit."""
+    try:
+        rows = [client.Share(*s) for s in json.loads(shares)]
+    except (ValueError, TypeError) as e:
+        click.echo(f"shares: {e}", err=True)
+        sys.exit(2)
+    client.serve(way, list(locality), rows, clients, rate, journal, seed, seconds)
--- /dev/null
+++ b/mallowvalve/tie/state.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+HISTORY_MS = 60_000
+REPEAT_MS = 600_000
+HISTORY_MOST = 100_000
+
+
+class Lock(msgspec.Struct, frozen=True, array_like=True, tag="lock"):
+    name: str
+    holder: str
+    ttl_ms: int
+    ask: str = ""
+
+
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
+    name: str
+    holder: str
+    token: int
+    ttl_ms: int
+
+
+class Unlock(msgspec.Struct, frozen=True, array_like=True, tag="unlock"):
+    name: str
+    holder: str
+    token: int
+
+
+class Next(msgspec.Struct, frozen=True, array_like=True, tag="next"):
+    name: str
+    ask: str = ""
+
+
+class Put(msgspec.Struct, frozen=True, array_like=True, tag="put"):
+    name: str
+    value: str | None
+    base: int | None = None
+    ask: str = ""
+
+
+class Held(msgspec.Struct, array_like=True):
+    holder: str
+    token: int
+    until: int
+
+
+class Said(msgspec.Struct, array_like=True, frozen=True):
+    code: str
+    number: int = 0
+    holder: str = ""
+
+
+class Event(msgspec.Struct, array_like=True, frozen=True):
+    revision: int
+    at: int
+    name: str
+    value: str | None
+
+
+class Tie:
+    __slots__ = ("locks", "numbers", "keys", "events", "compacted", "repeats")
+
+    def __init__(self):
+        self.locks: dict[str, Held] = {}
+        self.numbers: dict[str, int] = {}
+        self.keys: dict[str, tuple[str, int]] = {}
+        self.events: deque[Event] = deque()
+        self.compacted = 0
+        self.repeats: dict[str, tuple[int, Said]] = {}
+
+    def apply(self, c: Lock | Renew | Unlock | Next | Put, revision: int, at: int) -> Said:
+        self.lapse(at)
+        ask = getattr(c, "ask", "")
+        ask = f"{type(c).__name__}:{c.name}:{ask}" if ask else ""
+        if ask and ask in self.repeats:
+            return self._again(c, self.repeats[ask][1])
+        said = self._do(c, revision, at)
+        if ask and said.code == "ok":
+            self.repeats[ask] = (at, said)
+        return said
+
+    def _again(self, c, said: Said) -> Said:
+        if not isinstance(c, Lock):
+            return said
+        h = self.locks.get(c.name)
+        return said if h is not None and h.token == said.number else Said("lost")
+
+    def _do(self, c, revision: int, at: int) -> Said:
+        match c:
+            case Lock():
+                h = self.locks.get(c.name)
+                if h is not None:
+                    return Said("held", h.until - at, h.holder)
+                self.locks[c.name] = Held(c.holder, revision, at + c.ttl_ms)
+                return Said("ok", revision, c.holder)
+            case Renew():
+                h = self.locks.get(c.name)
+                if h is None or (h.holder, h.token) != (c.holder, c.token):
+                    return Said("lost")
+                h.until = at + c.ttl_ms
+                return Said("ok", h.token, h.holder)
+            case Unlock():
+                h = self.locks.get(c.name)
+                if h is None or (h.holder, h.token) != (c.holder, c.token):
+                    return Said("lost")
+                del self.locks[c.name]
+                return Said("ok", c.token)
+            case Next():
+                self.numbers[c.name] = revision
+                return Said("ok", revision)
+            case Put():
+                return self._put(c, revision, at)
+
+    def _put(self, c: Put, revision: int, at: int) -> Said:
+        had = self.keys.get(c.name)
+        if c.base is not None and c.base != (had[1] if had else 0):
+            return Said("conflict", had[1] if had else 0)
+        if c.value is None:
+            if had is None:
+                return Said("missing")
+            del self.keys[c.name]
+        else:
+            self.keys[c.name] = (c.value, revision)
+        self.events.append(Event(revision, at, c.name, c.value))
+        return Said("ok", revision)
+
+    def lapse(self, at: int) -> None:
+        for n in [n for n, h in self.locks.items() if h.until <= at]:
+            del self.locks[n]
+        while self.events and (self.events[0].at + HISTORY_MS < at or len(self.events) > HISTORY_MOST):
+            self.compacted = self.events.popleft().revision
+        while self.repeats:
+            k, (t, _) = next(iter(self.repeats.items()))
+            if t + REPEAT_MS > at:
+                return
+            del self.repeats[k]
+
+    def restless(self) -> bool:
+        return bool(self.locks)
+
+    def since(self, revision: int, prefix: str) -> list[Event] | None:
+        if revision < self.compacted:
+            return None
+        return [e for e in self.events if e.revision > revision and e.name.startswith(prefix)]
+
+    def dump(self) -> list:
+        return [self.locks, self.numbers, self.keys, list(self.events), self.compacted, self.repeats]
+
+    def load(self, d: list) -> None:
+        self.locks = msgspec.convert(d[0], dict[str, Held])
+        self.numbers = d[1]
+        self.keys = {k: (v[0], v[1]) for k, v in d[2].items()}
+        self.events = deque(msgspec.convert(d[3], list[Event]))
+        self.compacted = d[4]
+        self.repeats = msgspec.convert(d[5], dict[str, tuple[int, Said]])
--- /dev/null
+++ b/mallowvalve/vote/raft.py
@@ -0,0 +1,325 @@
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import msgspec
+
+from mallowvalve.count import Counts
+from mallowvalve.vote.log import Log
+from mallowvalve.vote.wire import (
+    NOOP, VOTERS, Append, Appended, Ask, Elect, Entry, Group, Hard, Install, Message, Picture, Voice, Voters, encode,
+)
+
+FOLLOWER, PRE, CANDIDATE, LEADER = "follower", "pre", "candidate", "leader"
+
+
+class Times(msgspec.Struct, frozen=True):
+    beat: float = 0.1
+    election: float = 1.0
+    picture_again: float = 2.0
+
+
+class Progress:
+    __slots__ = ("next", "match", "seq", "heard", "picture_at")
+
+    def __init__(self, next: int, now: float):
+        self.next, self.match, self.seq, self.heard, self.picture_at = next, 0, 0, now, -1e9
+
+
+class Ready(msgspec.Struct):
+    hard: Hard | None
+    entries: list[Entry]
+    install: Picture | None
+    early: list[tuple[str, Message]]
+    late: list[tuple[str, Message]]
+    last: int
+
+
+class Raft:
+    __slots__ = (
+        "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
+        "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since",
+    )
+
+    def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
+        self.me, self.log, self.rng, self.times = me, log, rng, times
+        self.group: Group = log.picture.group
+        self.term, self.vote = max(term, log.picture.term), vote
+        self.role, self.leader = FOLLOWER, ""
+        self.commit = log.base
+        self.seq = self.confirmed = 0
+        self.counts = Counts()
+        self.nudge = self.halted = False
+        self._voices: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._sent: deque[tuple[int, float]] = deque()
+        self._hard = Hard(self.group, term, vote)
+        self._fresh: list[Entry] = []
+        self._install: Picture | None = None
+        self._early: list[tuple[str, Message]] = []
+        self._late: list[tuple[str, Message]] = []
+        self._saved = log.last
+        self._heard = self._beat_at = self._led_since = -1e9
+        self._term_start = 0
+        self._rest(now)
+
+    @property
+    def leads(self) -> bool:
+        return self.role == LEADER
+
+    @property
+    def settled(self) -> bool:
+        return self.leads and self.commit >= self._term_start
+
+    def wakeup(self) -> float:
+        return self._beat_at if self.leads else self._election_at
+
+    def progress(self) -> dict[str, Progress]:
+        return self._progress
+
+    def tick(self, now: float) -> None:
+        if self.leads:
+            self._tick_leader(now)
+        elif now >= self._election_at:
+            self._campaign(now, pre=True)
+
+    def receive(self, src: str, m: Message, now: float) -> None:
+        quiet = isinstance(m, Ask) and m.pre or isinstance(m, Voice) and m.pre and m.granted
+        if isinstance(m, Ask) and not m.pre and not m.forced and m.term > self.term and self._loyal(now):
+            return
+        if m.term > self.term and not quiet:
+            self._follow(m.term, "", now)
+        if m.term < self.term:
+            if isinstance(m, Append | Install):
+                self._late.append((src, Appended(self.term, False, 0, m.seq)))
+            elif isinstance(m, Ask):
+                self._late.append((src, Voice(self.term, m.pre, False)))
+            return
+        match m:
+            case Ask():
+                self._on_ask(src, m, now)
+            case Voice():
+                self._on_voice(src, m, now)
+            case Append():
+                self._on_append(src, m, now)
+            case Appended():
+                self._on_appended(src, m, now)
+            case Install():
+                self._on_install(src, m, now)
+            case Elect() if self.me in self.log.voters.voters:
+                self._campaign(now, pre=False, forced=True)
+
+    def propose(self, kind: int, data: bytes, at: int) -> int | None:
+        if not self.leads or self.halted:
+            return None
+        if kind == VOTERS and (self.log.voters_index > self.commit or not self.settled):
+            return None
+        e = Entry(self.log.last + 1, self.term, kind, at, data)
+        self.log.append(e)
+        self._fresh.append(e)
+        self.nudge = True
+        return e.index
+
+    def change_voters(self, v: Voters, at: int) -> int | None:
+        return self.propose(VOTERS, encode(v), at)
+
+    def ask_quorum(self) -> int:
+        self.nudge = True
+        return self.seq + 1
+
+    def hand_over(self) -> None:
+        ahead = [(p.match, i) for i, p in self._progress.items() if i in self.log.voters.voters and i != self.me]
+        if self.leads and ahead:
+            self._late.append((max(ahead)[1], Elect(self.term)))
+
+    def ready(self, now: float) -> Ready:
+        if self.leads and self.nudge:
+            self._broadcast(now)
+        hard = Hard(self.group, self.term, self.vote)
+        r = Ready(
+            None if hard == self._hard else hard, self._fresh, self._install, self._early, self._late, self.log.last,
+        )
+        self._hard = hard
+        self._fresh, self._install, self._early, self._late = [], None, [], []
+        return r
+
+    def saved(self, r: Ready) -> None:
+        if r.entries and r.last <= self.log.last and self.log.term(r.last) == r.entries[-1].term:
+            self._saved = max(self._saved, r.last)
+        if self.leads:
+            self._advance()
+
+    def _rest(self, now: float) -> None:
+        self._election_at = now + self.times.election * (1 + self.rng.random())
+
+    def _loyal(self, now: float) -> bool:
+        return self.leads or bool(self.leader) and now - self._heard < self.times.election
+
+    def _follow(self, term: int, leader: str, now: float) -> None:
+        if self.leads:
+            self.counts.add("vote_step_down")
+        if term > self.term:
+            self.term, self.vote = term, ""
+        self.role, self.leader = FOLLOWER, leader
+        self._voices = set()
+        self._rest(now)
+
+    def _campaign(self, now: float, pre: bool, forced: bool = False) -> None:
+        self._rest(now)
+        if self.me not in self.log.voters.voters or self.halted:
+            return
+        self.role, self.leader, self._voices = (PRE if pre else CANDIDATE), "", {self.me}
+        if not pre:
+            self.term, self.vote = self.term + 1, self.me
+            self.counts.add("vote_campaigns")
+        term = self.term + 1 if pre else self.term
+        for v in self.log.voters.voters:
+            if v != self.me:
+                self._late.append((v, Ask(term, pre, self.log.last, self.log.last_term, forced)))
+        self._count(now)
+
+    def _on_ask(self, src: str, m: Ask, now: float) -> None:
+        fit = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last)
+        if m.pre:
+            ok = fit and m.term > self.term and not self._loyal(now)
+            self._late.append((src, Voice(m.term if ok else self.term, True, ok)))
+            return
+        ok = fit and self.vote in ("", src) and self.role in (FOLLOWER, PRE)
+        if ok:
+            self.vote = src
+            self._rest(now)
+        self._late.append((src, Voice(self.term, False, ok)))
+
+    def _on_voice(self, src: str, m: Voice, now: float) -> None:
+        want = self.term + 1 if m.pre else self.term
+        if not m.granted or m.term != want or self.role != (PRE if m.pre else CANDIDATE):
+            return
+        self._voices.add(src)
+        self._count(now)
+
+    def _count(self, now: float) -> None:
+        if len(self._voices & self.log.voters.voters.keys()) < self.log.voters.quorum:
+            return
+        if self.role == PRE:
+            self._campaign(now, pre=False)
+        elif self.role == CANDIDATE:
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self.role, self.leader = LEADER, self.me
+        self._progress, self._sent = {}, deque([(self.seq, now)])
+        self.confirmed, self._led_since = self.seq, now
+        self._term_start = self.log.last + 1
+        at = self.log.entries[-1].at if self.log.entries else 0
+        self.propose(NOOP, b"", at)
+        self.counts.add("vote_led")
+
+    def _tick_leader(self, now: float) -> None:
+        if now >= self._beat_at:
+            self.nudge = True
+        sure = next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._led_since)
+        if now - sure > 2 * self.times.election:
+            self._follow(self.term, "", now)
+
+    def _broadcast(self, now: float) -> None:
+        self.seq += 1
+        self.nudge, self._beat_at = False, now + self.times.beat
+        self._sent.append((self.seq, now))
+        for i in self.log.voters.everyone():
+            if i != self.me:
+                self._send_append(i, now)
+        self._confirm()
+
+    def _send_append(self, i: str, now: float) -> None:
+        p = self._progress.get(i)
+        if p is None:
+            p = self._progress[i] = Progress(self.log.last + 1, now)
+        if p.next <= self.log.base:
+            if now - p.picture_at > self.times.picture_again:
+                p.picture_at = now
+                self._early.append((i, Install(self.term, self.log.picture, self.seq)))
+            return
+        es = self.log.since(p.next - 1)
+        m = Append(self.term, p.next - 1, self.log.term(p.next - 1), es, self.commit, self.seq)
+        if es:
+            p.next = es[-1].index + 1
+        self._early.append((i, m))
+
+    def _on_append(self, src: str, m: Append, now: float) -> None:
+        self._follow(m.term, src, now)
+        self._heard = now
+        if m.prev_index < self.log.base:
+            es = [e for e in m.entries if e.index > self.log.base]
+            prev = self.log.base
+        else:
+            es, prev = m.entries, m.prev_index
+            if self.log.term(prev) != m.prev_term:
+                hint = min(prev - 1, self.log.last)
+                self._late.append((src, Appended(self.term, False, max(hint, self.commit), m.seq)))
+                return
+        for e in es:
+            had = self.log.term(e.index)
+            if had == e.term:
+                continue
+            if had is not None:
+                self.log.cut(e.index)
+                self._fresh = [f for f in self._fresh if f.index < e.index]
+                self._saved = min(self._saved, e.index - 1)
+            self.log.append(e)
+            self._fresh.append(e)
+        match = max(prev, es[-1].index if es else 0)
+        self.commit = max(self.commit, min(m.commit, match))
+        self._late.append((src, Appended(self.term, True, match, m.seq)))
+
+    def _on_appended(self, src: str, m: Appended, now: float) -> None:
+        p = self._progress.get(src)
+        if not self.leads or p is None:
+            return
+        p.seq, p.heard = max(p.seq, m.seq), now
+        self._confirm()
+        if not m.ok:
+            p.next = max(p.match, min(p.next - 1, m.match)) + 1
+            self.nudge = True
+            return
+        p.match = max(p.match, m.match)
+        if p.next <= p.match:
+            p.next = p.match + 1
+        if p.next <= self.log.last:
+            self.nudge = True
+        self._advance()
+
+    def _on_install(self, src: str, m: Install, now: float) -> None:
+        self._follow(m.term, src, now)
+        self._heard = now
+        if m.picture.index > self.commit:
+            self.log.compact(m.picture)
+            self.commit = m.picture.index
+            self._install = m.picture
+            self._fresh = list(self.log.entries)
+            self._saved = self.log.base
+        self._late.append((src, Appended(self.term, True, max(m.picture.index, self.log.base), m.seq)))
+
+    def _confirm(self) -> None:
+        vs = self.log.voters
+        seqs = sorted((self.seq if i == self.me else self._seq(i) for i in vs.voters), reverse=True)
+        self.confirmed = max(self.confirmed, seqs[vs.quorum - 1])
+        while len(self._sent) > 1 and self._sent[1][0] <= self.confirmed:
+            self._sent.popleft()
+
+    def _seq(self, i: str) -> int:
+        p = self._progress.get(i)
+        return p.seq if p else 0
+
+    def _advance(self) -> None:
+        vs = self.log.voters
+        ms = [self._saved if i == self.me else self._progress[i].match if i in self._progress else 0 for i in vs.voters]
+        n = sorted(ms, reverse=True)[vs.quorum - 1]
+        if n <= self.commit or self.log.term(n) != self.term:
+            return
+        self.commit = n
+        self.nudge = True
+        gone = self.me not in self.log.voters.voters and self.log.voters_index <= n
+        if gone:
+            self.role, self.leader = FOLLOWER, ""
--- /dev/null
+++ b/mallowvalve/vote/wire.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import msgspec
+
+from mallowvalve.kind import Address
+
+NOOP, COMMAND, VOTERS = range(3)
+
+
+class Group(msgspec.Struct, array_like=True, frozen=True, order=True):
+    generation: int
+    nonce: str
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    index: int
+    term: int
+    kind: int
+    at: int
+    data: bytes
+
+
+class Voters(msgspec.Struct, array_like=True, frozen=True):
+    voters: dict[str, Address]
+    learners: dict[str, Address] = {}
+
+    def address(self, id: str) -> Address | None:
+        return self.voters.get(id) or self.learners.get(id)
+
+    def everyone(self) -> dict[str, Address]:
+        return {**self.learners, **self.voters}
+
+    @property
+    def quorum(self) -> int:
+        return len(self.voters) // 2 + 1
+
+
+class Picture(msgspec.Struct, array_like=True, frozen=True):
+    group: Group
+    index: int
+    term: int
+    voters: Voters
+    state: bytes
+
+
+class Hard(msgspec.Struct, array_like=True, frozen=True):
+    group: Group
+    term: int
+    vote: str
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    term: int
+    pre: bool
+    last_index: int
+    last_term: int
+    forced: bool = False
+
+
+class Voice(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    term: int
+    pre: bool
+    granted: bool
+
+
+class Append(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: list[Entry]
+    commit: int
+    seq: int
+
+
+class Appended(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    term: int
+    ok: bool
+    match: int
+    seq: int
+
+
+class Install(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    term: int
+    picture: Picture
+    seq: int
+
+
+class Elect(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    term: int
+
+
+Message = Ask | Voice | Append | Appended | Install | Elect
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    group: Group
+    sender: str
+    to: str
+    address: Address
+    body: Message
+
+
+encode = msgspec.msgpack.Encoder().encode
+envelope = msgspec.msgpack.Decoder(Envelope).decode
+voters_of = msgspec.msgpack.Decoder(Voters).decode
+picture_of = msgspec.msgpack.Decoder(Picture).decode
--- /dev/null
+++ b/mallowvalve/web.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+import math
+
+import falcon
+import gevent
+import msgspec
+from gevent import socket
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from mallowvalve.count import Counts, change
+from mallowvalve.finding import Finding, Findings, parse_json
+from mallowvalve.kind import Address
+
+OUTCOME = "Mallow-Outcome"
+NOT_RUN, UNDECIDED, UNKNOWN = "not-run", "undecided", "unknown"
+
+
+class Handler(WSGIHandler):
+    def handle(self):
+        self.server.sessions.add(self)
+        self.busy = False
+        try:
+            super().handle()
+        finally:
+            self.server.sessions.discard(self)
+
+    def get_environ(self):
+        env = super().get_environ()
+        env["mallow.target"] = self.path
+        return env
+
+    def handle_one_response(self):
+        self.busy = True
+        try:
+            return super().handle_one_response()
+        finally:
+            self.busy = False
+            if self.server.draining:
+                self.close_connection = True
+
+    def finalize_headers(self):
+        if self.server.draining:
+            self.close_connection = True
+            self.response_headers = [h for h in self.response_headers if h[0].lower() != "connection"]
+            self.response_headers.append(("Connection", "close"))
+        super().finalize_headers()
+
+    def handle_one_request(self):
+        r = super().handle_one_request()
+        if isinstance(r, tuple):
+            status, _ = r
+            body = encode({"findings": [Finding("request", "not understood as HTTP")]})
+            head = f"HTTP/1.1 {status} Bad Request\r\nContent-Type: application/json\r\n{OUTCOME}: {NOT_RUN}\r\n"
+            self.server.counts.add("web_bad_request")
+            return status, f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        return r
+
+    def log_error(self, msg, *args):
+        self.server.counts.add("web_client_error")
+
+
+class Server(WSGIServer):
+    handler_class = Handler
+
+    def __init__(self, at: Address, app, counts: Counts, most: int):
+        super().__init__(at.pair, app, log=None, error_log=None, spawn=Pool(most))
+        self.counts = counts
+        self.sessions: set[Handler] = set()
+        self.draining = False
+
+    def __enter__(self) -> Server:
+        self.start()
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.stop(timeout=0.2)
+
+    def drain(self, limit: float, grace: float = 0.0) -> None:
+        self.draining = True
+        with gevent.Timeout(limit, False):
+            gevent.sleep(grace)
+            while self.sessions:
+                for h in list(self.sessions):
+                    if not h.busy:
+                        self._nudge(h)
+                gevent.sleep(0.02)
+
+    def _nudge(self, h: Handler) -> None:
+        try:
+            h.socket.shutdown(socket.SHUT_RD)
+        except (OSError, AttributeError):
+            pass
+
+
+encode = msgspec.json.encode
+
+
+def say(resp: falcon.Response, body: object, status: int = 200) -> None:
+    resp.status = status
+    resp.content_type = "application/json"
+    resp.data = encode(body)
+
+
+def bounce(
+    resp: falcon.Response, status: int, outcome: str, findings: Findings, retry_after: float | None = None
+) -> None:
+    say(resp, {"outcome": outcome, "findings": findings}, status)
+    resp.set_header(OUTCOME, outcome)
+    if retry_after is not None:
+        resp.set_header("Retry-After", str(max(1, math.ceil(retry_after))))
+
+
+def body_of(req: falcon.Request, most: int) -> bytes | None:
+    if req.content_length is not None and req.content_length > most:
+        return None
+    data = req.bounded_stream.read(most + 1) if req.content_length is not None else req.env["wsgi.input"].read(most + 1)
+    return data if len(data) <= most else None
+
+
+def json_of(req: falcon.Request, resp: falcon.Response, most: int) -> object | None:
+    data = body_of(req, most)
+    if data is None:
+        bounce(resp, 413, NOT_RUN, [Finding("body", f"larger than {most} bytes")])
+        return None
+    r = parse_json(data)
+    if r.is_err():
+        bounce(resp, 400, NOT_RUN, r.err_value)
+        return None
+    return r.ok_value
+
+
+def make_app() -> falcon.App:
+    app = falcon.App()
+    app.set_error_serializer(lambda req, resp, e: bounce(resp, e.status_code, NOT_RUN, [Finding("request", e.title or "")]))
+    app.add_error_handler(Exception, _crash)
+    return app
+
+
+def _crash(req, resp, ex, _params) -> None:
+    if isinstance(ex, falcon.HTTPError):
+        bounce(resp, ex.status_code, NOT_RUN, [Finding(req.path, ex.description or ex.title)])
+        return
+    change("crash", where=req.path, error=repr(ex))
+    bounce(resp, 500, UNKNOWN, [Finding(req.path, "internal error")])
--- /dev/null
+++ b/mallowvalve/whole/fleet.py
@@ -0,0 +1,183 @@
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+HOST = "127.0.0.1"
+
+
+class Place(msgspec.Struct):
+    role: str
+    locality: str
+
+
+class Pool(msgspec.Struct):
+    service: str
+    localities: list[str]
+
+
+class Shape(msgspec.Struct):
+    nodes: list[Place]
+    upstreams: list[Pool]
+    config: dict
+    shares: list[list] = []
+    rate: float = 50.0
+    clients: int = 20
+
+
+class Proc:
+    __slots__ = ("name", "role", "args", "web", "mesh", "data", "job", "log", "locality")
+
+    def __init__(self, name: str, role: str, args: list[str], web: int, mesh: int, locality: str, log: Path, data: Path | None = None):
+        self.name, self.role, self.args, self.web, self.mesh = name, role, args, web, mesh
+        self.locality, self.log, self.data = locality, log, data
+        self.job: subprocess.Popen | None = None
+
+    @property
+    def up(self) -> bool:
+        return self.job is not None and self.job.poll() is None
+
+
+def free_ports(n: int) -> list[int]:
+    socks = []
+    for _ in range(n):
+        while True:
+            t = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            t.bind((HOST, 0))
+            u = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                u.bind((HOST, t.getsockname()[1]))
+            except OSError:
+                t.close()
+                u.close()
+                continue
+            socks += [t, u]
+            break
+    ports = [s.getsockname()[1] for s in socks[::2]]
+    for s in socks:
+        s.close()
+    return ports
+
+
+class Fleet:
+    def __init__(self, shape: Shape, folder: Path, polite: float = 4.0):
+        self.shape, self.folder, self.polite = shape, folder, polite
+        self.procs: dict[str, Proc] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+        self._plan()
+
+    def _plan(self) -> None:
+        ports = iter(free_ports(2 * len(self.shape.nodes) + sum(len(p.localities) for p in self.shape.upstreams)))
+        spots = [(n, f"{n.role}{i}", next(ports), next(ports)) for i, n in enumerate(self.shape.nodes)]
+        self.seeds = [f"{HOST}:{m}" for n, _, _, m in spots if n.role == "law"][:3]
+        for n, name, web, mesh in spots:
+            self._node(n, name, web, mesh)
+        nodes = list(self.procs.values())
+        tell = [x for p in nodes if p.role != "law" for x in ("--tell", f"{HOST}:{p.web}")]
+        for p in self.shape.upstreams:
+            for i, loc in enumerate(p.localities):
+                self.upstream(p.service, f"{p.service}-{i}", loc, next(ports), tell)
+
+    def _node(self, n: Place, name: str, web: int, mesh: int) -> Proc:
+        data = self.folder / name / "data" if n.role == "law" else None
+        (self.folder / name).mkdir(exist_ok=True)
+        log = self.folder / name / "log"
+        args = [n.role, "--name", name, "--locality", n.locality, "--mesh", f"{HOST}:{mesh}", "--web", f"{HOST}:{web}",
+                "--log", str(log), "--polite", str(self.polite)]
+        args += [x for s in self.seeds for x in ("--seeds", s)]
+        args += ["--data", str(data)] if data else []
+        p = self.procs[name] = Proc(name, n.role, args, web, mesh, n.locality, log, data)
+        return p
+
+    def upstream(self, service: str, instance: str, locality: str, port: int, tell: list[str]) -> Proc:
+        (self.folder / instance).mkdir(exist_ok=True)
+        args = ["play", "upstream", "--service", service, "--instance", instance, "--at", f"{HOST}:{port}",
+                "--locality", locality, "--journal", str(self.folder / "ran.jsonl"), *tell]
+        p = self.procs[instance] = Proc(instance, "upstream", args, port, 0, locality, self.folder / instance / "log")
+        return p
+
+    def add_node(self, role: str, locality: str, name: str) -> Proc:
+        web, mesh = free_ports(2)
+        p = self._node(Place(role, locality), name, web, mesh)
+        self.start(name)
+        return p
+
+    def start_clients(self, name: str = "clients", seed: int = 1, rate: float | None = None) -> Proc:
+        s = self.shape
+        args = ["play", "clients", "--shares", json.dumps(s.shares), "--clients", str(s.clients), "--rate",
+                str(rate or s.rate), "--journal", str(self.folder / "asked.jsonl"), "--seed", str(seed)]
+        args += [x for p in self.of("way") for x in ("--way", f"{HOST}:{p.web}")]
+        args += [x for loc in sorted({n.locality for n in s.nodes}) for x in ("--locality", loc)]
+        self.procs[name] = Proc(name, "clients", args, 0, 0, "", self.folder / f"{name}.log")
+        return self.start(name)
+
+    def of(self, role: str) -> list[Proc]:
+        return [p for p in self.procs.values() if p.role == role]
+
+    def start(self, name: str) -> Proc:
+        p = self.procs[name]
+        with open(p.log.parent / f"{p.name}.err", "ab") as err:
+            p.job = subprocess.Popen([sys.executable, "-m", "mallowvalve", *p.args], stderr=err, stdout=err)
+        return p
+
+    def __enter__(self) -> Fleet:
+        for n in list(self.procs):
+            self.start(n)
+        return self
+
+    def __exit__(self, *_) -> None:
+        for p in self.procs.values():
+            if p.up:
+                p.job.send_signal(signal.SIGCONT)
+                p.job.kill()
+        for p in self.procs.values():
+            if p.job is not None:
+                p.job.wait()
+
+    def kill(self, name: str) -> None:
+        self.procs[name].job.kill()
+        self.procs[name].job.wait()
+
+    def stop(self, name: str, limit: float = 10.0) -> int:
+        j = self.procs[name].job
+        j.terminate()
+        return j.wait(timeout=limit)
+
+    def freeze(self, name: str) -> None:
+        os.kill(self.procs[name].job.pid, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        os.kill(self.procs[name].job.pid, signal.SIGCONT)
+
+    def wipe(self, name: str) -> None:
+        shutil.rmtree(self.procs[name].data, ignore_errors=True)
+
+    def rows(self, file: str) -> list[dict]:
+        path = self.folder / file
+        if not path.exists():
+            return []
+        out = []
+        for line in path.read_text().splitlines():
+            try:
+                out.append(json.loads(line))
+            except ValueError:
+                continue
+        return out
+
+
+def until(test, limit: float, every: float = 0.1):
+    end = time.monotonic() + limit
+    while True:
+        v = test()
+        if v or time.monotonic() > end:
+            return v
+        time.sleep(every)
--- /dev/null
+++ b/mallowvalve/whole/main.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+import msgspec
+
+from mallowvalve import finding
+from mallowvalve.whole.call import call
+from mallowvalve.whole.fleet import Fleet, Shape, until
+
+
+def load_shape(path: str) -> Shape:
+    try:
+        data = msgspec.toml.decode(Path(path).read_bytes()) if path.endswith(".toml") else msgspec.json.decode(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError) as e:
+        click.echo(f"mallowvalve: {path}: {e}", err=True)
+        sys.exit(2)
+    r = finding.read(Shape, data)
+    if r.is_err():
+        for f in r.err_value:
+            click.echo(f"mallowvalve: {path}: {f}", err=True)
+        sys.exit(2)
+    return r.ok_value
+
+
+def settle(fleet: Fleet, limit: float = 40.0) -> bool:
+    def applied() -> bool:
+        return any(
+            call(p.web, "PUT", "/config", {"doc": fleet.shape.config})[0] == 200 for p in fleet.of("law") if p.up
+        )
+
+    def all_ready() -> bool:
+        ps = [p for r in ("law", "flow", "way") for p in fleet.of(r) if p.up]
+        return all(call(p.web, "GET", "/-/ready", limit=2)[0] == 200 for p in ps)
+
+    def all_upstreams() -> bool:
+        want = len(fleet.of("upstream"))
+        return all(
+            sum(u["health"] == "ready" for u in call(p.web, "GET", "/-/upstreams", limit=2)[1]["upstreams"]) >= want
+            for p in fleet.of("flow") if p.up
+        )
+
+    return bool(until(applied, limit) and until(all_ready, limit) and until(all_upstreams, limit))
+
+
+@click.command()
+@click.argument("shape")
+@click.option("--folder", help="where logs and data go; a new one if not given")
+@click.option("--seconds", default=0.0, help="stop after this long; 0 runs until interrupted")
+@click.option("--load/--no-load", default=True, help="stand-in clients")
+def whole(shape: str, folder: str | None, seconds: float, load: bool) -> None:
+    """Run a fleet on this machine from one settings file: a development tool."""
+    where = Path(folder or tempfile.mkdtemp(prefix="whole-"))
+    with Fleet(load_shape(shape), where) as f:
+        click.echo(f"folder {where}")
+        ok = settle(f)
+        click.echo("settled" if ok else "not settled")
+        for p in f.procs.values():
+            click.echo(f"{p.name:24} {p.locality:12} web 127.0.0.1:{p.web} pid {p.job.pid}")
+        if load and f.shape.shares:
+            f.start_clients()
+        end = time.monotonic() + (seconds or 1e9)
+        try:
+            while time.monotonic() < end:
+                time.sleep(0.5)
+        except KeyboardInterrupt:
+            pass
+        rows = f.rows("asked.jsonl")
+        click.echo(f"asked {len(rows)}, answered whole {sum(r['whole'] for r in rows)}, ran {len(f.rows('ran.jsonl'))}")
+    sys.exit(0 if ok else 1)
--- /dev/null
+++ b/mallowvalve/will/main.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from mallowvalve.whole.call import call
+
+
+def ask(ctx, method: str, path: str, body=None) -> dict:
+    last = (0, "no address given", {})
+    for at in ctx.obj["at"]:
+        host, _, port = at.rpartition(":")
+        status, data, headers = call(int(port), method, path, body, limit=12.0)
+        last = status, data, headers
+        if status == 503 and headers.get("mallow-leader"):
+            status, data, headers = call(int(headers["mallow-leader"].rpartition(":")[2]), method, path, body, limit=12.0)
+            last = status, data, headers
+        if status and status != 503:
+            break
+    status, data, _ = last
+    if status != 200:
+        findings = data.get("findings", []) if isinstance(data, dict) else [{"place": "call", "text": str(data)}]
+        for f in findings:
+            click.echo(f"{f['place']}: {f['text']}", err=True)
+        sys.exit(1)
+    return data
+
+
+def show(data) -> None:
+    click.echo(json.dumps(data, indent=2, sort_keys=True))
+
+
+@click.group()
+@click.option("--at", multiple=True, required=True, envvar="MALLOWVALVE_AT", help="HOST:PORT of a law's web, may be given again")
+@click.pass_context
+def will(ctx, at) -> None:
+    """What operators do: apply, read, evacuate, give back, look."""
+    ctx.obj = {"at": at}
+
+
+@will.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--base", type=int, help="the revision this change was made from")
+@click.pass_context
+def apply(ctx, file, base) -> None:
+    """Replace the settings tree by FILE (JSON)."""
+    try:
+        doc = json.loads(Path(file).read_text())
+    except ValueError as e:
+        click.echo(f"{file}: {e}", err=True)
+        sys.exit(2)
+    show(ask(ctx, "PUT", "/config", {"doc": doc, "base": base}))
+
+
+@will.command()
+@click.pass_context
+def read(ctx) -> None:
+    """Show the settings tree and its revision."""
+    show(ask(ctx, "GET", "/config"))
+
+
+@will.command()
+@click.argument("zone")
+@click.pass_context
+def evacuate(ctx, zone) -> None:
+    """Take all work out of a zone or region."""
+    show(ask(ctx, "POST", "/evacuations", {"zone": zone, "evacuated": True}))
+
+
+@will.command("give-back")
+@click.argument("zone")
+@click.pass_context
+def give_back(ctx, zone) -> None:
+    """Let work return to an evacuated zone or region."""
+    show(ask(ctx, "POST", "/evacuations", {"zone": zone, "evacuated": False}))
+
+
+for name, path, text in (
+    ("leader", "/leader", "Who leads, who votes, which proxies are rostered."),
+    ("nodes", "/-/nodes", "Health of the project's own nodes, as the asked node sees them."),
+    ("upstreams", "/-/upstreams", "Health of the upstreams."),
+    ("counts", "/-/counts", "Counters; on a proxy, why requests were bounced."),
+):
+    def _command(ctx, _path=path):
+        show(ask(ctx, "GET", _path))
+
+    will.command(name, help=text)(click.pass_context(_command))
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,40 @@
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+FILES = [p for d in ("mallowvalve", "sim", "tests") for p in sorted((ROOT / d).rglob("*.py"))]
+MOST = 400
+
+
+def too_long(text: str) -> bool:
+    return len(text.splitlines()) > MOST
+
+
+def test_no_file_is_over_the_limit():
+    assert [str(p) for p in FILES if too_long(p.read_text())] == []
+    assert too_long("x\n" * 401) and not too_long("x\n" * 400)
+
+
+def test_no_dataclasses_and_no_sleeping_tests():
+    bad = []
+    for p in FILES:
+        for n in ast.walk(ast.parse(p.read_text())):
+            if isinstance(n, ast.ImportFrom) and n.module == "dataclasses":
+                bad.append(f"{p}: dataclasses")
+            if p.name.startswith("test_") and isinstance(n, ast.Attribute) and n.attr == "sleep":
+                bad.append(f"{p}:{n.lineno}: sleep")
+    assert bad == []
+
+
+@pytest.mark.parametrize("package", ["bond", "vote", "tale", "beat", "tree", "word", "tie", "claim"])
+def test_machines_touch_no_socket_and_no_clock(package):
+    bad = []
+    for p in sorted((ROOT / "mallowvalve" / package).glob("*.py")):
+        if p.name in ("task.py", "disk.py"):
+            continue
+        for n in ast.walk(ast.parse(p.read_text())):
+            names = [a.name for a in n.names] if isinstance(n, ast.Import) else [n.module] if isinstance(n, ast.ImportFrom) else []
+            bad += [f"{p.name}: {x}" for x in names if x and x.partition(".")[0] in ("gevent", "socket", "time")]
+    assert bad == []
--- /dev/null
+++ b/tests/test_whole.py
@@ -0,0 +1,86 @@
+import pytest
+
+from mallowvalve.whole.call import call
+from mallowvalve.whole.fleet import Fleet, until
+from mallowvalve.whole.main import settle
+from tests.shapes import small
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(small(), tmp_path_factory.mktemp("whole")) as f:
+        assert settle(f)
+        yield f
+
+
+def test_clients_are_served_whole_and_nothing_runs_twice(fleet):
+    fleet.start_clients(seed=7)
+    assert until(lambda: len(fleet.rows("asked.jsonl")) >= 100, 30)
+    assert fleet.stop("clients", 30) == 0
+    asked, ran = fleet.rows("asked.jsonl"), fleet.rows("ran.jsonl")
+    assert all(r["whole"] for r in asked if r["ok"])
+    assert sum(r["ok"] for r in asked) >= 0.95 * len(asked)
+    keys = [r["key"] for r in ran if r["key"]]
+    assert len(keys) == len(set(keys)) > 5
+    assert all(r["locality"].startswith("eu/") for r in ran if r["tenant"] == "runner")
+
+
+def test_a_repeat_gets_the_stored_answer_and_another_body_a_conflict(fleet):
+    port = fleet.of("flow")[0].web
+    h = {"Mallow-Tenant": "runner", "Mallow-Key": "one"}
+    first = call(port, "POST", "/runs", {"a": 1}, h)
+    again = call(fleet.of("flow")[1].web, "POST", "/runs", {"a": 1}, h)
+    other = call(port, "POST", "/runs", {"a": 2}, h)
+    assert first[0] == again[0] == 200 and first[1] == again[1] and again[2]["mallow-repeat"] == "1"
+    assert other[0] == 409
+    assert sum(r["key"] == "one" for r in fleet.rows("ran.jsonl")) == 1
+
+
+def test_bad_requests_are_bounced_with_findings_and_never_reach_an_upstream(fleet):
+    port, before = fleet.of("flow")[0].web, len(fleet.rows("ran.jsonl"))
+    ok = {"Mallow-Tenant": "runner", "Mallow-Key": "k9"}
+    cases = [
+        ("POST", "/nowhere", {}, ok, 404), ("POST", "/runs", {}, {"Mallow-Key": "k"}, 400),
+        ("POST", "/runs", {}, {"Mallow-Tenant": "none", "Mallow-Key": "k"}, 404),
+        ("POST", "/runs", {}, {"Mallow-Tenant": "runner"}, 400), ("POST", "/runs", "{broken", ok, 400),
+        ("POST", "/runs", {}, {**ok, "Mallow-Limit": "soon"}, 400), ("POST", "/runs/../runs", {}, ok, 400),
+        ("POST", "/runs", "x" * (1 << 20) + "xx", ok, 413), ("GET", "/rankings%2f1", None, ok, 400),
+    ]
+    for method, path, body, headers, want in cases:
+        status, data, h = call(port, method, path, body, headers)
+        assert (status, h.get("mallow-outcome")) == (want, "not-run"), (path, status, data)
+        assert data["findings"][0]["place"]
+    assert len(fleet.rows("ran.jsonl")) == before
+
+
+def test_a_configuration_is_refused_whole_and_races_conflict(fleet):
+    ports = [p.web for p in fleet.of("law")]
+    status, was, _ = call(ports[0], "GET", "/config")
+    assert status == 200
+    bad = {**was["doc"], "routes": {"x": {"cell": "no", "match": "??", "kind": "read", "service": "no"}}}
+    status, data, _ = call(ports[0], "PUT", "/config", {"doc": bad, "base": was["revision"]})
+    assert status == 422 and len(data["findings"]) == 3
+    good = {**was["doc"], "services": {**was["doc"]["services"], "new": {}}}
+    assert call(ports[1], "PUT", "/config", {"doc": good, "base": was["revision"]})[0] == 200
+    assert call(ports[2], "PUT", "/config", {"doc": was["doc"], "base": was["revision"]})[0] == 409
+    assert call(ports[2], "GET", "/config")[1]["doc"] == good
+    assert all(call(p.web, "GET", "/-/counts")[1]["gauges"]["fresh"] for p in fleet.of("flow"))
+
+
+def test_locks_numbers_and_watches(fleet):
+    a, b = (p.web for p in fleet.of("law")[:2])
+    got = call(a, "POST", "/locks/l/take", {"holder": "x", "ttl_ms": 60000}, {"Mallow-Key": "q"})
+    again = call(b, "POST", "/locks/l/take", {"holder": "x", "ttl_ms": 60000}, {"Mallow-Key": "q"})
+    other = call(b, "POST", "/locks/l/take", {"holder": "y", "ttl_ms": 60000})
+    assert got[0] == again[0] == 200 and got[1]["number"] == again[1]["number"] and other[0] == 409
+    assert call(b, "POST", "/locks/l/free", {"holder": "x", "token": got[1]["number"]})[0] == 200
+    after = call(a, "POST", "/locks/l/take", {"holder": "y", "ttl_ms": 60000})
+    assert after[0] == 200 and after[1]["number"] > got[1]["number"]
+    ns = [call(p, "POST", "/numbers/n", {})[1]["number"] for p in (a, b, a)]
+    assert ns == sorted(set(ns))
+    at = call(a, "PUT", "/keys/k", {"value": "1"})[1]["number"]
+    assert call(b, "PUT", "/keys/k", {"value": "2", "base": at})[0] == 200
+    assert call(a, "PUT", "/keys/k", {"value": "3", "base": at})[0] == 409
+    seen = call(b, "GET", f"/watch?since={at - 1}&prefix=k&wait_ms=1000")[1]["events"]
+    assert [e["value"] for e in seen] == ["1", "2"]
+    assert call(a, "GET", "/watch?since=0")[0] == 200
