Seeded simulator: 22 storms over the real machines, a checker for each promise

The world owns clock, network and disks; daemons' machines run unchanged.

Found: after a wipe of the core, or of most voters, in place, service never comes back (60 s).

--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -241,13 +241,16 @@
         done = AsyncResult()
 
         def act(now: float) -> None:
+            mine = self.core.raft
+            if mine is not None and mine.group.generation >= p.group.generation:
+                return done.set(False)
             self._persist(lambda: self.tale.turn(encode(p), store.head(Hard(p.group, 0, ""), [])))
             self.core.start(p, None, [], now)
             done.set(True)
 
         self._put(act)
-        done.get()
-        change("joined", generation=p.group.generation, index=p.index)
+        if done.get():
+            change("joined", generation=p.group.generation, index=p.index)
 
     def _wipe(self) -> None:
         done = AsyncResult()
--- /dev/null
+++ b/sim/echo.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+import random
+
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law import wire
+from mallowvalve.law.echo import Echo
+from sim.world import Node, World
+
+
+class EchoNode(Node):
+    def __init__(self, world: World, addr: Address, role: str, locality: Locality, laws):
+        super().__init__(world, addr)
+        self.role, self.locality, self.laws = role, locality, laws
+        self.rng = random.Random(world.rng.random())
+        self.settings_log: list[tuple[float, int, bytes]] = []
+        self.echo = Echo(addr, self.life, role, locality, self._settings)
+        self.wake(0.01, self._follow)
+        self.every(0.3, self._round)
+
+    def _settings(self, state) -> None:
+        self.settings_log.append((self.now, state.settings.revision, state.settings.doc))
+
+    def admits(self) -> bool:
+        e = self.echo
+        if not e.fresh(self.now):
+            return False
+        seat = e.state.settings.roster.get(str(e.addr))
+        return seat is not None and seat.boot == e.boot
+
+    def law(self) -> Address:
+        return self.echo.leader or self.rng.choice(self.laws())
+
+    def handle(self, kind, src, body, answer) -> None:
+        match kind:
+            case "round":
+                answer(wire.encode(self.echo.tell(wire.round_(body))))
+            case "held":
+                answer(wire.encode(self.echo.held()))
+            case "who":
+                e = self.echo
+                answer(wire.encode(wire.Who(
+                    self.role, "", self.addr, self.locality, [], e.state is None, e.group,
+                    e.state.index if e.state else 0, e.voters, e.leader,
+                )))
+
+    def _follow(self) -> None:
+        to = self.law()
+        self.call(to, "want", wire.encode(self.echo.want(self.now)), 1.5, lambda d: self._fed(to, d))
+
+    def _fed(self, to: Address, data: bytes | None) -> None:
+        if data is None:
+            if self.echo.leader == to:
+                self.echo.leader = None
+            return self.wake(0.1, self._follow)
+        f = wire.fed(data)
+        self.echo.fed(f, self.now)
+        self.wake(0.05 if f.group is None else 0.001, self._follow)
+
+    def _round(self) -> None:
+        if not self.echo.quiet(self.now):
+            return
+        m = self.echo.round(self.now)
+        if m is None:
+            return
+        for a in self.echo.roster():
+            if a != self.addr:
+                self.call(a, "round", wire.encode(m), 1.0, lambda d, a=a: self._told(a, d))
+
+    def _told(self, a: Address, data: bytes | None) -> None:
+        if data is not None and self.echo.told(wire.told(data)):
+            self.call(a, "held", b"", 1.0, lambda d: d and self.echo.adopt(wire.held(d)))
+
+    def offer(self, command: bytes, limit: float, then) -> None:
+        offer(self, command, self.now + limit, then)
+
+
+def offer(node: Node, command: bytes, end: float, then) -> None:
+    left = end - node.now
+    if left <= 0:
+        return then(wire.Took("undecided"))
+    to = node.law()
+
+    def took(data: bytes | None) -> None:
+        t = wire.took(data) if data is not None else None
+        if t is not None and t.code not in ("leader", "replaced"):
+            return then(t)
+        if hasattr(node, "echo"):
+            node.echo.leader = t.leader if t is not None else None
+        else:
+            node.leader = t.leader if t is not None else None
+        node.wake(0.05, lambda: offer(node, command, end, then))
+
+    node.call(to, "offer", wire.encode(wire.Offer(command, left)), left, took)
--- /dev/null
+++ b/sim/fleet.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import random
+
+from mallowvalve.kind import Address, Locality
+from sim.disk import SimDisk
+from sim.echo import EchoNode
+from sim.history import History
+from sim.law import LawNode
+from sim.users import Counter, Customer, Flow, Locker, Operator, Upstream, Watcher
+from sim.world import World
+
+ZONES = [Locality(r, f"{r}-{z}") for r in ("eu", "us", "ap") for z in "ab"]
+
+
+class Fleet:
+    def __init__(self, seed: int, cores: int = 6, flows: int = 9, ways: int = 2, loss: float = 0.0, lose: float = 0.05):
+        self.world = World(seed, loss=loss, double=0.01)
+        self.rng = random.Random(seed * 7919 + 1)
+        self.history = History()
+        self.disks: dict[Address, SimDisk] = {}
+        self.place: dict[Address, Locality] = {}
+        self.laws = [self._address("1", i) for i in range(cores)]
+        self.flows = [self._address("2", i) for i in range(flows)]
+        self.ways = [self._address("3", i) for i in range(ways)]
+        self.upstreams = [self._address("4", i) for i in range(4)]
+        self.seeds = self.laws[:3]
+        self.core = list(self.laws)
+        for a in self.laws:
+            self.disks[a] = SimDisk(random.Random(self.rng.random()))
+        for a in self.upstreams:
+            Upstream(self.world, a, self.history, lose)
+        for a in self.laws + self.flows + self.ways:
+            self.start(a)
+
+    def _address(self, net: str, i: int) -> Address:
+        a = Address(f"10.0.{net}.{i + 1}", 7000)
+        self.place[a] = ZONES[i % len(ZONES)]
+        return a
+
+    @property
+    def nodes(self) -> list[Address]:
+        return self.core + self.flows + self.ways
+
+    def live_laws(self) -> list[Address]:
+        return [a for a in self.core if self.world.up(a)] or self.core
+
+    def start(self, a: Address) -> None:
+        if self.world.up(a):
+            return
+        if a in self.disks:
+            LawNode(self.world, a, self.place[a], self.seeds, self.disks[a], lambda: [n for n in self.nodes if self.world.up(n)])
+        elif a in self.flows:
+            Flow(self.world, a, self.place[a], self.live_laws, self.history, self.upstreams)
+        else:
+            EchoNode(self.world, a, "way", self.place[a], self.live_laws)
+
+    def kill(self, a: Address) -> None:
+        if not self.world.up(a):
+            return
+        self.world.nodes[a].crash()
+        if a in self.disks:
+            self.disks[a].crash()
+
+    def replace(self, a: Address) -> Address:
+        """An empty core machine at a new address in the old one's place."""
+        self.kill(a)
+        self.core.remove(a)
+        new = self._address("1", len(self.disks))
+        self.place[new] = self.place[a]
+        self.disks[new] = SimDisk(random.Random(self.rng.random()))
+        self.core.append(new)
+        self.start(new)
+        return new
+
+    def load(self) -> None:
+        n = 0
+
+        def user(kind, *more):
+            nonlocal n
+            n += 1
+            kind(self.world, Address(f"10.0.9.{n}", 1), self.live_laws, self.history, *more)
+
+        for _ in range(4):
+            user(Customer, lambda: [f for f in self.flows if self.world.up(f)] or self.flows)
+        for _ in range(2):
+            user(Operator, ["eu-a", "us-b"])
+            user(Locker)
+            user(Counter)
+            user(Watcher)
+
+    def leader(self) -> LawNode | None:
+        ls = [self.world.nodes[a] for a in self.core if self.world.up(a) and a not in self.world.frozen]
+        ls = [n for n in ls if n.core.leads]
+        return max(ls, key=lambda n: (n.core.raft.group.generation, n.core.raft.term), default=None)
+
+    def run(self, seconds: float) -> None:
+        self.world.run(self.world.now + seconds)
+
+    def run_until(self, test, limit: float) -> bool:
+        end = self.world.now + limit
+        while self.world.now < end:
+            if test():
+                return True
+            self.run(0.1)
+        return test()
+
+    def served(self) -> int:
+        return sum(t[3] == "done" for t in self.history.told)
--- /dev/null
+++ b/sim/storms.py
@@ -0,0 +1,249 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sim.fleet import Fleet
+from sim.history import check
+
+BACK = 15.0
+Storm = Callable[[Fleet], None]
+
+
+def calm(f: Fleet) -> None:
+    f.run(20)
+
+
+def kills(f: Fleet) -> None:
+    for _ in range(8):
+        a = f.rng.choice(f.nodes)
+        f.kill(a)
+        f.run(0.5 + 4 * f.rng.random())
+        f.start(a)
+        f.run(2 * f.rng.random())
+
+
+def herds(f: Fleet) -> None:
+    for _ in range(4):
+        down = f.rng.sample(f.flows, len(f.flows) // 3) + f.rng.sample(f.core, 2)
+        for a in down:
+            f.kill(a)
+        f.run(1 + 3 * f.rng.random())
+        for a in down:
+            f.start(a)
+        f.run(4)
+
+
+def all_at_once(f: Fleet) -> None:
+    for _ in range(2):
+        for a in f.nodes:
+            f.kill(a)
+        f.run(f.rng.random())
+        for a in f.nodes:
+            f.start(a)
+        f.run(9)
+
+
+def after_acks(f: Fleet) -> None:
+    for _ in range(6):
+        n = len(f.history.changes) + len(f.history.puts)
+        f.run_until(lambda: len(f.history.changes) + len(f.history.puts) > n, 5)
+        ls = f.leader()
+        if ls is not None:
+            f.kill(ls.addr)
+            f.run(2 + f.rng.random())
+            f.start(ls.addr)
+
+
+def rolling(f: Fleet) -> None:
+    for a in f.core + f.flows + f.ways:
+        f.kill(a)
+        f.run(0.7)
+        f.start(a)
+        f.run(1.3)
+
+
+def zone_lost(f: Fleet) -> None:
+    z = f.place[f.rng.choice(f.core)]
+    down = [a for a in f.nodes if f.place[a] == z]
+    _lose(f, down)
+
+
+def region_lost(f: Fleet) -> None:
+    r = f.place[f.rng.choice(f.core)].region
+    _lose(f, [a for a in f.nodes if f.place[a].region == r])
+
+
+def _lose(f: Fleet, down: list) -> None:
+    for a in down:
+        f.kill(a)
+    f.run(5)
+    before = f.served()
+    f.run(10)
+    assert f.served() > before, "service stopped while a part was lost"
+    for a in down:
+        f.start(a)
+    f.run(3)
+
+
+def replaced(f: Fleet) -> None:
+    f.replace(f.rng.choice(f.core))
+    f.run(20)
+
+
+def replaced_all(f: Fleet) -> None:
+    for a in list(f.core):
+        f.replace(a)
+        f.run(14)
+
+
+def wiped_in_place(f: Fleet) -> None:
+    a = f.rng.choice(f.core)
+    f.kill(a)
+    f.disks[a].wipe()
+    f.run(1)
+    f.start(a)
+    f.run(15)
+
+
+def splits(f: Fleet) -> None:
+    for _ in range(4):
+        left = f.rng.sample(f.nodes, f.rng.randrange(2, len(f.nodes) - 2))
+        f.world.split(left, [a for a in f.nodes if a not in left])
+        f.run(3 + 4 * f.rng.random())
+        f.world.heal()
+        f.run(3)
+
+
+def core_cut_off(f: Fleet) -> None:
+    f.world.split(f.core, f.flows + f.ways)
+    f.run(3)
+    assert all(f.world.nodes[a].admits() for a in f.flows), "proxies that see each other stopped"
+    f.run(5)
+    f.world.heal()
+    f.run(3)
+
+
+def one_way(f: Fleet) -> None:
+    for _ in range(4):
+        a = f.rng.choice(f.nodes)
+        for b in f.nodes:
+            if b != a:
+                f.world.cut(*((a, b) if f.rng.random() < 0.5 else (b, a)), one_way=True)
+        f.run(3 + 3 * f.rng.random())
+        f.world.heal()
+        f.run(2)
+
+
+def isolated(f: Fleet) -> None:
+    for _ in range(3):
+        a = f.rng.choice(f.flows)
+        f.world.split([a], [b for b in f.nodes if b != a])
+        f.run(2.5)
+        assert not f.world.nodes[a].admits(), "an isolated proxy serves on"
+        f.run(4 * f.rng.random())
+        f.world.heal()
+        f.run(2)
+
+
+def freezes(f: Fleet) -> None:
+    for _ in range(6):
+        lead = f.leader()
+        a = lead.addr if lead is not None and f.rng.random() < 0.4 else f.rng.choice(f.nodes)
+        f.world.freeze(a)
+        f.run(1 + 5 * f.rng.random())
+        f.world.thaw(a)
+        f.run(1 + f.rng.random())
+
+
+def disks(f: Fleet) -> None:
+    for _ in range(5):
+        d = f.disks[f.rng.choice(f.core)]
+        d.full = f.rng.random() < 0.5
+        d.stall = 0.0 if d.full else 0.2 + 2 * f.rng.random()
+        f.run(2 + 3 * f.rng.random())
+        d.full, d.stall = False, 0.0
+        f.run(2)
+
+
+def wiped_core(f: Fleet) -> None:
+    for a in f.core:
+        f.kill(a)
+        f.disks[a].wipe()
+    f.run(f.rng.random())
+    for a in f.core:
+        f.start(a)
+    f.run(1)
+
+
+def wiped_most(f: Fleet) -> None:
+    voters = list(f.leader().core.raft.log.voters.voters.values()) if f.leader() else f.core
+    for a in f.rng.sample(sorted(voters), len(voters) // 2 + 1):
+        f.kill(a)
+        f.disks[a].wipe()
+        f.start(a)
+    f.run(1)
+
+
+def wiped_all_but_one_flow(f: Fleet) -> None:
+    keep = f.rng.choice(f.flows)
+    f.run(1)
+    for a in f.nodes:
+        if a != keep:
+            f.kill(a)
+            if a in f.disks:
+                f.disks[a].wipe()
+    for a in f.nodes:
+        f.start(a)
+    f.run(1)
+
+
+def lossy(f: Fleet) -> None:
+    f.world.loss, f.world.slow = 0.1, 0.15
+    f.run(20)
+    f.world.loss, f.world.slow = 0.0, 0.02
+
+
+def mixed(f: Fleet) -> None:
+    for _ in range(4):
+        f.rng.choice([kills, splits, freezes, one_way, disks, after_acks, isolated_any])(f)
+
+
+def isolated_any(f: Fleet) -> None:
+    a = f.rng.choice(f.nodes)
+    f.world.split([a], [b for b in f.nodes if b != a])
+    f.run(4)
+    f.world.heal()
+
+
+STORMS: dict[str, Storm] = {
+    s.__name__: s for s in (
+        calm, kills, herds, all_at_once, after_acks, rolling, zone_lost, region_lost, replaced, replaced_all,
+        wiped_in_place, splits, core_cut_off, one_way, isolated, freezes, disks, wiped_core, wiped_most,
+        wiped_all_but_one_flow, lossy, mixed,
+    )
+}
+
+
+def play(name: str, seed: int, **shape) -> tuple[list[str], dict]:
+    f = Fleet(seed, **shape)
+    f.load()
+    if not f.run_until(lambda: f.served() > 3 and all(f.world.nodes[a].admits() for a in f.flows), 30):
+        return ["the fleet never came up"], {}
+    f.run(8)
+    try:
+        STORMS[name](f)
+    except AssertionError as e:
+        return [str(e), *check(f.history)], f.history.figures()
+    for a in f.nodes:
+        f.start(a)
+    f.world.heal()
+    for a in list(f.world.frozen):
+        f.world.thaw(a)
+    healed, before = f.world.now, f.served()
+    back = f.run_until(lambda: f.served() > before + 3, 60)
+    gap = f.world.now - healed
+    f.run(8)
+    found = check(f.history)
+    if not back or gap > BACK:
+        found.append(f"service not back within {BACK} s: {gap:.1f}")
+    return found, f.history.figures() | {"back_ms": int(gap * 1000), "sim_s": int(f.world.now)}
--- /dev/null
+++ b/sim/world.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+
+from mallowvalve.kind import Address
+
+
+class World:
+    """Seeded network and clock; nothing in it reads the machine's own."""
+
+    def __init__(self, seed: int, loss: float = 0.0, slow: float = 0.02, double: float = 0.0):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss, self.slow, self.double = loss, slow, double
+        self.nodes: dict[Address, object] = {}
+        self.cuts: set[tuple[Address, Address]] = set()
+        self.frozen: dict[Address, list[Callable]] = {}
+        self.sent = self.delivered = 0
+        self._heap: list = []
+        self._n = 0
+
+    def at(self, when: float, act: Callable, node: Address | None = None, life: int | None = None) -> None:
+        self._n += 1
+        heapq.heappush(self._heap, (when, self._n, act, node, life))
+
+    def after(self, wait: float, act: Callable, node: Address | None = None, life: int | None = None) -> None:
+        self.at(self.now + wait, act, node, life)
+
+    def send(self, src: Address, dst: Address, deliver: Callable, may_double: bool = False) -> None:
+        self.sent += 1
+        copies = 2 if may_double and self.rng.random() < self.double else 1
+        for _ in range(copies):
+            if self.rng.random() < self.loss:
+                continue
+            wait = 0.0005 + self.rng.random() ** 3 * self.slow
+            self.after(wait, lambda: self._arrive(src, dst, deliver))
+
+    def run(self, until: float) -> None:
+        while self._heap and self._heap[0][0] <= until:
+            when, _, act, node, life = heapq.heappop(self._heap)
+            self.now = max(self.now, when)
+            if node is not None:
+                self._act_on(node, life, act)
+            else:
+                act()
+        self.now = until
+
+    def cut(self, a: Address, b: Address, one_way: bool = False) -> None:
+        self.cuts.add((a, b))
+        if not one_way:
+            self.cuts.add((b, a))
+
+    def split(self, left: list[Address], right: list[Address]) -> None:
+        for a in left:
+            for b in right:
+                self.cut(a, b)
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def freeze(self, a: Address) -> None:
+        self.frozen.setdefault(a, [])
+
+    def thaw(self, a: Address) -> None:
+        for act in self.frozen.pop(a, []):
+            act()
+
+    def up(self, a: Address) -> bool:
+        return a in self.nodes
+
+    def _arrive(self, src: Address, dst: Address, deliver: Callable) -> None:
+        if (src, dst) in self.cuts or dst not in self.nodes:
+            return
+        self.delivered += 1
+        self._act_on(dst, None, lambda: deliver(self.nodes[dst]))
+
+    def _act_on(self, node: Address, life: int | None, act: Callable) -> None:
+        if node not in self.nodes or life is not None and self.nodes[node].life != life:
+            return
+        if node in self.frozen:
+            self.frozen[node].append(lambda: self._act_on(node, life, act))
+            return
+        act()
+
+
+class Node:
+    """A machine in the world: messages, calls with answers, wakeups that die with it."""
+
+    lives = 0
+
+    def __init__(self, world: World, addr: Address):
+        Node.lives += 1
+        self.world, self.addr, self.life = world, addr, Node.lives
+        self._calls: dict[int, Callable] = {}
+        self._call = 0
+        world.nodes[addr] = self
+
+    def crash(self) -> None:
+        self.world.frozen.pop(self.addr, None)
+        if self.world.nodes.get(self.addr) is self:
+            del self.world.nodes[self.addr]
+
+    @property
+    def now(self) -> float:
+        return self.world.now
+
+    def wake(self, wait: float, act: Callable) -> None:
+        self.world.after(wait, act, self.addr, self.life)
+
+    def every(self, wait: float, act: Callable) -> None:
+        def again() -> None:
+            act()
+            self.wake(wait * (0.9 + 0.2 * self.world.rng.random()), again)
+
+        self.wake(wait * self.world.rng.random(), again)
+
+    def cast(self, to: Address, kind: str, body: bytes) -> None:
+        me = self.addr
+        self.world.send(me, to, lambda n: n.handle(kind, me, body, None), may_double=True)
+
+    def call(self, to: Address, kind: str, body: bytes, limit: float, then: Callable) -> None:
+        self._call += 1
+        n, me = self._call, self.addr
+        self._calls[n] = then
+
+        def answer(data: bytes, src: Address = to) -> None:
+            self.world.send(src, me, lambda node: node._answered(self.life, n, data))
+
+        self.world.send(me, to, lambda node: node.handle(kind, me, body, answer))
+        self.wake(limit, lambda: self._answered(self.life, n, None))
+
+    def _answered(self, life: int, n: int, data: bytes | None) -> None:
+        if life != self.life:
+            return
+        then = self._calls.pop(n, None)
+        if then is not None:
+            then(data)
+
+    def handle(self, kind: str, src: Address, body: bytes, answer: Callable | None) -> None:
+        raise NotImplementedError
