--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,167 @@
+import random
+import time
+
+import pytest
+from gevent.server import StreamServer
+
+from mallowvalve.beat.board import SILENT, Beat, Board
+from mallowvalve.flow.budget import Budget
+from mallowvalve.flow.draw import Draw, allowed, cap
+from mallowvalve.flow.session import Session
+from mallowvalve.kind import Address, Locality
+from mallowvalve.word.compiler import DEFAULT
+
+EU, EU2, US = Locality("eu", "a"), Locality("eu", "b"), Locality("us", "c")
+
+
+def beat(n=0, inc=1, seq=1, state="ready", usage=0.0, at=EU, service="s", port=None):
+    return Beat(service, f"i{n}", inc, seq, usage, state, at, Address("10.0.0.1", port or 100 + n))
+
+
+def test_beats_are_ordered_by_incarnation_then_sequence():
+    b = Board()
+    assert b.hear(beat(seq=5), 0.0) and not b.hear(beat(seq=4), 1.0)
+    assert b.hear(beat(inc=2, seq=1), 2.0) and not b.hear(beat(inc=1, seq=9), 3.0)
+    assert b.rows["s/i0"].since == 2.0
+
+
+def test_leaving_is_final_for_that_incarnation():
+    b = Board()
+    b.hear(beat(seq=1), 0.0)
+    b.hear(beat(seq=2, state="leaving"), 1.0)
+    assert not b.hear(beat(seq=3), 2.0) and b.usable("s", 2.0) == []
+    b.hear(beat(seq=4, state="gone"), 3.0)
+    assert not b.hear(beat(seq=5, state="leaving"), 4.0)
+    assert b.hear(beat(inc=2, seq=1), 5.0) and len(b.usable("s", 5.0)) == 1
+
+
+def test_a_silent_upstream_is_out_and_cold_when_it_comes_back():
+    b = Board()
+    b.hear(beat(seq=1), 0.0)
+    assert b.usable("s", SILENT - 0.1) and not b.usable("s", SILENT)
+    b.hear(beat(seq=2), 20.0)
+    assert b.usable("s", 20.0)[0].since == 20.0
+
+
+def test_old_news_handed_on_does_not_refresh():
+    b, late = Board(), Board()
+    b.hear(beat(), 0.0)
+    for a in b.newer_than(late.digest(), 6.0):
+        late.hear(a.beat, 106.0, a.age)
+    assert late.usable("s", 107.0) and not late.usable("s", 108.1)
+
+
+def rows(*beats, since=-100.0):
+    b = Board()
+    for x in beats:
+        b.hear(x, 0.0)
+    out = b.usable(beats[0].service, 0.0)
+    for r in out:
+        r.since = since
+    return out
+
+
+def test_homes_and_evacuations_bound_the_choice():
+    (r,) = rows(beat(at=US))
+    assert allowed(r, None, {}) and not allowed(r, frozenset({"eu"}), {})
+    for z in ("c", "us", "us/c"):
+        assert not allowed(r, None, {z: 1})
+
+
+def test_near_first_then_the_lesser_load_of_two():
+    rs = rows(beat(0, at=US), beat(1, at=EU, usage=9.0), beat(2, at=EU, usage=1.0))
+    d = Draw(EU, random.Random(1))
+    got = [d.pick(rs, DEFAULT, 1, set(), 0.0).beat.instance for _ in range(200)]
+    assert "i0" not in got and got.count("i2") > got.count("i1")
+    assert Draw(EU2, random.Random(1)).pick(rs, DEFAULT, 1, set(), 0.0).beat.locality == EU
+
+
+def test_a_cold_upstream_is_drawn_little_and_capped():
+    rs = rows(beat(0), beat(1))
+    rs[0].since = 0.0
+    d = Draw(EU, random.Random(2))
+    got = [d.pick(rs, DEFAULT, 1, set(), 0.5).beat.instance for _ in range(400)]
+    assert got.count("i0") < 40
+    assert cap(rs[0], DEFAULT, 1, 0.5) == 1 and cap(rs[0], DEFAULT, 1, 100.0) == DEFAULT.width
+
+
+def test_full_upstreams_are_not_drawn():
+    rs = rows(beat(0))
+    d = Draw(EU, random.Random(3))
+    for _ in range(DEFAULT.width):
+        d.enter(rs[0].beat.address)
+    assert d.pick(rs, DEFAULT, 1, set(), 0.0) is None
+    d.leave(rs[0].beat.address)
+    assert d.pick(rs, DEFAULT, 1, set(), 0.0) is rs[0]
+
+
+def test_repeats_stay_under_a_fifth_over_any_ten_seconds():
+    b, rng, log, t = Budget(), random.Random(4), [], 0.0
+    for _ in range(20000):
+        t += rng.expovariate(100.0)
+        if rng.random() < 0.5:
+            b.first(t)
+            log.append((t, 0))
+        elif b.again(t):
+            log.append((t, 1))
+    for end in range(10, int(t)):
+        span = [k for x, k in log if end - 10 < x <= end]
+        assert sum(span) <= 0.2 * (len(span) - sum(span))
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n"
+GOOD = HEAD + b"Content-Length: 2\r\n\r\nok"
+CASES = {
+    "garbage": b"\x00\x01garbage\r\n\r\n", "half": HEAD + b"Content-Length: 9\r\n\r\nhalf",
+    "half chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", "no length": HEAD + b"\r\nendless",
+    "two answers": GOOD + GOOD, "trailing": GOOD + b"more", "nothing": b"", "half head": HEAD,
+    "two lengths": HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    "bad length": HEAD + b"Content-Length: two\r\n\r\nok", "status": b"HTTP/1.1 999 No\r\nContent-Length: 2\r\n\r\nok",
+    "both": HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+}
+
+
+def exchange(*answers: bytes, identity: bytes | None = None):
+    who = identity or b'{"service":"s","instance":"i0","incarnation":1}'
+    todo = [HEAD + b"Content-Length: %d\r\n\r\n" % len(who) + who, *answers]
+
+    def serve(sock, _):
+        with sock:
+            for a in todo:
+                if not sock.recv(65536):
+                    return
+                sock.sendall(a)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    try:
+        end = time.monotonic() + 5
+        r = Session.open(Beat(
+            "s", "i0", 1, 1, 0.0, "ready", EU, Address("127.0.0.1", server.server_port)), "/health", end)
+        if r.is_err():
+            return r
+        s = r.ok_value
+        assert s.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", end)
+        return s.receive("GET", end)
+    finally:
+        server.stop()
+
+
+def test_a_whole_answer_is_given_as_it_came():
+    a = exchange(GOOD).unwrap()
+    assert (a.status, a.body, a.keep) == (200, b"ok", True)
+    chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    assert exchange(chunked).unwrap().body == b"ok"
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_garbage_never_becomes_an_answer(name):
+    assert exchange(CASES[name]).is_err()
+
+
+@pytest.mark.parametrize("who", [
+    b'{"service":"t","instance":"i0","incarnation":1}', b'{"service":"s","instance":"i1","incarnation":1}',
+    b'{"service":"s","instance":"i0","incarnation":2}', b"[]", b"not json",
+])
+def test_an_address_handed_to_another_service_gets_nothing(who):
+    assert "health" in exchange(GOOD, identity=who).err_value
--- /dev/null
+++ b/tests/test_tale.py
@@ -0,0 +1,126 @@
+import random
+
+import pytest
+
+from mallowvalve.tale.disk import Folder
+from mallowvalve.tale.log import Tale
+from sim.disk import SimDisk
+
+
+def opened(disk, fleet="f"):
+    return Tale.open(disk, fleet, "id")
+
+
+def filled(n=5):
+    d = SimDisk(random.Random(1))
+    t = opened(d).unwrap()
+    for i in range(n):
+        t.save([b"%d" % i * 30])
+    return d, t
+
+
+def test_what_was_saved_is_read_back():
+    d, t = filled()
+    again = opened(d).unwrap()
+    assert [b[0][:1] for b in again.batches] == [b"0", b"1", b"2", b"3", b"4"] and again.identity.id == "id"
+
+
+def test_a_torn_tail_is_cut_and_the_log_goes_on():
+    for cut in range(1, 60, 7):
+        d, t = filled()
+        name = d.names()[-1]
+        del d.files[name][-cut:]
+        t = opened(d).unwrap()
+        assert len(t.batches) == (4 if cut < 49 else 3)
+        t.save([b"next"])
+        assert opened(d).unwrap().batches[-1] == [b"next"]
+
+
+def test_damage_before_the_tail_stops_with_its_place():
+    d, t = filled()
+    name = d.names()[-1]
+    d.files[name][20] ^= 1
+    (f,) = opened(d).err_value
+    assert f.place == f"{name}@0" and "damaged" in f.text
+
+
+def test_damage_in_an_older_segment_picture_or_identity_stops():
+    d, t = filled()
+    t.turn(b"picture", [b"head"])
+    for name in d.names():
+        had = d.files[name][-1]
+        d.files[name][-1] = had ^ 1
+        r = opened(d)
+        tail = name.startswith("log")
+        assert (r.is_ok() and r.ok_value.batches == []) if tail else name in r.err_value[0].place
+        d, t = filled()
+        t.turn(b"picture", [b"head"])
+
+
+def test_a_picture_replaces_the_segments_before_it():
+    d, t = filled()
+    t.turn(b"p1", [b"a"])
+    t.save([b"b"])
+    t.turn(b"p2", [b"c"])
+    again = opened(d).unwrap()
+    assert again.picture == b"p2" and again.batches == [[b"c"]] and len(d.names()) == 3
+
+
+@pytest.mark.parametrize("at", range(4))
+def test_a_crash_at_any_step_of_a_turn_leaves_the_old_or_the_new(at):
+    d, t = filled()
+    steps = 0
+    for op in ("put", "append", "sync", "remove"):
+        real = getattr(d, op)
+
+        def counted(*a, real=real):
+            nonlocal steps
+            steps += 1
+            if steps > at:
+                raise RuntimeError("power lost")
+            return real(*a)
+
+        setattr(d, op, counted)
+    with pytest.raises(RuntimeError):
+        t.turn(b"new", [b"tail"])
+    for op in ("put", "append", "sync", "remove"):
+        delattr(d, op)
+    d.crash()
+    again = opened(d).unwrap()
+    assert again.picture == (None if at == 0 else b"new")
+    assert len(again.batches) == (6 if at == 3 else 5)
+
+
+def test_a_full_disk_refuses_and_goes_on_once_there_is_room():
+    d, t = filled()
+    d.full = True
+    for _ in range(3):
+        with pytest.raises(OSError):
+            t.save([b"lost?" * 10])
+    d.full = False
+    t.save([b"kept"])
+    assert opened(d).unwrap().batches[-1] == [b"kept"] and len(opened(d).unwrap().batches) == 6
+
+
+def test_a_disk_of_another_fleet_or_a_newer_format_is_refused():
+    d, t = filled()
+    assert [f.place for f in opened(d, "other").err_value] == ["identity.fleet"]
+    from mallowvalve.tale import log
+
+    d.put("identity", log.seal(b'{"format":9,"fleet":"other","id":"x"}'))
+    assert [f.place for f in opened(d).err_value] == ["identity.format", "identity.fleet"]
+    d.remove("identity")
+    assert "identity" in opened(d).err_value[0].place
+
+
+def test_the_folder_keeps_what_the_simulated_disk_keeps(tmp_path):
+    with Folder(tmp_path / "d") as d:
+        t = opened(d).unwrap()
+        for i in range(3):
+            t.save([b"%d" % i])
+        t.turn(b"picture", [b"head"])
+        t.save([b"tail"])
+        d.append(d.names()[1], b"torn")
+    with Folder(tmp_path / "d") as d:
+        again = opened(d).unwrap()
+        assert again.picture == b"picture" and again.batches == [[b"head"], [b"tail"]]
