Trials: provoke failures in a fleet of real processes under load, and judge the journals

Draining changed with it: a stopping proxy serves on for three quarters of its polite time, telling each session to close, since a directory's answer lives 3 s; a leader hands over before it stops.

--- a/mallowvalve/law/main.py
+++ b/mallowvalve/law/main.py
@@ -38,8 +38,7 @@
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.picture() if task.core.raft else {})
     with node, task:
-        node.run(lambda: task.core.leader() is not None and not task.stalled)
-        task.hand_over()
+        node.run(lambda: task.core.leader() is not None and not task.stalled, task.hand_over)
 
 
 def _allowed(task: LawTask, service: str) -> bool:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -104,7 +104,7 @@
     def allow(self, test) -> None:
         self._allowed = test
 
-    def run(self, ready) -> None:
+    def run(self, ready, leaving=lambda: None) -> None:
         before = None
         while not self.stopping.wait(timeout=0.2):
             now = bool(ready())
@@ -113,7 +113,9 @@
                 before = now
             self.bond.ready(now)
         self.bond.leave(final=False)
-        self.server.drain(self.params.polite * 0.8, grace=min(0.3, self.params.polite / 8))
+        leaving()
+        linger = 0.75 if self.params.role == "flow" else 0.1
+        self.server.drain(self.params.polite * linger, self.params.polite * 0.2)
         self.bond.leave(final=True)
 
     def is_ready(self) -> bool:
--- a/mallowvalve/play/upstream.py
+++ b/mallowvalve/play/upstream.py
@@ -106,6 +106,6 @@
         u.state = "leaving"
         u.beat()
         gevent.sleep(3.2)
-        server.drain(1.0)
+        server.drain(0.0, 1.0)
         u.state = "gone"
         u.beat()
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -77,10 +77,12 @@
     def __exit__(self, *_) -> None:
         self.stop(timeout=0.2)
 
-    def drain(self, limit: float, grace: float = 0.0) -> None:
+    def drain(self, linger: float, limit: float) -> None:
+        """Serve on for a while, telling each session to close; then take no more, and let answers finish."""
         self.draining = True
+        gevent.sleep(linger)
+        self.stop_accepting()
         with gevent.Timeout(limit, False):
-            gevent.sleep(grace)
             while self.sessions:
                 for h in list(self.sessions):
                     if not h.busy:
--- /dev/null
+++ b/mallowvalve/whole/judge.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from mallowvalve.tree.build import build
+from mallowvalve.word.compiler import Request
+
+IN_FORCE = 3.5
+LEFT = 3.5
+EVACUATED = 5.0
+
+
+def judge(config: dict, asked: list[dict], ran: list[dict]) -> list[str]:
+    return [*runs_once(ran), *whole_answers(asked), *not_run_is_true(asked, ran), *allowed(config, ran)]
+
+
+def runs_once(ran: list[dict]) -> list[str]:
+    c = Counter((r["tenant"], r["key"]) for r in ran if r["key"])
+    return [f"key {k} ran {n} times" for k, n in c.items() if n > 1]
+
+
+def whole_answers(asked: list[dict]) -> list[str]:
+    return [f"request {r['id']} got a success that is not its own whole answer" for r in asked if r["ok"] and not r["whole"]]
+
+
+def not_run_is_true(asked: list[dict], ran: list[dict]) -> list[str]:
+    runs = defaultdict(int)
+    for r in ran:
+        runs[r["key"] or r["echo"]] += 1
+    out = []
+    for r in asked:
+        n = runs.get(r["key"] or r["id"], 0)
+        if r["key"] and r["ok"] and n != 1:
+            out.append(f"key {r['key']} told done, ran {n} times")
+        if len(r["tries"]) == 1 and r["tries"][0][1] == "not-run" and n:
+            out.append(f"request {r['id']} told not-run, ran {n} times")
+        if r["key"] and r["tries"][-1][1] == "not-run" and n:
+            out.append(f"key {r['key']} told not-run at last, ran {n} times")
+    return out
+
+
+def allowed(config: dict, ran: list[dict]) -> list[str]:
+    t, out = build(config).unwrap(), []
+    for r in ran:
+        plan = t.draw(r["tenant"], Request(r["method"], r["path"], {})) if r["tenant"] in t.cell_of else None
+        if plan is None or plan.service != r["service"]:
+            out.append(f"{r['service']} ran {r['method']} {r['path']} for {r['tenant']}: no configuration allows it")
+            continue
+        homes = t.homes(r["tenant"])
+        if homes is not None and r["locality"].partition("/")[0] not in homes:
+            out.append(f"{r['tenant']} touched {r['locality']}, its homes are {sorted(homes)}")
+    return out
+
+
+def after_evacuation(zone: str, start: float, end: float, ran: list[dict]) -> list[str]:
+    n = sum(start + EVACUATED < r["at"] < end and r["locality"].partition("/")[2] == zone for r in ran)
+    return [f"{n} requests ran in evacuated {zone}"] if n else []
+
+
+def after_leaving(instance: str, left: float, ran: list[dict]) -> list[str]:
+    n = sum(r["instance"] == instance and r["at"] > left + LEFT for r in ran)
+    return [f"{n} requests reached {instance} after it left"] if n else []
+
+
+def figures(asked: list[dict], ran: list[dict]) -> dict:
+    took = sorted(r["took"] for r in asked if r["ok"])
+    outcomes = Counter(str(t[1]) for r in asked for t in r["tries"] if t[0] != 200)
+    return {
+        "asked": len(asked), "ok": sum(r["ok"] for r in asked), "ran": len(ran),
+        "tries": sum(len(r["tries"]) for r in asked),
+        "median_ms": round(took[len(took) // 2] * 1000, 1) if took else None,
+        "p99_ms": round(took[int(len(took) * 0.99)] * 1000, 1) if took else None,
+        "not_200": dict(outcomes),
+    }
--- a/mallowvalve/whole/main.py
+++ b/mallowvalve/whole/main.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mallowvalve import finding
+from mallowvalve.whole import trial
 from mallowvalve.whole.call import call
 from mallowvalve.whole.fleet import Fleet, Shape, until
 
@@ -51,8 +52,9 @@
 @click.argument("shape")
 @click.option("--folder", help="where logs and data go; a new one if not given")
 @click.option("--seconds", default=0.0, help="stop after this long; 0 runs until interrupted")
+@click.option("--trial", "acts", multiple=True, type=click.Choice(sorted(trial.ACTS)), help="provoke this under load, then judge")
 @click.option("--load/--no-load", default=True, help="stand-in clients")
-def whole(shape: str, folder: str | None, seconds: float, load: bool) -> None:
+def whole(shape: str, folder: str | None, seconds: float, acts: tuple[str, ...], load: bool) -> None:
     """Run a fleet on this machine from one settings file: a development tool."""
     where = Path(folder or tempfile.mkdtemp(prefix="whole-"))
     with Fleet(load_shape(shape), where) as f:
@@ -61,6 +63,12 @@
         click.echo("settled" if ok else "not settled")
         for p in f.procs.values():
             click.echo(f"{p.name:24} {p.locality:12} web 127.0.0.1:{p.web} pid {p.job.pid}")
+        if acts and ok:
+            found, fig = trial.run(f, list(acts))
+            for x in found:
+                click.echo(f"finding: {x}")
+            click.echo(msgspec.json.encode(fig).decode())
+            sys.exit(1 if found else 0)
         if load and f.shape.shares:
             f.start_clients()
         end = time.monotonic() + (seconds or 1e9)
--- /dev/null
+++ b/mallowvalve/whole/trial.py
@@ -0,0 +1,203 @@
+from __future__ import annotations
+
+import copy
+import random
+import time
+from collections.abc import Callable
+from threading import Event, Thread
+
+from mallowvalve.whole.call import call
+from mallowvalve.whole.fleet import Fleet, until
+from mallowvalve.whole.judge import after_evacuation, after_leaving, figures, judge
+
+
+class Operators:
+    """Changes configuration and makes coordination calls while a trial runs, and remembers what was acknowledged."""
+
+    def __init__(self, fleet: Fleet, seed: int, every: float = 1.0, coordination: float = 20.0):
+        self.fleet, self.rng, self.every, self.pace = fleet, random.Random(seed), every, 1 / coordination
+        self.stop = Event()
+        self.acked: list[tuple[float, int, str]] = []
+        self.numbers: list[tuple[float, float, int]] = []
+        self.refused = self.failed = 0
+        self.ack_times: list[float] = []
+        self._jobs = [Thread(target=self._change), Thread(target=self._number)]
+
+    def __enter__(self) -> Operators:
+        for j in self._jobs:
+            j.start()
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.stop.set()
+        for j in self._jobs:
+            j.join()
+
+    def _law(self) -> int:
+        return self.rng.choice([p for p in self.fleet.of("law") if p.up]).web
+
+    def _change(self) -> None:
+        n = 0
+        while not self.stop.wait(self.every):
+            n += 1
+            doc = copy.deepcopy(self.fleet.shape.config)
+            doc["services"][f"spare-{n}"] = {}
+            t = time.time()
+            status, data, _ = call(self._law(), "PUT", "/config", {"doc": doc}, {"Mallow-Key": f"c{n}"}, 10)
+            if status == 200:
+                self.acked.append((time.time(), data["revision"], f"spare-{n}"))
+                self.ack_times.append(time.time() - t)
+            else:
+                self.failed += 1
+
+    def _number(self) -> None:
+        while not self.stop.wait(self.pace):
+            t = time.time()
+            status, data, _ = call(self._law(), "POST", "/numbers/trial", {}, None, 5)
+            if status == 200:
+                self.numbers.append((t, time.time(), data["number"]))
+
+    def findings(self) -> list[str]:
+        out = []
+        ns = [n for _, _, n in self.numbers]
+        if ns != sorted(set(ns)):
+            out.append("numbers repeat or fall")
+        rs = [r for _, r, _ in self.acked]
+        if rs != sorted(set(rs)):
+            out.append("revisions repeat or fall")
+        back = call(self._law(), "GET", "/config")
+        if back[0] != 200:
+            out.append(f"no read-back: {back[1]}")
+        elif self.acked and back[1]["revision"] < rs[-1]:
+            out.append(f"read back {back[1]['revision']}, {rs[-1]} was acknowledged")
+        return out
+
+
+def rolling(f: Fleet) -> list[str]:
+    out = []
+    for p in f.of("law") + f.of("way") + f.of("flow"):
+        if f.stop(p.name, f.polite + 3) != 0:
+            out.append(f"{p.name} did not stop politely")
+        f.start(p.name)
+        if not until(lambda: call(p.web, "GET", "/-/ready", limit=2)[0] == 200, 20):
+            out.append(f"{p.name} not ready again")
+    return out
+
+
+def upstream_crashes(f: Fleet) -> list[str]:
+    rng = random.Random(5)
+    for p in rng.sample(f.of("upstream"), min(6, len(f.of("upstream")) // 2)):
+        f.kill(p.name)
+        time.sleep(0.5)
+        f.start(p.name)
+    for p in rng.sample(f.of("upstream"), min(3, len(f.of("upstream")) // 2)):
+        f.stop(p.name, 10)
+        f.start(p.name)
+    return []
+
+
+def leaving(f: Fleet) -> list[str]:
+    p = random.Random(6).choice(f.of("upstream"))
+    left = time.time()
+    f.stop(p.name, 12)
+    time.sleep(4)
+    return after_leaving(p.name, left, f.rows("ran.jsonl"))
+
+
+def kills(f: Fleet) -> list[str]:
+    rng = random.Random(7)
+    for role in ("flow", "law", "way", "flow", "law"):
+        p = rng.choice(f.of(role))
+        f.kill(p.name)
+        time.sleep(3)
+        f.start(p.name)
+        time.sleep(2)
+    return []
+
+
+def evacuation(f: Fleet) -> list[str]:
+    zone, law = "eu-a", f.of("law")[0]
+    status, data, _ = call(law.web, "POST", "/evacuations", {"zone": zone, "evacuated": True})
+    start = time.time()
+    if status != 200:
+        return [f"evacuation not acknowledged: {data}"]
+    time.sleep(9)
+    end = time.time()
+    status, data, _ = call(law.web, "POST", "/evacuations", {"zone": zone, "evacuated": False})
+    time.sleep(4)
+    rows = f.rows("ran.jsonl")
+    out = after_evacuation(zone, start, end, rows)
+    if not any(r["at"] > end and r["locality"].endswith(zone) for r in rows):
+        out.append("no request came back to the zone")
+    return out
+
+
+def zone_lost(f: Fleet) -> list[str]:
+    return _lose(f, lambda p: p.locality == "us/us-a")
+
+
+def region_lost(f: Fleet) -> list[str]:
+    return _lose(f, lambda p: p.locality.startswith("ap/"))
+
+
+def _lose(f: Fleet, test: Callable) -> list[str]:
+    down = [p.name for p in f.procs.values() if p.locality and test(p)]
+    for n in down:
+        f.kill(n)
+    time.sleep(6)
+    before = sum(r["ok"] for r in f.rows("asked.jsonl"))
+    time.sleep(4)
+    out = [] if sum(r["ok"] for r in f.rows("asked.jsonl")) > before else ["service stopped"]
+    for n in down:
+        f.start(n)
+    time.sleep(6)
+    return out
+
+
+def wiped_core(f: Fleet) -> list[str]:
+    for p in f.of("law"):
+        f.kill(p.name)
+        f.wipe(p.name)
+    for p in f.of("law"):
+        f.start(p.name)
+    start = time.time()
+    back = until(lambda: any(call(p.web, "GET", "/config", limit=3)[0] == 200 for p in f.of("law")), 30)
+    gap = time.time() - start
+    return [] if back and gap < 15 else [f"control not back within 15 s: {gap:.1f}"]
+
+
+def frozen(f: Fleet) -> list[str]:
+    for p in (f.of("flow")[0], f.of("law")[0], f.of("flow")[1]):
+        f.freeze(p.name)
+        time.sleep(4)
+        f.thaw(p.name)
+        time.sleep(2)
+    return []
+
+
+ACTS = {a.__name__: a for a in (
+    rolling, upstream_crashes, leaving, kills, evacuation, zone_lost, region_lost, wiped_core, frozen,
+)}
+
+
+def run(f: Fleet, acts: list[str], seed: int = 1) -> tuple[list[str], dict]:
+    found: list[str] = []
+    f.start_clients(seed=seed)
+    time.sleep(3)
+    with Operators(f, seed) as ops:
+        for a in acts:
+            t = time.time()
+            got = ACTS[a](f)
+            found += [f"{a}: {g}" for g in got]
+            print(f"{a}: {time.time() - t:.1f} s, {len(got)} findings", flush=True)
+        time.sleep(2)
+    f.stop("clients", 30)
+    asked, ran = f.rows("asked.jsonl"), f.rows("ran.jsonl")
+    found += ops.findings() + judge(f.shape.config, asked, ran)
+    acks = sorted(ops.ack_times)
+    more = {
+        "changes": len(ops.acked), "changes_failed": ops.failed, "numbers": len(ops.numbers),
+        "ack_median_ms": round(acks[len(acks) // 2] * 1000) if acks else None,
+        "ack_max_ms": round(acks[-1] * 1000) if acks else None,
+    }
+    return found, figures(asked, ran) | more
--- a/tests/shapes.py
+++ b/tests/shapes.py
@@ -27,3 +27,65 @@
         upstreams=[Pool("boards", ["eu/eu-a", "us/us-a"]), Pool("runs", ["eu/eu-a", "eu/eu-b", "us/us-a"])],
         config=CONFIG, shares=SHARES, rate=40.0, clients=8,
     )
+
+
+SERVING = [ZONES[i % 6] for i in range(12)]
+
+
+def _routes(cell: str, rows) -> dict:
+    return {
+        name: {"cell": cell, "match": f'method {m} and path "{path}"', "kind": kind, "service": service}
+        for name, m, path, kind, service in rows
+    }
+
+
+def trinacria() -> Shape:
+    config = {
+        "services": {s: {} for s in ("boards", "runs", "awards", "media")},
+        "regions": CONFIG["regions"],
+        "cells": {
+            "public": {"region": "eu", "tenants": {"overlay": {}}, "policy": "retry 1; limit 4s"},
+            "staff": {"region": "eu", "regions": ["eu", "us"], "tenants": {"moderator": {}, "runner": {"homes": ["eu"]}}},
+        },
+        "routes": _routes("public", [
+            ("rankings", "GET", "/rankings/*", "read", "boards"), ("clips", "GET", "/clips/*", "read", "media"),
+        ]) | _routes("staff", [
+            ("verify", "GET", "/verify/*", "read", "runs"), ("award", "POST", "/awards", "once", "awards"),
+            ("submit", "POST", "/runs", "once", "runs"),
+        ]),
+    }
+    shares = [
+        ["overlay", "GET", "/rankings/{n}", False, 70], ["overlay", "GET", "/clips/{n}", False, 15],
+        ["moderator", "GET", "/verify/{n}", False, 8], ["moderator", "POST", "/awards", True, 3],
+        ["runner", "POST", "/runs", True, 4],
+    ]
+    return Shape(
+        nodes=[Place("law", z) for z in ZONES] + [Place("way", z) for z in ZONES[::2]] + [Place("flow", z) for z in SERVING[:9]],
+        upstreams=[Pool(s, SERVING) for s in config["services"]], config=config, shares=shares, rate=400.0, clients=60,
+    )
+
+
+def cycles() -> Shape:
+    config = {
+        "services": {s: {} for s in ("stock", "prices", "orders", "catalogue")},
+        "regions": CONFIG["regions"],
+        "cells": {
+            "shops": {"region": "eu", "tenants": {"counter": {}, "owner": {"homes": ["eu", "us"]}}, "policy": "limit 4s"},
+            "dealers": {"region": "us", "tenants": {"sync": {"homes": ["us"]}}, "policy": "limit 4s; queue 16"},
+        },
+        "routes": _routes("shops", [
+            ("stock", "GET", "/stock/*", "read", "stock"), ("prices", "GET", "/prices/*", "read", "prices"),
+            ("order", "POST", "/orders", "once", "orders"), ("claim", "POST", "/claims", "once", "orders"),
+        ]) | _routes("dealers", [("catalogue", "GET", "/catalogue/*", "read", "catalogue")]),
+    }
+    shares = [
+        ["counter", "GET", "/stock/{n}", False, 45], ["counter", "GET", "/prices/{n}", False, 35],
+        ["owner", "POST", "/orders", True, 8], ["owner", "POST", "/claims", True, 2],
+        ["sync", "GET", "/catalogue/{n}", False, 10],
+    ]
+    pools = [Pool("stock", SERVING + ZONES[:1]), Pool("prices", SERVING + ZONES[1:2]), Pool("orders", SERVING + ZONES[2:4]),
+             Pool("catalogue", SERVING + ZONES[4:5])]
+    return Shape(
+        nodes=[Place("law", z) for z in ZONES] + [Place("way", z) for z in ZONES[::2]] + [Place("flow", z) for z in SERVING],
+        upstreams=pools, config=config, shares=shares, rate=350.0, clients=60,
+    )
