--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -75,11 +75,12 @@
 
 
 def _tools() -> None:
+    from mallowvalve.aim.main import aim
     from mallowvalve.play.main import play
     from mallowvalve.whole.main import whole
     from mallowvalve.will.main import will
 
-    for c in (play, whole, will):
+    for c in (aim, play, whole, will):
         main.add_command(c)
 
 
--- a/mallowvalve/flow/draw.py
+++ b/mallowvalve/flow/draw.py
@@ -21,11 +21,12 @@
     return max(1, math.ceil(policy.width * warmth(r, policy.ramp_ms, now) / max(1, proxies)))
 
 
-def allowed(r: Row, homes: frozenset[str] | None, evacuated: dict[str, int]) -> bool:
-    at = r.beat.locality
-    if homes is not None and at.region not in homes:
-        return False
-    return not any(n in evacuated for n in (at.region, at.zone, str(at)))
+def emptied(at: Locality, evacuated: dict[str, int]) -> bool:
+    return any(n in evacuated for n in (at.region, at.zone, str(at)))
+
+
+def reachable(at: Locality, homes: frozenset[str] | None, evacuated: dict[str, int]) -> bool:
+    return (homes is None or at.region in homes) and not emptied(at, evacuated)
 
 
 class Draw:
--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 from mallowvalve.flow.claims import Claims
+from mallowvalve.flow.draw import emptied
 from mallowvalve.flow.pool import Pool
 from mallowvalve.flow.serve import Serve
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
 from mallowvalve.params import Params
-from mallowvalve.way.main import evacuated
 
 
 def run(params: Params) -> None:
@@ -17,4 +17,4 @@
     node.app.add_sink(Serve(node, echo, pool, claims), "/")
     node.gauge("busy", lambda: sum(pool.draw.busy.values()))
     with node, echo, pool:
-        node.run(lambda: echo.admits() and not evacuated(params.locality, echo.echo.state.settings.evacuated))
+        node.run(lambda: echo.admits() and not emptied(params.locality, echo.echo.state.settings.evacuated))
--- a/mallowvalve/flow/pool.py
+++ b/mallowvalve/flow/pool.py
@@ -11,7 +11,7 @@
 from mallowvalve.beat.task import BeatTask
 from mallowvalve.count import Counts, vital
 from mallowvalve.flow.budget import Budget
-from mallowvalve.flow.draw import Draw, allowed
+from mallowvalve.flow.draw import Draw, reachable
 from mallowvalve.flow.session import Answer, Session, Sessions
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.echotask import EchoTask
@@ -92,7 +92,7 @@
     def usable(self, plan: Plan, tenant: str, tried: set[Address]) -> list[Row]:
         homes = self.echo.tree.homes(tenant)
         out = self.echo.echo.state.settings.evacuated
-        return [r for r in self.beats.usable(plan.service) if r.beat.address not in tried and allowed(r, homes, out)]
+        return [r for r in self.beats.usable(plan.service) if r.beat.address not in tried and reachable(r.beat.locality, homes, out)]
 
     def leave(self, row: Row) -> None:
         self.draw.leave(row.beat.address)
@@ -118,8 +118,8 @@
         now = self.beats.board.rows.get(row.beat.name)
         if now is None or now.beat.state != "ready" or now.beat.incarnation != row.beat.incarnation:
             return False
-        return tenant in self.echo.tree.cell_of and allowed(
-            row, self.echo.tree.homes(tenant), self.echo.echo.state.settings.evacuated
+        return tenant in self.echo.tree.cell_of and reachable(
+            row.beat.locality, self.echo.tree.homes(tenant), self.echo.echo.state.settings.evacuated
         )
 
     def _wait(self, plan: Plan, end: float) -> bool:
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -10,12 +10,12 @@
 from mallowvalve.claim.ledger import Verdict
 from mallowvalve.finding import Finding
 from mallowvalve.flow.claims import Claims, digest
+from mallowvalve.flow.draw import emptied
 from mallowvalve.flow.pool import Failure, Lease, Pool, stream
 from mallowvalve.flow.session import Answer
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
 from mallowvalve.tree.model import Plan
-from mallowvalve.way.main import evacuated
 from mallowvalve.web import NOT_RUN, UNDECIDED, UNKNOWN, bounce
 from mallowvalve.word.compiler import Request
 
@@ -74,7 +74,7 @@
             self.counts.add("bounced_not_fresh")
             bounce(resp, 503, maybe, [Finding("proxy", "its settings may be out of date")], 1)
             return False
-        if evacuated(self.node.params.locality, self.echo.echo.state.settings.evacuated):
+        if emptied(self.node.params.locality, self.echo.echo.state.settings.evacuated):
             self.counts.add("bounced_evacuated")
             bounce(resp, 503, maybe, [Finding("proxy", "its zone is evacuated: ask a directory again")], 1)
             resp.set_header("Connection", "close")
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -5,9 +5,11 @@
 
 import falcon
 import gevent
+import jsonpatch
 import msgspec
 
 from mallowvalve import finding, web
+from mallowvalve.aim.plan import Seen, plan
 from mallowvalve.finding import Finding
 from mallowvalve.law.state import Change, Evacuate, Settings, encode
 from mallowvalve.law.task import LawTask
@@ -51,6 +53,26 @@
     base: int | None = None
 
 
+class PatchDoc(msgspec.Struct):
+    patch: list[dict]
+    base: int
+
+
+def patched(resp: falcon.Response, s: Settings, d: PatchDoc) -> dict | None:
+    if d.base != s.doc_revision:
+        web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {s.doc_revision} now")])
+        return None
+    try:
+        doc = jsonpatch.apply_patch(msgspec.json.decode(s.doc), d.patch)
+    except (jsonpatch.JsonPatchException, jsonpatch.JsonPointerException, TypeError, KeyError) as e:
+        web.bounce(resp, 422, web.NOT_RUN, [Finding("patch", str(e))])
+        return None
+    if isinstance(doc, dict):
+        return doc
+    web.bounce(resp, 422, web.NOT_RUN, [Finding("patch", "leaves no object")])
+    return None
+
+
 class Config(Api):
     def on_get(self, req, resp) -> None:
         s = self.confirm(resp)
@@ -65,11 +87,26 @@
         r = finding.read(ConfigDoc, data)
         if r.is_err():
             return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
-        built = build(r.ok_value.doc)
+        self.apply(req, resp, r.ok_value.doc, r.ok_value.base)
+
+    def on_patch(self, req, resp) -> None:
+        data = web.json_of(req, resp, CONFIG_BYTES)
+        if data is None:
+            return
+        r = finding.read(PatchDoc, data)
+        if r.is_err():
+            return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+        s = self.confirm(resp)
+        doc = patched(resp, s, r.ok_value) if s is not None else None
+        if doc is not None:
+            self.apply(req, resp, doc, r.ok_value.base)
+
+    def apply(self, req, resp, doc: dict, base: int | None) -> None:
+        built = build(doc)
         if built.is_err():
             return web.bounce(resp, 422, web.NOT_RUN, built.err_value)
         ask = req.get_header("Mallow-Key") or uuid.uuid4().hex
-        t = self.task.offer(encode(Change(r.ok_value.base, msgspec.json.encode(r.ok_value.doc), ask)), APPLY_LIMIT)
+        t = self.task.offer(encode(Change(base, msgspec.json.encode(doc), ask)), APPLY_LIMIT)
         if t.code == "conflict":
             return web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {t.revision} now")])
         if t.code != "ok":
@@ -77,6 +114,35 @@
         web.say(resp, {"revision": t.revision, "in_force": True})
 
 
+class Plans(Api):
+    """What a change would move; it changes nothing."""
+
+    def on_post(self, req, resp) -> None:
+        data = web.json_of(req, resp, CONFIG_BYTES)
+        if data is None:
+            return
+        kind = PatchDoc if isinstance(data, dict) and "patch" in data else ConfigDoc
+        r = finding.read(kind, data)
+        if r.is_err():
+            return web.bounce(resp, 400, web.NOT_RUN, r.err_value)
+        s = self.confirm(resp)
+        if s is None:
+            return
+        d = r.ok_value
+        if isinstance(d, ConfigDoc) and d.base not in (None, s.doc_revision):
+            return web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {s.doc_revision} now")])
+        doc = patched(resp, s, d) if isinstance(d, PatchDoc) else d.doc
+        if doc is None:
+            return
+        new = build(doc)
+        if new.is_err():
+            return web.bounce(resp, 422, web.NOT_RUN, new.err_value)
+        board = self.task.node.beats.board.all(time.monotonic())
+        seen = [Seen(b.service, b.instance, b.locality) for b, health, _ in board if health == "ready"]
+        old = build(msgspec.json.decode(s.doc)).unwrap()
+        web.say(resp, {"base": s.doc_revision, "moves": plan(old, new.ok_value, seen, s.evacuated), "doc": doc})
+
+
 class EvacuateDoc(msgspec.Struct):
     zone: str
     evacuated: bool
@@ -221,6 +287,7 @@
 
 def add_routes(app: falcon.App, task: LawTask) -> None:
     app.add_route("/config", Config(task))
+    app.add_route("/plan", Plans(task))
     app.add_route("/evacuations", Evacuations(task))
     app.add_route("/leader", Leader(task))
     app.add_route("/locks/{name}/{act}", Locks(task))
--- a/mallowvalve/way/main.py
+++ b/mallowvalve/way/main.py
@@ -5,6 +5,7 @@
 from mallowvalve import web
 from mallowvalve.bond.wire import ALIVE
 from mallowvalve.finding import Finding
+from mallowvalve.flow.draw import emptied
 from mallowvalve.kind import Locality
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
@@ -28,7 +29,7 @@
         out = self.echo.echo.state.settings.evacuated if self.echo.echo.state else {}
         good = [
             r for r in self.node.bond.alive("flow")
-            if r.state == ALIVE and r.ready and not evacuated(r.locality, out)
+            if r.state == ALIVE and r.ready and not emptied(r.locality, out)
         ]
         if not good:
             return web.bounce(resp, 503, web.NOT_RUN, [Finding("proxies", "none is ready")], 1)
@@ -40,10 +41,6 @@
         })
 
 
-def evacuated(at: Locality, out: dict[str, int]) -> bool:
-    return any(n in out for n in (at.region, at.zone, str(at)))
-
-
 def run(params: Params) -> None:
     node = Node(params)
     echo = EchoTask(node)
--- a/mallowvalve/will/main.py
+++ b/mallowvalve/will/main.py
@@ -29,6 +29,14 @@
     return data
 
 
+def read_json(file: str):
+    try:
+        return json.loads(Path(file).read_text())
+    except (OSError, ValueError) as e:
+        click.echo(f"{file}: {e}", err=True)
+        sys.exit(2)
+
+
 def show(data) -> None:
     click.echo(json.dumps(data, indent=2, sort_keys=True))
 
@@ -47,12 +55,16 @@
 @click.pass_context
 def apply(ctx, file, base) -> None:
     """Replace the settings tree by FILE (JSON)."""
-    try:
-        doc = json.loads(Path(file).read_text())
-    except ValueError as e:
-        click.echo(f"{file}: {e}", err=True)
-        sys.exit(2)
-    show(ask(ctx, "PUT", "/config", {"doc": doc, "base": base}))
+    show(ask(ctx, "PUT", "/config", {"doc": read_json(file), "base": base}))
+
+
+@will.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--base", type=int, required=True, help="the revision the patch was planned on")
+@click.pass_context
+def patch(ctx, file, base) -> None:
+    """Apply FILE (JSON Patch) to the settings tree of revision BASE."""
+    show(ask(ctx, "PATCH", "/config", {"patch": read_json(file), "base": base}))
 
 
 @will.command()
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -6,7 +6,7 @@
 
 from mallowvalve.beat.board import SILENT, Beat, Board
 from mallowvalve.flow.budget import Budget
-from mallowvalve.flow.draw import Draw, allowed, cap
+from mallowvalve.flow.draw import Draw, cap, reachable
 from mallowvalve.flow.session import Session
 from mallowvalve.kind import Address, Locality
 from mallowvalve.word.compiler import DEFAULT
@@ -62,10 +62,9 @@
 
 
 def test_homes_and_evacuations_bound_the_choice():
-    (r,) = rows(beat(at=US))
-    assert allowed(r, None, {}) and not allowed(r, frozenset({"eu"}), {})
+    assert reachable(US, None, {}) and not reachable(US, frozenset({"eu"}), {})
     for z in ("c", "us", "us/c"):
-        assert not allowed(r, None, {z: 1})
+        assert not reachable(US, None, {z: 1})
 
 
 def test_near_first_then_the_lesser_load_of_two():
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -84,3 +84,24 @@
     seen = call(b, "GET", f"/watch?since={at - 1}&prefix=k&wait_ms=1000")[1]["events"]
     assert [e["value"] for e in seen] == ["1", "2"]
     assert call(a, "GET", "/watch?since=0")[0] == 200
+
+
+def test_patches_carry_plans_and_are_refused_when_stale(fleet):
+    port = fleet.of("law")[0].web
+    base = call(port, "GET", "/config")[1]["revision"]
+    patch = [{"op": "replace", "path": "/regions/eu/policy", "value": "limit 3s"}]
+    status, got, _ = call(port, "POST", "/plan", {"patch": patch, "base": base})
+    assert status == 200 and {m["place"] for m in got["moves"]} == {"routes.rankings", "routes.submit"}
+    assert call(port, "GET", "/config")[1]["revision"] == base
+    for bad, want in (
+        ({"patch": patch, "base": base - 1}, 409), ({"patch": patch}, 400),
+        ({"patch": [{"op": "remove", "path": "/nowhere/x"}], "base": base}, 422),
+        ({"patch": [{"op": "replace", "path": "", "value": 3}], "base": base}, 422),
+        ({"patch": [{"op": "replace", "path": "/regions/eu/policy", "value": "limit 9h"}], "base": base}, 422),
+        ({"patch": [{"op": "fly", "path": "/x"}], "base": base}, 422),
+    ):
+        status, data, _ = call(port, "PATCH", "/config", bad)
+        assert status == want and data["findings"], bad
+    assert call(port, "PATCH", "/config", {"patch": patch, "base": base})[0] == 200
+    assert call(port, "PATCH", "/config", {"patch": patch, "base": base})[0] == 409
+    assert call(port, "GET", "/config")[1]["doc"]["regions"]["eu"]["policy"] == "limit 3s"
