--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -221,7 +221,7 @@
         return r.ok_value
 
     def run(self, resp, c) -> None:
-        t = self.task.offer(encode(c), TIE_LIMIT)
+        t = self.task.offer(encode(c), TIE_LIMIT, repeatable=not isinstance(c, Renew | Unlock))
         if not t.body:
             return self.refuse(resp, t)
         s = _said(t.body)
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -56,7 +56,17 @@
     def __exit__(self, *_) -> None:
         gevent.killall(self._jobs)
 
-    def offer(self, command: bytes, limit: float) -> wire.Took:
+    def offer(self, command: bytes, limit: float, repeatable: bool = True) -> wire.Took:
+        """Offers to whoever leads until the limit; only a repeatable command goes again after an undecided end."""
+        end, again = time.monotonic() + limit, {"leader", "replaced"} | ({"undecided"} if repeatable else set())
+        t = wire.Took("leader")
+        while t.code in again and (left := end - time.monotonic()) > 0:
+            t = self._offer_once(command, left)
+            if t.code in again:
+                gevent.sleep(min(0.05, max(0.0, end - time.monotonic())))
+        return t
+
+    def _offer_once(self, command: bytes, limit: float) -> wire.Took:
         t = self._offer(wire.Offer(command, limit))
         if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
             return t
--- a/mallowvalve/whole/trial.py
+++ b/mallowvalve/whole/trial.py
@@ -49,6 +49,7 @@
                 self.ack_times.append(time.time() - t)
             else:
                 self.failed += 1
+                print(f"change {n} not acknowledged after {time.time() - t:.1f} s: {status} {data}", flush=True)
 
     def _number(self) -> None:
         while not self.stop.wait(self.pace):
