Mesh answers go through one writer a session: large ones at once were lost

Cause: several answering tasks called sendall on one socket; once its buffer was full the second one died with ConcurrentObjectUseError and its answer was lost (a picture for two echoes at once is enough).

Change: each session's writer task owns the socket and is handed answers by message. Unacknowledged data for 3 s breaks a session (TCP_USER_TIMEOUT), so that a cut that drops packets is redialled soon after it heals instead of waiting for the kernel's backoff.

--- a/mallowvalve/mesh/task.py
+++ b/mallowvalve/mesh/task.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from socket import TCP_USER_TIMEOUT
 
 import gevent
 from gevent import socket
@@ -17,6 +18,12 @@
 Handler = Callable[[Address, bytes], bytes | None]
 OUTBOX = 4096
 REDIAL = 0.25
+UNACKED_MS = 3000
+
+
+def tune(sock) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS)
 
 
 class Line:
@@ -70,7 +77,7 @@
         try:
             self._sock = socket.create_connection(self.to.pair, timeout=1.0)
             self._sock.settimeout(None)
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tune(self._sock)
             self._sock.sendall(seal(self.hello))
         except OSError:
             return False
@@ -151,38 +158,53 @@
         return line
 
     def _serve(self, sock, _addr) -> None:
-        cut, sender = Cutter(self.fleet), None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with sock:
+        tune(sock)
+        box: Queue = Queue(OUTBOX)
+        writer = gevent.spawn(self._write, sock, box)
+        try:
+            with sock:
+                self._read(sock, box)
+        finally:
+            writer.kill()
+
+    def _write(self, sock, box: Queue) -> None:
+        try:
             while True:
-                try:
-                    data = sock.recv(65536)
-                except OSError:
-                    return
-                if not data:
-                    return
-                r = cut.feed(data)
-                if isinstance(r, Err):
-                    self.counts.add(f"mesh_{r.err_value}")
-                    return
-                for f in r.ok_value:
-                    if isinstance(f, Hello):
-                        sender = f.sender
-                        continue
-                    self._handle(sender, f, sock)
-
-    def _handle(self, sender: Address, f: Frame, sock) -> None:
+                sock.sendall(seal(box.get()))
+        except OSError:
+            self.counts.add("mesh_unanswered")
+
+    def _read(self, sock, box: Queue) -> None:
+        cut, sender = Cutter(self.fleet), None
+        while True:
+            try:
+                data = sock.recv(65536)
+            except OSError:
+                return
+            if not data:
+                return
+            r = cut.feed(data)
+            if isinstance(r, Err):
+                self.counts.add(f"mesh_{r.err_value}")
+                return
+            for f in r.ok_value:
+                if isinstance(f, Hello):
+                    sender = f.sender
+                    continue
+                self._handle(sender, f, box)
+
+    def _handle(self, sender: Address, f: Frame, box: Queue) -> None:
         h = self._on.get(f.kind)
         if h is None:
             self.counts.add("mesh_unknown")
             return
         act, quick = h
         if quick:
-            self._answer(act, sender, f, sock)
+            self._answer(act, sender, f, box)
             return
-        self._pool.spawn(self._answer, act, sender, f, sock)
+        self._pool.spawn(self._answer, act, sender, f, box)
 
-    def _answer(self, act: Handler, sender: Address, f: Frame, sock) -> None:
+    def _answer(self, act: Handler, sender: Address, f: Frame, box: Queue) -> None:
         try:
             body = act(sender, f.body)
         except ValueError:
@@ -191,6 +213,6 @@
         if body is None:
             return
         try:
-            sock.sendall(seal(Frame(f.kind, f.id, True, body)))
-        except OSError:
+            box.put_nowait(Frame(f.kind, f.id, True, body))
+        except Full:
             self.counts.add("mesh_unanswered")
