--- a/mallowvalve/finding.py
+++ b/mallowvalve/finding.py
@@ -2,6 +2,7 @@
 
 import types
 import typing
+from functools import cache
 
 import msgspec
 from result import Err, Ok, Result
@@ -45,11 +46,16 @@
         return None
 
 
+@cache
+def _fields(kind: type) -> dict:
+    return {f.encode_name: f for f in msgspec.structs.fields(kind)}
+
+
 def _struct(kind, data, place: str, found: Findings):
     if not isinstance(data, dict):
         found.append(Finding(place, f"expected an object, got {type(data).__name__}"))
         return None
-    fields = {f.encode_name: f for f in msgspec.structs.fields(kind)}
+    fields = _fields(kind)
     for k in data:
         if k not in fields:
             found.append(Finding(join(place, str(k)), "unknown field"))
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -10,12 +10,14 @@
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
 from mallowvalve.law.echo import Echo
-from mallowvalve.law.state import State
+from mallowvalve.law.state import Change, State, command
 from mallowvalve.node import Node
 from mallowvalve.tree.build import EMPTY, build
 from mallowvalve.tree.model import Tree
+from mallowvalve.vote.wire import COMMAND
 
 ROUND = 0.3
+LARGE = 32768
 
 
 class EchoTask:
@@ -106,10 +108,16 @@
                 gevent.sleep(0.1)
                 continue
             f = wire.fed(r.ok_value)
+            self._warm(f)
             self.echo.fed(f, time.monotonic())
             if f.group is None:
                 gevent.sleep(0.05)
 
+    def _warm(self, f: wire.Fed) -> None:
+        """Parses a large new tree off the hub, so that taking it in finds every part remembered."""
+        for doc in large_docs(f):
+            gevent.get_hub().threadpool.apply(build, (msgspec.json.decode(doc),))
+
     def _rounds(self) -> None:
         while True:
             gevent.sleep(ROUND)
@@ -131,3 +139,9 @@
         h = self.node.mesh.call(a, "held", b"", 2.0)
         if h.is_ok():
             self.echo.adopt(wire.held(h.ok_value))
+
+
+def large_docs(f: wire.Fed) -> list[bytes]:
+    datas = [e.data for e in f.entries if e.kind == COMMAND and len(e.data) > LARGE]
+    docs = [c.doc for c in map(command, datas) if isinstance(c, Change)]
+    return docs + ([State.load(f.picture).settings.doc] if len(f.picture) > LARGE else [])
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -15,7 +15,6 @@
 from mallowvalve.law.task import LawTask
 from mallowvalve.law.wire import Took
 from mallowvalve.tie.state import Lock, Next, Put, Renew, Said, Unlock
-from mallowvalve.tree.build import build
 
 APPLY_LIMIT = 8.0
 TIE_LIMIT = 3.0
@@ -102,7 +101,7 @@
             self.apply(req, resp, doc, r.ok_value.base)
 
     def apply(self, req, resp, doc: dict, base: int | None) -> None:
-        built = build(doc)
+        built = self.task.check(doc)
         if built.is_err():
             return web.bounce(resp, 422, web.NOT_RUN, built.err_value)
         ask = req.get_header("Mallow-Key") or uuid.uuid4().hex
@@ -134,12 +133,12 @@
         doc = patched(resp, s, d) if isinstance(d, PatchDoc) else d.doc
         if doc is None:
             return
-        new = build(doc)
+        new = self.task.check(doc)
         if new.is_err():
             return web.bounce(resp, 422, web.NOT_RUN, new.err_value)
         board = self.task.node.beats.board.all(time.monotonic())
         seen = [Seen(b.service, b.instance, b.locality) for b, health, _ in board if health == "ready"]
-        old = build(msgspec.json.decode(s.doc)).unwrap()
+        old = self.task.tree()
         web.say(resp, {"base": s.doc_revision, "moves": plan(old, new.ok_value, seen, s.evacuated), "doc": doc})
 
 
@@ -159,7 +158,7 @@
         s = self.confirm(resp)
         if s is None:
             return
-        regions = build(msgspec.json.decode(s.doc)).unwrap().doc.regions
+        regions = self.task.tree().doc.regions
         known = {z for r_ in regions.values() for z in r_.zones} | {f"{n}/{z}" for n, r_ in regions.items() for z in r_.zones}
         if r.ok_value.zone not in known | set(regions) and r.ok_value.evacuated:
             return web.bounce(resp, 404, web.NOT_RUN, [Finding("zone", f"no zone {r.ok_value.zone!r}")])
--- a/mallowvalve/law/main.py
+++ b/mallowvalve/law/main.py
@@ -2,7 +2,6 @@
 
 import uuid
 
-import msgspec
 from result import Err, Ok, Result
 
 from mallowvalve.finding import Finding, Findings
@@ -12,7 +11,6 @@
 from mallowvalve.params import Params
 from mallowvalve.tale.disk import Folder
 from mallowvalve.tale.log import Tale
-from mallowvalve.tree.build import build
 
 
 def run(params: Params) -> Result[None, Findings]:
@@ -34,13 +32,8 @@
     node = Node(params)
     task = LawTask(node, tale, loaded)
     http.add_routes(node.app, task)
-    node.allow(lambda service: _allowed(task, service))
+    node.allow(lambda service: service in task.tree().doc.services)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.picture() if task.core.raft else {})
     with node, task:
         node.run(lambda: task.core.leader() is not None and not task.stalled, task.hand_over)
-
-
-def _allowed(task: LawTask, service: str) -> bool:
-    st = task.core.state
-    return st is not None and service in build(msgspec.json.decode(st.settings.doc)).unwrap().doc.services
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -5,16 +5,21 @@
 import uuid
 
 import gevent
+import msgspec
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
+from result import Result
 
 from mallowvalve.count import change, vital
+from mallowvalve.finding import Findings
 from mallowvalve.kind import Address
 from mallowvalve.law import store, wire
 from mallowvalve.law.core import Core, founding
 from mallowvalve.law.found import Decision, Found, Judge, Start, Wipe, decide, heard_enough
 from mallowvalve.node import Node
 from mallowvalve.tale.log import Tale
+from mallowvalve.tree.build import EMPTY, build
+from mallowvalve.tree.model import Tree
 from mallowvalve.vote.wire import Envelope, Group, Hard, Picture, encode, envelope, picture_of
 
 FOUND_EVERY = 0.5
@@ -27,7 +32,7 @@
 
 
 class LawTask:
-    __slots__ = ("node", "core", "tale", "_box", "_jobs", "_judge", "stalled", "_role_said")
+    __slots__ = ("node", "core", "tale", "_box", "_jobs", "_judge", "stalled", "_role_said", "_tree")
 
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
         self.node, self.tale = node, tale
@@ -39,6 +44,7 @@
         self._judge = Judge()
         self.stalled = False
         self._role_said = ""
+        self._tree: tuple[int, Tree] = (0, EMPTY)
         on = node.mesh.on
         on("vote", self._vote, quick=True)
         on("want", lambda s, b: wire.encode(self._do(lambda t, now: self.core.want(wire.want(b), t, now), 2.0) or wire.Fed(None)))
@@ -56,6 +62,18 @@
     def __exit__(self, *_) -> None:
         gevent.killall(self._jobs)
 
+    def tree(self) -> Tree:
+        s = self.core.state
+        if s is None:
+            return EMPTY
+        if self._tree[0] != s.settings.doc_revision or self._tree[0] == 0:
+            doc = msgspec.json.decode(s.settings.doc)
+            self._tree = (s.settings.doc_revision, build(doc).unwrap())
+        return self._tree[1]
+
+    def check(self, doc: dict) -> Result[Tree, Findings]:
+        return gevent.get_hub().threadpool.apply(build, (doc,))
+
     def offer(self, command: bytes, limit: float, repeatable: bool = True) -> wire.Took:
         """Offers to whoever leads until the limit; only a repeatable command goes again after an undecided end."""
         end, again = time.monotonic() + limit, {"leader", "replaced"} | ({"undecided"} if repeatable else set())
--- a/mallowvalve/word/compiler.py
+++ b/mallowvalve/word/compiler.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from functools import lru_cache
 from pathlib import Path
 
 import msgspec
@@ -10,6 +11,7 @@
 
 from mallowvalve.finding import Finding, Findings
 
+REMEMBERED = 65536
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"))
 
 
@@ -135,19 +137,33 @@
         return out
 
 
-def _run(grammar: Lark, maker: Transformer, text: str, place: str) -> Result[object, Findings]:
+def _run(grammar: Lark, maker: Transformer, text: str) -> Result[object, tuple[str, str]]:
     try:
         return Ok(maker.transform(grammar.parse(text)))
     except UnexpectedInput as e:
         line, col = getattr(e, "line", 1), getattr(e, "column", 1)
-        return Err([Finding(f"{place}@{line}:{col}", "not understood here")])
+        return Err((f"@{line}:{col}", "not understood here"))
     except VisitError as e:
-        return Err([Finding(place, str(e.orig_exc))])
+        return Err(("", str(e.orig_exc)))
+
+
+@lru_cache(maxsize=REMEMBERED)
+def _match(text: str) -> Result[Match, tuple[str, str]]:
+    return _run(_MATCH, _MatchMaker(), text)
+
+
+@lru_cache(maxsize=REMEMBERED)
+def _policy(text: str) -> Result[Policy, tuple[str, str]]:
+    return _run(_POLICY, _PolicyMaker(), text).map(lambda d: Policy(**d))
+
+
+def _placed(r: Result, place: str) -> Result[object, Findings]:
+    return r.map_err(lambda e: [Finding(place + e[0], e[1])])
 
 
 def match(text: str, place: str) -> Result[Match, Findings]:
-    return _run(_MATCH, _MatchMaker(), text, place)
+    return _placed(_match(text), place)
 
 
 def policy(text: str, place: str) -> Result[Policy, Findings]:
-    return _run(_POLICY, _PolicyMaker(), text, place).map(lambda d: Policy(**d))
+    return _placed(_policy(text), place)
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -105,3 +105,17 @@
     assert call(port, "PATCH", "/config", {"patch": patch, "base": base})[0] == 200
     assert call(port, "PATCH", "/config", {"patch": patch, "base": base})[0] == 409
     assert call(port, "GET", "/config")[1]["doc"]["regions"]["eu"]["policy"] == "limit 3s"
+
+
+def test_a_large_configuration_comes_in_force_and_traffic_goes_on(fleet):
+    law, flow = fleet.of("law")[0].web, fleet.of("flow")[0].web
+    was = call(law, "GET", "/config")[1]
+    doc = was["doc"]
+    more = {f"r{i}": {**doc["routes"]["rankings"], "match": f'method GET and path "/many/{i}/*"'} for i in range(3000)}
+    large = {**doc, "routes": {**doc["routes"], **more}}
+    leaders = {call(p.web, "GET", "/leader")[1]["term"] for p in fleet.of("law")}
+    assert call(law, "PUT", "/config", {"doc": large, "base": was["revision"]})[0] == 200
+    assert call(flow, "GET", "/many/2999/x", None, {"Mallow-Tenant": "overlay"})[0] == 200
+    assert {call(p.web, "GET", "/leader")[1]["term"] for p in fleet.of("law")} == leaders
+    assert call(law, "PUT", "/config", {"doc": doc})[0] == 200
+    assert call(flow, "GET", "/many/2999/x", None, {"Mallow-Tenant": "overlay"})[0] == 404
