Unmarked repeats are known by their failures; stored answers have a bound

Cause of the first: a client that retries at once without Mallow-Again counted as new traffic, so the budget of a fifth never saw it; a once key that was released and asked again likewise. Each bounce or failure answered now makes one like request (tenant, method, target, body) within 10 s a repeat; a key the ledger knows as released is one too; keys that are open, done or lost cost no upstream work and no budget.

Cause of the second: 15 minutes of answers up to 16 kB had no bound in memory, on disks called small.

Not yet measured under load: the share of repeats; next.

--- a/mallowvalve/claim/ledger.py
+++ b/mallowvalve/claim/ledger.py
@@ -3,6 +3,7 @@
 import msgspec
 
 KEEP_MS = 900_000
+KEEP_BYTES = 32 << 20
 OPEN, DONE, RELEASED, LOST = "open", "done", "released", "lost"
 
 
@@ -54,10 +55,12 @@
 
 
 class Ledger:
-    __slots__ = ("rows",)
+    __slots__ = ("rows", "kept", "_bytes")
 
     def __init__(self):
         self.rows: dict[str, Row] = {}
+        self.kept: dict[str, int] = {}
+        self._bytes = 0
 
     def apply(self, c: Claim | Done | Release | Forfeit | Lose, at: int) -> Verdict:
         self._forget(at)
@@ -102,18 +105,37 @@
             return Verdict(r.state)
         r.state = state
         if d is not None:
-            r.status, r.kind, r.body = d.status, d.kind, d.body
+            r.status, r.kind = d.status, d.kind
+            self._keep(key, r, d.body)
         return Verdict(state)
 
+    def _keep(self, key: str, r: Row, body: bytes | None) -> None:
+        r.body = body
+        if not body:
+            return
+        self.kept[key] = len(body)
+        self._bytes += len(body)
+        while self._bytes > KEEP_BYTES:
+            oldest = next(iter(self.kept))
+            self._drop(oldest)
+            self.rows[oldest].body = None
+
+    def _drop(self, key: str) -> None:
+        self._bytes -= self.kept.pop(key, 0)
+
     def _forget(self, at: int) -> None:
         while self.rows:
             key, r = next(iter(self.rows.items()))
             if r.at + KEEP_MS > at:
                 return
             del self.rows[key]
+            self._drop(key)
 
     def dump(self) -> list:
-        return list(self.rows.items())
+        return [list(self.rows.items()), list(self.kept)]
 
-    def load(self, rows: list) -> None:
+    def load(self, dumped: list) -> None:
+        rows, kept = dumped
         self.rows = {k: msgspec.convert(r, Row) for k, r in rows}
+        self.kept = {k: len(self.rows[k].body) for k in kept}
+        self._bytes = sum(self.kept.values())
--- a/mallowvalve/flow/claims.py
+++ b/mallowvalve/flow/claims.py
@@ -34,6 +34,11 @@
             self.release_later(key, nonce)
         return v, nonce
 
+    def look(self, key: str) -> str | None:
+        st = self.echo.echo.state
+        r = st.ledger.rows.get(key) if st else None
+        return r.state if r else None
+
     def wait(self, key: str, dig: str, end: float) -> Verdict:
         while time.monotonic() < end:
             st = self.echo.echo.state
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -12,6 +12,7 @@
 from mallowvalve.flow.claims import Claims, digest
 from mallowvalve.flow.draw import emptied
 from mallowvalve.flow.pool import Failure, Lease, Pool, stream
+from mallowvalve.flow.repeats import Repeats, name_of
 from mallowvalve.flow.session import Answer
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
@@ -37,6 +38,7 @@
     key: str
     end: float
     again: bool
+    name: bytes
 
     def wire(self, host: str) -> bytes:
         lines = [f"{self.method} {self.target} HTTP/1.1", f"Host: {host}"]
@@ -50,6 +52,7 @@
     def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims):
         self.node, self.echo, self.pool, self.claims = node, echo, pool, claims
         self.counts = node.counts
+        self.repeats = Repeats()
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
         self.counts.add("requests")
@@ -58,16 +61,21 @@
         c = self._understand(req, resp)
         if c is None:
             return
-        now = time.monotonic()
-        again = c.again and not self.pool.budget(c.plan.service).again(now)
-        if again:
+        if not self._in_budget(c):
             return self._refuse(resp, c, 503, UNDECIDED if c.key else NOT_RUN, "too many repeats just now", 2)
-        if not c.again:
-            self.pool.budget(c.plan.service).first(now)
         if c.plan.kind == "once":
             return self._once(c, resp)
         return self._read(c, resp)
 
+    def _in_budget(self, c: Call) -> bool:
+        now, budget = time.monotonic(), self.pool.budget(c.plan.service)
+        if c.key and (known := self.claims.look(c.key)) is not None and known != "released":
+            return True
+        if c.again or self.repeats.is_one(c.name, now) or c.key and known == "released":
+            return budget.again(now)
+        budget.first(now)
+        return True
+
     def _admits(self, req, resp) -> bool:
         maybe = UNDECIDED if req.get_header("Mallow-Key") else NOT_RUN
         if not self.echo.admits():
@@ -124,7 +132,8 @@
         dropped = {h.strip().lower() for h in headers.get("connection", "").split(",")} | HOP
         headers = {k: v for k, v in headers.items() if k not in dropped}
         again = bool(req.get_header("Mallow-Again"))
-        return Call(plan, tenant, req.method, target, headers, body, f"{tenant}\0{key}" if key else "", end, again)
+        return Call(plan, tenant, req.method, target, headers, body, f"{tenant}\0{key}" if key else "", end, again,
+                    name_of(tenant, req.method, target, body))
 
     def _read(self, c: Call, resp) -> None:
         tried: set = set()
@@ -190,6 +199,8 @@
 
     def _answer(self, resp, c: Call, lease: Lease, a: Answer) -> None:
         self.counts.add("answers")
+        if a.status >= 500:
+            self.repeats.failed(c.name, time.monotonic())
         resp.status = a.status
         for k, v in a.headers:
             if k.lower() == "content-type":
@@ -218,6 +229,7 @@
         return self._refuse(resp, c, 502, UNKNOWN, why, None)
 
     def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
+        self.repeats.failed(c.name, time.monotonic())
         self.counts.add(f"bounced_{outcome}")
         self.counts.add(f"bounced_route_{c.plan.route}")
         bounce(resp, status, outcome, [Finding(f"routes.{c.plan.route}", why)], after)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -7,6 +7,7 @@
 from mallowvalve.beat.board import SILENT, Beat, Board
 from mallowvalve.flow.budget import Budget
 from mallowvalve.flow.draw import Draw, cap, reachable
+from mallowvalve.flow.repeats import Repeats
 from mallowvalve.flow.session import Session
 from mallowvalve.kind import Address, Locality
 from mallowvalve.word.compiler import DEFAULT
@@ -108,6 +109,16 @@
         assert sum(span) <= 0.2 * (len(span) - sum(span))
 
 
+def test_each_failure_makes_one_like_request_a_repeat():
+    r = Repeats()
+    assert not r.is_one(b"a", 0.0)
+    r.failed(b"a", 1.0)
+    r.failed(b"a", 2.0)
+    assert [r.is_one(b"b", 3.0), r.is_one(b"a", 3.0), r.is_one(b"a", 3.0), r.is_one(b"a", 3.0)] == [False, True, True, False]
+    r.failed(b"a", 4.0)
+    assert not r.is_one(b"a", 14.0)
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n"
 GOOD = HEAD + b"Content-Length: 2\r\n\r\nok"
 CASES = {
