Repeats held under a fifth: proxies tell each other of failures, budget earns and cannot hoard

Cause: after a 503 the hasty client comes back through another proxy, which did not know of the failure.

Cause of the rest: repeats were allowed by the first tries of the last 10 s, and traffic fell when the failure began, so a hoard from before was spent after.

The earlier test of the budget passed on both forms; the one without any first try failed on the old one.

--- a/mallowvalve/flow/budget.py
+++ b/mallowvalve/flow/budget.py
@@ -3,29 +3,27 @@
 from collections import deque
 
 SPAN = 10.0
-SHARE = 0.18
+SHARE = 0.15
+SAVED = 0.02
 
 
 class Budget:
-    __slots__ = ("_first", "_again", "floor")
+    """Each first try earns a share of a repeat; little can be saved up, so a fall of traffic leaves no hoard to spend."""
 
-    def __init__(self, floor: int = 1):
-        self.floor = floor
+    __slots__ = ("_first", "_earned")
+
+    def __init__(self):
         self._first: deque[float] = deque()
-        self._again: deque[float] = deque()
+        self._earned = 0.0
 
     def first(self, now: float) -> None:
-        self._trim(now)
         self._first.append(now)
+        while self._first[0] <= now - SPAN:
+            self._first.popleft()
+        self._earned = min(self._earned + SHARE, max(1.0, SAVED * len(self._first)))
 
     def again(self, now: float) -> bool:
-        self._trim(now)
-        if len(self._again) + 1 > max(self.floor, SHARE * len(self._first)):
+        if self._earned < 1.0 - 1e-9:
             return False
-        self._again.append(now)
+        self._earned -= 1.0
         return True
-
-    def _trim(self, now: float) -> None:
-        for d in (self._first, self._again):
-            while d and d[0] <= now - SPAN:
-                d.popleft()
--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -3,6 +3,7 @@
 from mallowvalve.flow.claims import Claims
 from mallowvalve.flow.draw import emptied
 from mallowvalve.flow.pool import Pool
+from mallowvalve.flow.repeats import RepeatTask
 from mallowvalve.flow.serve import Serve
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
@@ -14,7 +15,8 @@
     echo = EchoTask(node)
     pool = Pool(node.beats, echo, params.locality, node.counts)
     claims = Claims(echo, f"{params.mesh}#{node.boot}", node.counts)
-    node.app.add_sink(Serve(node, echo, pool, claims), "/")
+    repeats = RepeatTask(node.mesh, echo.echo.roster)
+    node.app.add_sink(Serve(node, echo, pool, claims, repeats), "/")
     node.gauge("busy", lambda: sum(pool.draw.busy.values()))
-    with node, echo, pool:
+    with node, echo, pool, repeats:
         node.run(lambda: echo.admits() and not emptied(params.locality, echo.echo.state.settings.evacuated))
--- a/mallowvalve/flow/repeats.py
+++ b/mallowvalve/flow/repeats.py
@@ -1,10 +1,23 @@
 from __future__ import annotations
 
 import hashlib
+import time
 from collections import OrderedDict
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from mallowvalve.count import vital
+from mallowvalve.kind import Address
+from mallowvalve.mesh.task import Mesh
 
 SPAN = 10.0
 MOST = 20000
+FLUSH = 0.005
+_encode = msgspec.msgpack.Encoder().encode
+_names = msgspec.msgpack.Decoder(list[bytes]).decode
 
 
 class Repeats:
@@ -31,5 +44,49 @@
         return True
 
 
-def name_of(tenant: str, method: str, target: str, body: bytes) -> bytes:
-    return hashlib.blake2b(b"\0".join((tenant.encode(), method.encode(), target.encode(), body)), digest_size=16).digest()
+class RepeatTask:
+    """Tells the other proxies of failures at once: a hasty client comes back through another one."""
+
+    __slots__ = ("repeats", "mesh", "peers", "_news", "_wake", "_job")
+
+    def __init__(self, mesh: Mesh, peers: Callable[[], list[Address]]):
+        self.repeats, self.mesh, self.peers = Repeats(), mesh, peers
+        self._news: list[bytes] = []
+        self._wake = Event()
+        mesh.on("failed", self._heard, quick=True)
+
+    def __enter__(self) -> RepeatTask:
+        self._job = vital(gevent.spawn(self._run))
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._job.kill()
+
+    def failed(self, name: bytes) -> None:
+        self.repeats.failed(name, time.monotonic())
+        self._news.append(name)
+        self._wake.set()
+
+    def is_one(self, name: bytes) -> bool:
+        return self.repeats.is_one(name, time.monotonic())
+
+    def _heard(self, _sender: Address, body: bytes) -> None:
+        now = time.monotonic()
+        for name in _names(body):
+            self.repeats.failed(name, now)
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            news, self._news = self._news, []
+            body = _encode(news)
+            for a in self.peers():
+                if a != self.mesh.me:
+                    self.mesh.cast(a, "failed", body)
+            gevent.sleep(FLUSH)
+
+
+def name_of(client: str, tenant: str, method: str, target: str, body: bytes) -> bytes:
+    parts = (client.encode(), tenant.encode(), method.encode(), target.encode(), body)
+    return hashlib.blake2b(b"\0".join(parts), digest_size=16).digest()
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -12,7 +12,7 @@
 from mallowvalve.flow.claims import Claims, digest
 from mallowvalve.flow.draw import emptied
 from mallowvalve.flow.pool import Failure, Lease, Pool, stream
-from mallowvalve.flow.repeats import Repeats, name_of
+from mallowvalve.flow.repeats import RepeatTask, name_of
 from mallowvalve.flow.session import Answer
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
@@ -49,10 +49,9 @@
 
 
 class Serve:
-    def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims):
-        self.node, self.echo, self.pool, self.claims = node, echo, pool, claims
+    def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims, repeats: RepeatTask):
+        self.node, self.echo, self.pool, self.claims, self.repeats = node, echo, pool, claims, repeats
         self.counts = node.counts
-        self.repeats = Repeats()
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
         self.counts.add("requests")
@@ -71,10 +70,8 @@
         now, budget = time.monotonic(), self.pool.budget(c.plan.service)
         if c.key and (known := self.claims.look(c.key)) is not None and known != "released":
             return True
-        if c.again or self.repeats.is_one(c.name, now) or c.key and known == "released":
-            return budget.again(now)
-        budget.first(now)
-        return True
+        c.again = c.again or self.repeats.is_one(c.name) or bool(c.key) and known == "released"
+        return budget.again(now) if c.again else True
 
     def _admits(self, req, resp) -> bool:
         maybe = UNDECIDED if req.get_header("Mallow-Key") else NOT_RUN
@@ -133,7 +130,7 @@
         headers = {k: v for k, v in headers.items() if k not in dropped}
         again = bool(req.get_header("Mallow-Again"))
         return Call(plan, tenant, req.method, target, headers, body, f"{tenant}\0{key}" if key else "", end, again,
-                    name_of(tenant, req.method, target, body))
+                    name_of(req.remote_addr, tenant, req.method, target, body))
 
     def _read(self, c: Call, resp) -> None:
         tried: set = set()
@@ -183,6 +180,9 @@
 
     def _exchange(self, lease: Lease, c: Call) -> Answer | None:
         s = lease.session
+        if not c.again:
+            self.pool.budget(c.plan.service).first(time.monotonic())
+            c.again = True
         if not s.send(c.wire(str(s.beat.address)), c.end):
             self.counts.add("upstream_broken")
             lease.row.broken = time.monotonic()
@@ -200,7 +200,7 @@
     def _answer(self, resp, c: Call, lease: Lease, a: Answer) -> None:
         self.counts.add("answers")
         if a.status >= 500:
-            self.repeats.failed(c.name, time.monotonic())
+            self.repeats.failed(c.name)
         resp.status = a.status
         for k, v in a.headers:
             if k.lower() == "content-type":
@@ -229,7 +229,7 @@
         return self._refuse(resp, c, 502, UNKNOWN, why, None)
 
     def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
-        self.repeats.failed(c.name, time.monotonic())
+        self.repeats.failed(c.name)
         self.counts.add(f"bounced_{outcome}")
         self.counts.add(f"bounced_route_{c.plan.route}")
         bounce(resp, status, outcome, [Finding(f"routes.{c.plan.route}", why)], after)
--- a/mallowvalve/play/client.py
+++ b/mallowvalve/play/client.py
@@ -22,7 +22,9 @@
 
 
 class Client:
-    def __init__(self, name: str, ways: list[Address], locality: str, shares: list[Share], rate: float, journal, seed: int):
+    def __init__(self, name: str, ways: list[Address], locality: str, shares: list[Share], rate: float, journal, seed: int,
+                 relentless: bool = False):
+        self.relentless = relentless
         self.name, self.ways, self.locality, self.shares, self.rate = name, ways, locality, shares, rate
         self.journal, self.rng = journal, random.Random(f"{seed}/{name}")
         self.proxies: list[Address] = []
@@ -41,13 +43,13 @@
         key = f"k{id}" if s.once else ""
         path = s.path.replace("{n}", str(self.rng.randrange(1000)))
         start, tries, seen = time.time(), 0, []
-        while tries < 6 and time.time() < start + 8:
+        while tries < (60 if self.relentless else 6) and time.time() < start + 8:
             status, outcome, body, after = self.go(s, path, id, key, tries)
             seen.append([status, outcome])
             tries += 1
             if status and status < 500 and status != 404 or not (outcome in ("not-run", "undecided") or key or status == 0 or not s.once):
                 break
-            gevent.sleep(min(2.0, after or 0.1) if not stop.is_set() else 0)
+            gevent.sleep(min(2.0, after or 0.1) if not stop.is_set() and not self.relentless else 0)
         good = False
         if seen[-1][0] == 200:
             d = json.loads(body)
@@ -63,7 +65,7 @@
         h = {"Mallow-Tenant": s.tenant, "Play-Id": id, "Mallow-Limit": "4000"}
         if key:
             h["Mallow-Key"] = key
-        if tries:
+        if tries and not self.relentless:
             h["Mallow-Again"] = str(tries)
         body = b""
         if s.method == "POST":
@@ -117,14 +119,15 @@
         self.until = now + 0.3
 
 
-def serve(ways: list[Address], localities: list[str], shares: list[Share], clients: int, rate: float, journal: str, seed: int, seconds: float) -> None:
+def serve(ways: list[Address], localities: list[str], shares: list[Share], clients: int, rate: float, journal: str, seed: int, seconds: float,
+          relentless: bool = False) -> None:
     stop = Event()
     for sig in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(sig, stop.set)
     with open(journal, "a", buffering=1) as j:
         g = Group()
         for i in range(clients):
-            c = Client(f"c{i}", ways, localities[i % len(localities)], shares, rate / clients, j, seed)
+            c = Client(f"c{i}", ways, localities[i % len(localities)], shares, rate / clients, j, seed, relentless)
             g.spawn(c.run, stop)
         stop.wait(timeout=seconds)
         stop.set()
--- a/mallowvalve/play/main.py
+++ b/mallowvalve/play/main.py
@@ -47,11 +47,12 @@
 @click.option("--journal", default="/dev/null")
 @click.option("--seed", default=1)
 @click.option("--seconds", default=1e9)
-def clients_command(way, locality, shares, clients, rate, journal, seed, seconds) -> None:
+@click.option("--relentless", is_flag=True, help="retry at once, again and again, without marking it")
+def clients_command(way, locality, shares, clients, rate, journal, seed, seconds, relentless) -> None:
     """Clients that ask a directory, keep sessions open and retry within a limit."""
     try:
         rows = [client.Share(*s) for s in json.loads(shares)]
     except (ValueError, TypeError) as e:
         click.echo(f"shares: {e}", err=True)
         sys.exit(2)
-    client.serve(way, list(locality), rows, clients, rate, journal, seed, seconds)
+    client.serve(way, list(locality), rows, clients, rate, journal, seed, seconds, relentless)
--- a/mallowvalve/whole/fleet.py
+++ b/mallowvalve/whole/fleet.py
@@ -111,10 +111,11 @@
         self.start(name)
         return p
 
-    def start_clients(self, name: str = "clients", seed: int = 1, rate: float | None = None) -> Proc:
+    def start_clients(self, name: str = "clients", seed: int = 1, rate: float | None = None, relentless: bool = False) -> Proc:
         s = self.shape
         args = ["play", "clients", "--shares", json.dumps(s.shares), "--clients", str(s.clients), "--rate",
                 str(rate or s.rate), "--journal", str(self.folder / "asked.jsonl"), "--seed", str(seed)]
+        args += ["--relentless"] if relentless else []
         args += [x for p in self.of("way") for x in ("--way", f"{HOST}:{p.web}")]
         args += [x for loc in sorted({n.locality for n in s.nodes}) for x in ("--locality", loc)]
         self.procs[name] = Proc(name, "clients", args, 0, 0, "", self.folder / f"{name}.log")
--- a/mallowvalve/whole/judge.py
+++ b/mallowvalve/whole/judge.py
@@ -72,6 +72,30 @@
     return [f"{len(out)} sessions dropped, first: {out[0]}"] if out else []
 
 
+def repeat_share(ran: list[dict], span: float = 10.0) -> tuple[float, list[str]]:
+    """The largest share of repeated work over first work that a service saw in any span of 10 s."""
+    worst, out = 0.0, []
+    for service in {r["service"] for r in ran}:
+        rows = sorted((r["at"], r["echo"]) for r in ran if r["service"] == service)
+        seen: set[str] = set()
+        marks = []
+        for at, id in rows:
+            marks.append((at, id in seen))
+            seen.add(id)
+        lo, again = 0, 0
+        for hi, (at, is_again) in enumerate(marks):
+            again += is_again
+            while marks[lo][0] < at - span:
+                again -= marks[lo][1]
+                lo += 1
+            first = hi - lo + 1 - again
+            if hi - lo >= 50 and at - rows[0][0] >= span:
+                worst = max(worst, again / max(1, first))
+    if worst > 0.2:
+        out.append(f"repeats reached {worst:.2f} of first tries over {span:.0f} s")
+    return worst, out
+
+
 def figures(asked: list[dict], ran: list[dict]) -> dict:
     took = sorted(r["took"] for r in asked if r["ok"])
     outcomes = Counter(str(t[1]) for r in asked for t in r["tries"] if t[0] != 200)
--- a/mallowvalve/whole/trial.py
+++ b/mallowvalve/whole/trial.py
@@ -8,7 +8,7 @@
 
 from mallowvalve.whole.call import call
 from mallowvalve.whole.fleet import Fleet, until
-from mallowvalve.whole.judge import after_evacuation, after_leaving, dropped, figures, judge
+from mallowvalve.whole.judge import after_evacuation, after_leaving, dropped, figures, judge, repeat_share
 
 
 class Operators:
@@ -176,10 +176,24 @@
     return []
 
 
+def relentless(f: Fleet) -> list[str]:
+    """Most upstreams answer garbage while extra clients retry at once and without end."""
+    ups = [p for p in f.of("upstream")]
+    for p in ups:
+        call(p.web, "POST", "/-/faults", {"fault": "garbage", "share": 0.6})
+    f.start_clients("hasty", seed=99, rate=f.shape.rate / 2, relentless=True)
+    time.sleep(20)
+    for p in ups:
+        call(p.web, "POST", "/-/faults", {"fault": "", "share": 0})
+    f.stop("hasty", 30)
+    share, out = repeat_share(f.rows("ran.jsonl"))
+    print(f"repeats at most {share:.3f} of first tries over 10 s", flush=True)
+    return out
+
+
 ACTS = {a.__name__: a for a in (
-    rolling, upstream_crashes, leaving, kills, evacuation, zone_lost, region_lost, wiped_core, frozen,
+    rolling, upstream_crashes, leaving, kills, evacuation, zone_lost, region_lost, wiped_core, frozen, relentless,
 )}
-
 PLANNED = ("rolling", "evacuation", "leaving")
 
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -95,18 +95,31 @@
     assert d.pick(rs, DEFAULT, 1, set(), 0.0) is rs[0]
 
 
-def test_repeats_stay_under_a_fifth_over_any_ten_seconds():
-    b, rng, log, t = Budget(), random.Random(4), [], 0.0
-    for _ in range(20000):
-        t += rng.expovariate(100.0)
-        if rng.random() < 0.5:
+def shares(firsts, seconds=60.0, seed=4):
+    """Repeats are always wanted; firsts come at a rate that may change. The share in each span of ten seconds."""
+    b, rng, log, t = Budget(), random.Random(seed), [], 0.0
+    while t < seconds:
+        rate = firsts(t)
+        t += rng.expovariate(rate + 50.0)
+        if rng.random() < rate / (rate + 50.0):
             b.first(t)
             log.append((t, 0))
         elif b.again(t):
             log.append((t, 1))
-    for end in range(10, int(t)):
+    for end in range(10, int(seconds)):
         span = [k for x, k in log if end - 10 < x <= end]
-        assert sum(span) <= 0.2 * (len(span) - sum(span))
+        yield sum(span) / max(1, len(span) - sum(span))
+
+
+@pytest.mark.parametrize("firsts", [lambda t: 100.0, lambda t: 30.0 if t < 20 else 10.0, lambda t: 100.0 if int(t) % 20 < 10 else 40.0])
+def test_repeats_stay_under_a_fifth_over_any_ten_seconds_though_traffic_falls(firsts):
+    got = list(shares(firsts))
+    assert max(got) <= 0.2 and sum(got) / len(got) > 0.1
+
+
+def test_without_first_tries_there_are_no_repeats():
+    b = Budget()
+    assert not any(b.again(t * 0.1) for t in range(300))
 
 
 def test_each_failure_makes_one_like_request_a_repeat():
