Operator's word to found anew, grace in an evacuated zone, bodies bound by the limit

found-anew: where most voters are gone for good and their addresses stay silent, nothing proves the loss; a blank law founds a new generation on an operator's sentence that names the risk. Test: two of three core machines killed, an empty one at a new address; configuration, stored answers and numbers go on.

The first generation counts 4 s steps (was minutes) and the index has 36 bits: a fleet that lost everything within a minute of its founding got the same generation again, so revisions would have repeated (test failed first).

A proxy in a zone just evacuated serves 2 s more, saying close, instead of bouncing at once. A body that does not arrive within the request's limit is a 408.

--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -4,6 +4,7 @@
 from urllib.parse import unquote
 
 import falcon
+import gevent
 import msgspec
 
 from mallowvalve import web
@@ -26,6 +27,7 @@
 ))
 KEY_BYTES = 200
 CLAIM_LIMIT = 3.0
+GRACE = 2.0
 
 
 class Call(msgspec.Struct):
@@ -52,6 +54,7 @@
     def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims, repeats: RepeatTask):
         self.node, self.echo, self.pool, self.claims, self.repeats = node, echo, pool, claims, repeats
         self.counts = node.counts
+        self._emptied: float | None = None
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
         self.counts.add("requests")
@@ -79,12 +82,16 @@
             self.counts.add("bounced_not_fresh")
             bounce(resp, 503, maybe, [Finding("proxy", "its settings may be out of date")], 1)
             return False
-        if emptied(self.node.params.locality, self.echo.echo.state.settings.evacuated):
-            self.counts.add("bounced_evacuated")
-            bounce(resp, 503, maybe, [Finding("proxy", "its zone is evacuated: ask a directory again")], 1)
-            resp.set_header("Connection", "close")
-            return False
-        return True
+        if not emptied(self.node.params.locality, self.echo.echo.state.settings.evacuated):
+            self._emptied = None
+            return True
+        resp.set_header("Connection", "close")
+        self._emptied = self._emptied or time.monotonic()
+        if time.monotonic() - self._emptied < GRACE:
+            return True
+        self.counts.add("bounced_evacuated")
+        bounce(resp, 503, maybe, [Finding("proxy", "its zone is evacuated: ask a directory again")], 1)
+        return False
 
     def _understand(self, req, resp) -> Call | None:
         def no(status: int, place: str, text: str) -> None:
@@ -112,9 +119,15 @@
         if not limit.isascii() or not limit.isdigit() or not 0 < int(limit) < 1 << 31:
             return no(400, "Mallow-Limit", "want milliseconds")
         end = time.monotonic() + min(int(limit), plan.policy.limit_ms) / 1000
+        body = b""
         try:
-            body = web.body_of(req, self.node.params.body_bytes)
+            with gevent.Timeout(max(0.001, end - time.monotonic())):
+                body = web.body_of(req, self.node.params.body_bytes)
+        except gevent.Timeout:
+            resp.set_header("Connection", "close")
+            return no(408, "body", "did not arrive within the limit")
         except OSError:
+            resp.set_header("Connection", "close")
             return no(400, "body", "broken off or badly chunked")
         if body is None:
             return no(413, "body", f"larger than {self.node.params.body_bytes} bytes")
--- a/mallowvalve/kind.py
+++ b/mallowvalve/kind.py
@@ -3,7 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-INDEX_BITS = 40
+INDEX_BITS = 36
 
 
 class Revision(int):
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -168,6 +168,22 @@
         web.say(resp, {"revision": t.revision, "in_force": True})
 
 
+RISK = "changes acknowledged by voters that cannot be reached may be lost"
+
+
+class FoundAnew(Api):
+    def on_post(self, req, resp) -> None:
+        data = web.json_of(req, resp, 65536)
+        if data is None:
+            return
+        if data != {"accept": RISK}:
+            return web.bounce(resp, 400, web.NOT_RUN, [Finding("accept", f"must say: {RISK}")])
+        r = self.task.found_anew()
+        if r.is_err():
+            return web.bounce(resp, 409, web.NOT_RUN, [Finding("law", r.err_value)])
+        web.say(resp, {"generation": r.ok_value.generation, "from": str(r.ok_value.base.addr), "index": r.ok_value.base.index})
+
+
 class Leader(Api):
     def on_get(self, req, resp) -> None:
         c = self.task.core
@@ -289,6 +305,7 @@
     app.add_route("/plan", Plans(task))
     app.add_route("/evacuations", Evacuations(task))
     app.add_route("/leader", Leader(task))
+    app.add_route("/found-anew", FoundAnew(task))
     app.add_route("/locks/{name}/{act}", Locks(task))
     app.add_route("/numbers/{name}", Numbers(task))
     app.add_route("/keys/{name}", Keys(task))
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
-from result import Result
+from result import Err, Ok, Result
 
 from mallowvalve.count import change, vital
 from mallowvalve.finding import Findings
@@ -20,15 +20,19 @@
 from mallowvalve.tale.log import Tale
 from mallowvalve.tree.build import EMPTY, build
 from mallowvalve.tree.model import Tree
-from mallowvalve.vote.wire import Envelope, Group, Hard, Picture, encode, envelope, picture_of
+from mallowvalve.vote.wire import Envelope, Group, Hard, Picture, Voters, encode, envelope, picture_of
 
 FOUND_EVERY = 0.5
 STEADY = 2.0
 HERE = 1.0
 
 
+EPOCH, TICK = 1_790_000_000, 4
+
+
 def first_generation() -> int:
-    return max(1, int(time.time() // 60) - 29_000_000)
+    """Rises with the years, so that a fleet that lost everything does not count again from where it began."""
+    return max(1, int(time.time() - EPOCH) // TICK)
 
 
 class LawTask:
@@ -254,6 +258,24 @@
         elif isinstance(v, Wipe):
             self._wipe()
 
+    def found_anew(self) -> Result[Found, str]:
+        """An operator's word in place of proof that the old voters are gone for good."""
+        if self.core.raft is not None:
+            return Err("this law belongs to a group: ask one that is blank")
+        answers = self._ask_all()
+        known = [w for w in answers if w.group is not None and w.voters is not None]
+        if not known:
+            return Err("nobody who answers holds a state")
+        best = max(known, key=lambda w: (w.group.generation, w.index))
+        base = self._fetch_held(best)
+        if base is None:
+            return Err(f"{best.addr} did not hand over its state")
+        v = Found(best.group.generation + 1, Voters({self.core.id: self.node.params.mesh}), best)
+        group = Group(v.generation, uuid.uuid4().hex)
+        change("founding_by_operator", generation=v.generation, base=str(best.addr), index=best.index)
+        self._begin(founding(group, v.voters, base))
+        return Ok(v)
+
     def _fetch_held(self, w: wire.Who | None) -> wire.Held | None:
         if w is None:
             return None
--- a/mallowvalve/play/client.py
+++ b/mallowvalve/play/client.py
@@ -79,7 +79,8 @@
                 self.drop(r.status_code == 503)
             return out
         except Exception as e:
-            self.drop(True)
+            self.drop(False)
+            self.proxies = [p for p in self.proxies if p != self.at]
             return 0, type(e).__name__, b"", 0.05
 
     def drop(self, ask: bool) -> None:
@@ -91,7 +92,7 @@
 
     def connect(self) -> bool:
         now = time.monotonic()
-        if now >= self.until:
+        if now >= self.until or not self.proxies:
             self.ask_way(now)
         if self.session is not None and self.at in self.proxies:
             return True
--- a/mallowvalve/whole/trial.py
+++ b/mallowvalve/whole/trial.py
@@ -34,7 +34,8 @@
             j.join()
 
     def _law(self) -> int:
-        return self.rng.choice([p for p in self.fleet.of("law") if p.up]).web
+        laws = self.fleet.of("law")
+        return self.rng.choice([p for p in laws if p.up] or laws).web
 
     def _change(self) -> None:
         n = 0
--- a/mallowvalve/will/main.py
+++ b/mallowvalve/will/main.py
@@ -90,6 +90,18 @@
     show(ask(ctx, "POST", "/evacuations", {"zone": zone, "evacuated": False}))
 
 
+@will.command("found-anew")
+@click.option("--accept", required=True, help="the sentence that names the risk")
+@click.pass_context
+def found_anew(ctx, accept) -> None:
+    """Found a new generation at a blank law when most voters are gone for good and no proof of it can be had.
+
+    Changes acknowledged by voters that cannot be reached may be lost: the state is the highest that any reachable
+    core, proxy or directory holds. Voters of the old generation that come back rejoin empty.
+    """
+    show(ask(ctx, "POST", "/found-anew", {"accept": accept}))
+
+
 for name, path, text in (
     ("leader", "/leader", "Who leads, who votes, which proxies are rostered."),
     ("nodes", "/-/nodes", "Health of the project's own nodes, as the asked node sees them."),
