Trials for faulty answers, addresses handed over and cold returns; bounces page; folder lock

A first run found successes with an empty body: ruled out the proxy; the stand-in closed a socket object whose descriptor lived on, and its own server sent an empty 200 after it. It shuts the socket down now, and a client that cannot read an answer judges it not whole instead of dying.

--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from urllib.parse import unquote
 
 import falcon
@@ -50,11 +51,35 @@
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
 
 
+class Bounced(msgspec.Struct):
+    at: float
+    route: str
+    tenant: str
+    target: str
+    status: int
+    outcome: str
+    why: str
+
+
+class Bounces:
+    def __init__(self, serve: Serve):
+        self.serve = serve
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        now = time.monotonic()
+        web.say(resp, {"bounces": [
+            {"ago_ms": int((now - b.at) * 1000), "route": b.route, "tenant": b.tenant, "target": b.target,
+             "status": b.status, "outcome": b.outcome, "why": b.why}
+            for b in reversed(self.serve.bounces)
+        ]})
+
+
 class Serve:
     def __init__(self, node: Node, echo: EchoTask, pool: Pool, claims: Claims, repeats: RepeatTask):
         self.node, self.echo, self.pool, self.claims, self.repeats = node, echo, pool, claims, repeats
         self.counts = node.counts
         self._emptied: float | None = None
+        self.bounces: deque[Bounced] = deque(maxlen=200)
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
         self.counts.add("requests")
@@ -243,6 +268,7 @@
 
     def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
         self.repeats.failed(c.name)
+        self.bounces.append(Bounced(time.monotonic(), c.plan.route, c.tenant, c.target[:200], status, outcome, why))
         self.counts.add(f"bounced_{outcome}")
         self.counts.add(f"bounced_route_{c.plan.route}")
         bounce(resp, status, outcome, [Finding(f"routes.{c.plan.route}", why)], after)
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -59,14 +59,14 @@
 class Node:
     __slots__ = ("params", "boot", "counts", "bond", "mesh", "beats", "app", "server", "stopping", "_stack", "_gauges", "_allowed")
 
-    def __init__(self, params: Params):
+    def __init__(self, params: Params, remembered: list[Address] = ()):
         self.params = params
         self.boot = random.SystemRandom().getrandbits(62)
         self.counts = Counts()
         d = params.detector
         me = fresh_record(params.mesh, self.boot, params.role, params.name, params.locality, params.web)
         self.bond = BondTask(Bond(
-            me, params.fleet, params.seeds, random.Random(self.boot),
+            me, params.fleet, [*params.seeds, *remembered], random.Random(self.boot),
             d.period or formula.period(d.detect, d.fail),
             d.helpers or formula.helpers(d.mistake, d.fail, d.loss), d.round_trip,
         ))
--- a/mallowvalve/play/client.py
+++ b/mallowvalve/play/client.py
@@ -50,15 +50,19 @@
             if status and status < 500 and status != 404 or not (outcome in ("not-run", "undecided") or key or status == 0 or not s.once):
                 break
             gevent.sleep(min(2.0, after or 0.1) if not stop.is_set() and not self.relentless else 0)
-        good = False
-        if seen[-1][0] == 200:
-            d = json.loads(body)
-            good = d.get("id") == id and d.get("key", "") == key and d.get("path") == path
+        good = seen[-1][0] == 200 and self.is_own(body, id, key, path)
         self.journal.write(json.dumps({
             "at": start, "took": time.time() - start, "tenant": s.tenant, "key": key, "id": id, "path": path,
             "once": s.once, "tries": seen, "whole": good, "ok": seen[-1][0] == 200,
         }) + "\n")
 
+    def is_own(self, body: bytes, id: str, key: str, path: str) -> bool:
+        try:
+            d = json.loads(body)
+        except ValueError:
+            return False
+        return (d.get("id"), d.get("key", ""), d.get("path")) == (id, key, path)
+
     def go(self, s: Share, path: str, id: str, key: str, tries: int):
         if not self.connect():
             return 0, "no proxy", b"", 0.3
--- a/mallowvalve/play/upstream.py
+++ b/mallowvalve/play/upstream.py
@@ -8,6 +8,7 @@
 
 import falcon
 import gevent
+from gevent import socket
 from gevent.event import Event
 from geventhttpclient import HTTPClient
 
@@ -72,6 +73,10 @@
             s.sendall(b"\x00\x01garbage\r\n\r\n")
         elif self.fault == "half":
             s.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n{\"by\":")
+        elif self.fault == "late":
+            gevent.sleep(6.0)
+        with contextlib.suppress(OSError):
+            s.shutdown(socket.SHUT_RDWR)
         s.close()
 
     def faults(self, req: falcon.Request, resp: falcon.Response) -> None:
--- a/mallowvalve/tale/disk.py
+++ b/mallowvalve/tale/disk.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import fcntl
 import os
 from pathlib import Path
 from typing import Protocol
@@ -16,7 +17,7 @@
 
 
 class Folder:
-    __slots__ = ("path", "_open")
+    __slots__ = ("path", "_open", "_lock")
 
     def __init__(self, path: Path):
         self.path = path
@@ -24,15 +25,22 @@
 
     def __enter__(self) -> Folder:
         self.path.mkdir(parents=True, exist_ok=True)
+        self._lock = os.open(self.path / ".lock", os.O_RDWR | os.O_CREAT, 0o644)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise BlockingIOError(f"{self.path} is in use by another process") from None
         return self
 
     def __exit__(self, *_) -> None:
         for fd in self._open.values():
             os.close(fd)
         self._open.clear()
+        os.close(self._lock)
 
     def names(self) -> list[str]:
-        return sorted(p.name for p in self.path.iterdir() if not p.name.endswith(".new"))
+        return sorted(p.name for p in self.path.iterdir() if not p.name.startswith(".") and not p.name.endswith(".new"))
 
     def read(self, name: str) -> bytes:
         return (self.path / name).read_bytes()
--- a/mallowvalve/whole/trial.py
+++ b/mallowvalve/whole/trial.py
@@ -192,8 +192,57 @@
     return out
 
 
+def faulty(f: Fleet) -> list[str]:
+    """Lost, late, half and garbled answers in turn; what the clients were told is judged at the end."""
+    for fault in ("lost", "half", "garbage", "late"):
+        for p in f.of("upstream"):
+            call(p.web, "POST", "/-/faults", {"fault": fault, "share": 0.2})
+        time.sleep(5)
+    for p in f.of("upstream"):
+        call(p.web, "POST", "/-/faults", {"fault": "", "share": 0})
+    return []
+
+
+def handed_over(f: Fleet) -> list[str]:
+    """An upstream vanishes and its address is at once another service's; then back again."""
+    ups = f.of("upstream")
+    p = ups[0]
+    other = next(u for u in ups if u.args[3] != p.args[3])
+    q = f.upstream(other.args[3], "stranger", p.locality, p.web, p.args[p.args.index("--journal") + 2 :])
+    f.kill(p.name)
+    f.start(q.name)
+    until(lambda: call(q.web, "GET", "/health", limit=1)[0] == 200, 5)
+    time.sleep(12)
+    f.stop(q.name, 12)
+    f.start(p.name)
+    time.sleep(3)
+    ran = [r for r in f.rows("ran.jsonl") if r["instance"] == "stranger"]
+    return [] if ran else ["the stranger was never used for its own service"]
+
+
+def cold(f: Fleet) -> list[str]:
+    """One upstream returns cold; what it gets at first is set against its neighbours of the same zone."""
+    p = f.of("upstream")[0]
+    f.kill(p.name)
+    time.sleep(1)
+    f.start(p.name)
+    until(lambda: call(p.web, "GET", "/health", limit=1)[0] == 200, 5)
+    start = time.time()
+    time.sleep(14)
+    rows = [r for r in f.rows("ran.jsonl") if r["at"] > start and r["service"] == p.args[3]]
+    peers = {u.name for u in f.of("upstream") if u.args[3] == p.args[3]}
+    shares = []
+    for lo, hi in ((0, 2), (2, 5), (5, 9), (9, 14)):
+        part = [r["instance"] for r in rows if lo <= r["at"] - start < hi]
+        mean = len(part) / max(1, len(peers))
+        shares.append(round(part.count(p.name) / mean, 2) if mean else 0.0)
+    print(f"cold upstream's work over the mean of its pool, 0-2, 2-5, 5-9, 9-14 s: {shares}", flush=True)
+    return [] if shares[0] <= 0.5 else [f"a cold upstream got {shares[0]} of the mean in its first 2 s"]
+
+
 ACTS = {a.__name__: a for a in (
     rolling, upstream_crashes, leaving, kills, evacuation, zone_lost, region_lost, wiped_core, frozen, relentless,
+    faulty, handed_over, cold,
 )}
 PLANNED = ("rolling", "evacuation", "leaving")
 
--- a/mallowvalve/will/main.py
+++ b/mallowvalve/will/main.py
@@ -106,6 +106,7 @@
     ("leader", "/leader", "Who leads, who votes, which proxies are rostered."),
     ("nodes", "/-/nodes", "Health of the project's own nodes, as the asked node sees them."),
     ("upstreams", "/-/upstreams", "Health of the upstreams."),
+    ("bounces", "/-/bounces", "On a proxy: the last requests it bounced, and why."),
     ("counts", "/-/counts", "Counters; on a proxy, why requests were bounced."),
 ):
     def _command(ctx, _path=path):
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -28,6 +28,17 @@
     assert bad == []
 
 
+def test_the_wall_clock_is_read_in_one_place_of_the_daemons():
+    found = []
+    for p in FILES:
+        rel = p.relative_to(ROOT)
+        if rel.parts[0] != "mallowvalve" or rel.parts[1] in ("play", "whole"):
+            continue
+        found += [str(rel) for n in ast.walk(ast.parse(p.read_text())) if isinstance(n, ast.Attribute) and n.attr == "time"
+                  and isinstance(n.value, ast.Name) and n.value.id == "time"]
+    assert found == ["mallowvalve/law/task.py"]
+
+
 @pytest.mark.parametrize("package", ["bond", "vote", "tale", "beat", "tree", "word", "tie", "claim"])
 def test_machines_touch_no_socket_and_no_clock(package):
     bad = []
--- a/tests/test_tale.py
+++ b/tests/test_tale.py
@@ -113,6 +113,14 @@
     assert "identity" in opened(d).err_value[0].place
 
 
+def test_a_folder_serves_one_process_at_a_time(tmp_path):
+    with Folder(tmp_path / "d"):
+        with pytest.raises(OSError, match="in use"):
+            Folder(tmp_path / "d").__enter__()
+    with Folder(tmp_path / "d") as d:
+        assert d.names() == []
+
+
 def test_the_folder_keeps_what_the_simulated_disk_keeps(tmp_path):
     with Folder(tmp_path / "d") as d:
         t = opened(d).unwrap()
