Two laggards no longer multiply each other's messages without end

Cause: each rejected append made the leader broadcast to all, and each broadcast drew one more rejection from every laggard: with two laggards and a few broadcasts in flight the messages double each round trip. Seen in the trace: rejections of broadcasts 4000 to 27000 numbers old.

Ruled out: a wrong match index (all rejections were right when sent), the picture path (none sent), group mismatch.

Change: a reaction to a peer sets a floor; answers to what was sent before it cause no other reaction.

--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -21,10 +21,10 @@
 
 
 class Progress:
-    __slots__ = ("next", "match", "seq", "heard", "picture_at")
+    __slots__ = ("next", "match", "seq", "floor", "heard", "picture_at")
 
     def __init__(self, next: int, now: float):
-        self.next, self.match, self.seq, self.heard, self.picture_at = next, 0, 0, now, -1e9
+        self.next, self.match, self.seq, self.floor, self.heard, self.picture_at = next, 0, 0, 0, now, -1e9
 
 
 class Ready(msgspec.Struct):
@@ -280,16 +280,22 @@
         p.seq, p.heard = max(p.seq, m.seq), now
         self._confirm()
         if not m.ok:
-            p.next = max(p.match, min(p.next - 1, m.match)) + 1
-            self.nudge = True
+            if m.seq >= p.floor:
+                p.next = max(p.match, min(p.next - 1, m.match)) + 1
+                self._go_on(p)
             return
         p.match = max(p.match, m.match)
         if p.next <= p.match:
             p.next = p.match + 1
-        if p.next <= self.log.last:
-            self.nudge = True
+        if p.next <= self.log.last and m.seq >= p.floor:
+            self._go_on(p)
         self._advance()
 
+    def _go_on(self, p: Progress) -> None:
+        """Answers to what was sent before this reaction cause no other: else laggards multiply each other's messages."""
+        p.floor = self.seq + 1
+        self.nudge = True
+
     def _on_install(self, src: str, m: Install, now: float) -> None:
         self._follow(m.term, src, now)
         self._heard = now
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,151 @@
+import random
+
+import pytest
+
+from mallowvalve.kind import Address
+from mallowvalve.vote.log import Log
+from mallowvalve.vote.raft import LEADER, Raft
+from mallowvalve.vote.wire import COMMAND, Append, Appended, Ask, Entry, Group, Picture, Voice, Voters
+from sim.world import Node, World
+
+G = Group(1, "g")
+ADDRS = {f"n{i}": Address("10.0.0.1", 1 + i) for i in range(5)}
+VOTERS = Voters(ADDRS)
+
+
+def raft(me="n0", voters=VOTERS, entries=(), term=0, vote="", seed=1, now=0.0):
+    return Raft(me, Log(Picture(G, 0, 0, voters, b""), list(entries)), term, vote, random.Random(seed), now)
+
+
+def entry(i, term):
+    return Entry(i, term, COMMAND, 0, b"x")
+
+
+class RaftNode(Node):
+    def __init__(self, world, me):
+        super().__init__(world, ADDRS[me])
+        self.raft = raft(me, seed=world.rng.random())
+        self.appends = 0
+        self.every(0.02, lambda: self.step(lambda: None))
+
+    def handle(self, kind, src, body, answer):
+        self.step(lambda: self.raft.receive(*body, self.now))
+
+    def step(self, act):
+        act()
+        self.raft.tick(self.now)
+        r = self.raft.ready(self.now)
+        self.raft.saved(r)
+        for to, m in r.early + r.late:
+            self.appends += isinstance(m, Append)
+            self.cast(ADDRS[to], "vote", (self.raft.me, m))
+
+
+def group(seed):
+    w = World(seed, slow=0.05)
+    ns = [RaftNode(w, i) for i in ADDRS]
+    while not any(n.raft.settled for n in ns):
+        w.run(w.now + 0.1)
+    return w, ns, next(n for n in ns if n.raft.settled)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_several_laggards_catch_up_without_a_storm_of_messages(seed):
+    w, ns, lead = group(seed)
+    late = [n for n in ns if n is not lead][:2]
+    for n in late:
+        for o in ns:
+            w.cut(n.addr, o.addr)
+    for _ in range(200):
+        lead.step(lambda: lead.raft.propose(COMMAND, b"x" * 20_000, 0))
+        w.run(w.now + 0.005)
+    w.heal()
+    before = lead.appends
+    for _ in range(300):
+        lead.step(lambda: lead.raft.propose(COMMAND, b"x", 0))
+        w.run(w.now + 0.002)
+        assert lead.appends - before < 6000
+    w.run(w.now + 1.0)
+    assert {n.raft.commit for n in ns} == {lead.raft.log.last}
+
+
+def test_votes_go_to_one_candidate_a_term_and_only_to_logs_as_new():
+    r = raft(entries=[entry(1, 1), entry(2, 2)], term=2)
+    for src, m, ok in (
+        ("n1", Ask(3, False, 1, 2), False), ("n2", Ask(3, False, 9, 1), False), ("n3", Ask(3, False, 2, 2), True),
+        ("n4", Ask(3, False, 5, 2), False), ("n3", Ask(3, False, 2, 2), True),
+    ):
+        r.receive(src, m, 5.0)
+        (to, v), = r.ready(5.0).late
+        assert (to, v.granted) == (src, ok)
+
+
+def test_a_follower_that_hears_its_leader_refuses_others_and_keeps_its_term():
+    r = raft()
+    r.receive("n1", Append(1, 0, 0, [], 0, 1), 1.0)
+    r.ready(1.0)
+    r.receive("n2", Ask(7, True, 9, 9), 1.5)
+    assert [v.granted for _, v in r.ready(1.5).late] == [False]
+    r.receive("n2", Ask(7, False, 9, 9), 1.5)
+    assert r.term == 1 and r.ready(1.5).late == []
+    r.receive("n2", Ask(7, False, 9, 9, True), 1.6)
+    assert r.term == 7 and [v.granted for _, v in r.ready(1.6).late] == [True]
+
+
+def test_nothing_is_answered_before_it_can_be_saved():
+    r = raft()
+    r.receive("n1", Append(1, 0, 0, [entry(1, 1)], 0, 1), 1.0)
+    out = r.ready(1.0)
+    assert out.early == [] and out.hard.term == 1 and out.entries == [entry(1, 1)] and len(out.late) == 1
+
+
+def test_a_leader_counts_itself_only_once_saved():
+    r = raft(voters=Voters({"n0": ADDRS["n0"]}))
+    r.tick(9.0)
+    assert r.role == LEADER
+    out = r.ready(9.0)
+    assert r.commit == 0
+    r.saved(out)
+    assert r.commit == 1
+
+
+def test_an_entry_of_an_older_term_commits_only_under_a_newer_one():
+    r = raft(entries=[entry(1, 1)], term=1)
+    r.tick(9.0)
+    r.receive("n1", Voice(2, True, True), 9.0)
+    r.receive("n2", Voice(2, True, True), 9.0)
+    r.receive("n1", Voice(2, False, True), 9.0)
+    r.receive("n2", Voice(2, False, True), 9.0)
+    assert r.role == LEADER and r.term == 2
+    r.saved(r.ready(9.0))
+    for n in ("n1", "n2"):
+        r.receive(n, Appended(2, True, 1, 0), 9.1)
+    assert r.commit == 0
+    for n in ("n1", "n2"):
+        r.receive(n, Appended(2, True, 2, 0), 9.2)
+    assert r.commit == 2
+
+
+def test_a_leader_without_its_quorum_steps_down():
+    w, ns, lead = group(8)
+    for o in ns:
+        if o is not lead:
+            w.cut(lead.addr, o.addr)
+    w.run(w.now + 3.0)
+    assert lead.raft.role != LEADER and sum(n.raft.settled for n in ns) == 1
+
+
+def test_a_leader_hands_over_to_the_most_caught_up():
+    w, ns, lead = group(9)
+    lead.step(lead.raft.hand_over)
+    w.run(w.now + 0.5)
+    assert lead.raft.role != LEADER and any(n.raft.settled for n in ns)
+
+
+def test_one_change_of_voters_at_a_time():
+    w, ns, lead = group(10)
+    less = Voters({i: a for i, a in ADDRS.items() if i != "n4" or lead.raft.me == "n4"})
+    assert lead.raft.change_voters(less, 0) is not None
+    assert lead.raft.change_voters(VOTERS, 0) is None
+    w.run(w.now + 1.0)
+    assert lead.raft.change_voters(VOTERS, 0) is not None
