An answer keeps the upstream's own headers; a place at an upstream is always given back

Change: no default media type; the lease is a context manager and the stream an object with close.

Daemons read a clock that goes on while the machine is suspended, so a resumed proxy knows that its freshness window is over. Remembered failures are bound to 64 a name.

--- a/mallowvalve/beat/task.py
+++ b/mallowvalve/beat/task.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import random
-import time
 
 import gevent
 import msgspec
 from gevent.lock import RLock
 
+from mallowvalve import clock
 from mallowvalve.beat.board import Aged, Beat, Board, Row
 from mallowvalve.bond.task import BondTask
 from mallowvalve.count import change, vital
@@ -38,7 +38,7 @@
 
     def hear(self, b: Beat) -> bool:
         with self._lock:
-            fresh = self.board.hear(b, time.monotonic())
+            fresh = self.board.hear(b, clock.now())
         if fresh:
             body = encode([Aged(b, 0.0)])
             for r in self.bond.alive():
@@ -48,13 +48,13 @@
 
     def usable(self, service: str) -> list[Row]:
         with self._lock:
-            return self.board.usable(service, time.monotonic())
+            return self.board.usable(service, clock.now())
 
     def _beats(self, _sender: Address, body: bytes) -> None:
         self._merge(_aged(body))
 
     def _merge(self, aged: list[Aged]) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for a in aged:
             with self._lock:
                 fresh = self.board.hear(a.beat, now, a.age)
@@ -63,13 +63,13 @@
 
     def _on_digest(self, _sender: Address, body: bytes) -> bytes:
         with self._lock:
-            return encode(self.board.newer_than(_digest(body), time.monotonic()))
+            return encode(self.board.newer_than(_digest(body), clock.now()))
 
     def _run(self) -> None:
         while True:
             gevent.sleep(ROUND * (0.8 + 0.4 * self._rng.random()))
             with self._lock:
-                self.board.forget(time.monotonic())
+                self.board.forget(clock.now())
                 body = encode(self.board.digest())
             peers = self.bond.alive()
             if not peers:
--- a/mallowvalve/bond/task.py
+++ b/mallowvalve/bond/task.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
-import time
 
 import gevent
 import msgspec
 from gevent import socket
 from gevent.lock import RLock
 
+from mallowvalve import clock
 from mallowvalve.bond.detector import Bond
 from mallowvalve.bond.wire import Record, decode, encode
 from mallowvalve.count import change, vital
@@ -67,12 +67,12 @@
             except msgspec.DecodeError:
                 self.bond.counts.add("bond_garbage")
                 continue
-            self._do(lambda: self.bond.receive(m, time.monotonic()))
+            self._do(lambda: self.bond.receive(m, clock.now()))
 
     def _run(self) -> None:
         while True:
-            self._do(lambda: self.bond.tick(time.monotonic()))
-            gevent.sleep(max(0.01, self.bond.wakeup() - time.monotonic()))
+            self._do(lambda: self.bond.tick(clock.now()))
+            gevent.sleep(max(0.01, self.bond.wakeup() - clock.now()))
 
     def _log(self) -> None:
         for r in list(self.bond.view.values()):
--- a/mallowvalve/flow/claims.py
+++ b/mallowvalve/flow/claims.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import hashlib
-import time
 import uuid
 
 import gevent
 import msgspec
 
+from mallowvalve import clock
 from mallowvalve.claim.ledger import Claim, Done, Forfeit, Release, Verdict
 from mallowvalve.count import Counts
 from mallowvalve.law.echotask import EchoTask
@@ -29,7 +29,7 @@
 
     def claim(self, key: str, dig: str, end: float) -> tuple[Verdict, str]:
         nonce = uuid.uuid4().hex
-        v = self._offer(Claim(key, dig, self.holder, nonce), end - time.monotonic())
+        v = self._offer(Claim(key, dig, self.holder, nonce), end - clock.now())
         if v.state == "undecided":
             self.release_later(key, nonce)
         return v, nonce
@@ -40,7 +40,7 @@
         return r.state if r else None
 
     def wait(self, key: str, dig: str, end: float) -> Verdict:
-        while time.monotonic() < end:
+        while clock.now() < end:
             st = self.echo.echo.state
             v = st.ledger.look(key, dig) if st else None
             if v is not None and v.state != "open":
@@ -54,7 +54,7 @@
             gevent.spawn(self._insist, c, ("done", "gone"))
 
     def release(self, key: str, nonce: str, end: float) -> bool:
-        v = self._offer(Release(key, nonce), max(0.2, min(1.0, end - time.monotonic())))
+        v = self._offer(Release(key, nonce), max(0.2, min(1.0, end - clock.now())))
         if v.state != "released":
             self.release_later(key, nonce)
         return v.state == "released"
@@ -66,8 +66,8 @@
         gevent.spawn(self._insist, Forfeit(key, nonce), ("lost", "done", "gone"))
 
     def _insist(self, c, good: tuple[str, ...]) -> None:
-        end = time.monotonic() + TRY
-        while time.monotonic() < end:
+        end = clock.now() + TRY
+        while clock.now() < end:
             if self._offer(c, 2.0).state in good:
                 return
             gevent.sleep(0.5)
--- a/mallowvalve/flow/pool.py
+++ b/mallowvalve/flow/pool.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import random
-import time
 
 import gevent
 import msgspec
 from gevent.event import Event
 
+from mallowvalve import clock
 from mallowvalve.beat.board import Row
 from mallowvalve.beat.task import BeatTask
 from mallowvalve.count import Counts, vital
@@ -21,10 +21,20 @@
 
 
 class Lease:
-    __slots__ = ("session", "pool", "row", "_left")
+    """A session to an upstream and a place in its width, given back exactly once."""
+
+    __slots__ = ("session", "pool", "row", "streams", "_left")
 
     def __init__(self, session: Session, pool: Pool, row: Row):
-        self.session, self.pool, self.row, self._left = session, pool, row, False
+        self.session, self.pool, self.row = session, pool, row
+        self.streams = self._left = False
+
+    def __enter__(self) -> Lease:
+        return self
+
+    def __exit__(self, kind, *_) -> None:
+        if kind is not None or not self.streams:
+            self.back(keep=False)
 
     def back(self, keep: bool) -> None:
         if self._left:
@@ -66,12 +76,12 @@
         return self._budgets.setdefault(service, Budget())
 
     def take(self, plan: Plan, tenant: str, tried: set[Address], end: float) -> Lease | Failure:
-        queue_end = min(end, time.monotonic() + QUEUE_MOST)
+        queue_end = min(end, clock.now() + QUEUE_MOST)
         while True:
             rows = self.usable(plan, tenant, tried)
             if not rows:
                 return Failure("no upstream is alive where this tenant may go", 503, 2)
-            row = self.draw.pick(rows, plan.policy, len(self.echo.echo.roster()), tried, time.monotonic())
+            row = self.draw.pick(rows, plan.policy, len(self.echo.echo.roster()), tried, clock.now())
             if row is None:
                 if not self._wait(plan, queue_end):
                     return Failure("all upstreams are busy", 503, 1)
@@ -84,9 +94,9 @@
             if isinstance(s, Session):
                 s.close()
             else:
-                row.broken = time.monotonic()
+                row.broken = clock.now()
             self.leave(row)
-            if time.monotonic() >= end:
+            if clock.now() >= end:
                 return Failure("the limit is over", 504, 1)
 
     def usable(self, plan: Plan, tenant: str, tried: set[Address]) -> list[Row]:
@@ -124,7 +134,7 @@
 
     def _wait(self, plan: Plan, end: float) -> bool:
         n = self._waiting.get(plan.service, 0)
-        left = end - time.monotonic()
+        left = end - clock.now()
         if left <= 0 or n >= plan.policy.queue:
             return False
         self._waiting[plan.service] = n + 1
@@ -140,8 +150,18 @@
             self.sessions.keep({(r.beat.name, r.beat.incarnation) for r in rows if r.beat.state == "ready"})
 
 
-def stream(lease: Lease, a: Answer):
-    try:
-        yield from a.rest
-    finally:
-        lease.back(keep=False)
+class Stream:
+    __slots__ = ("lease", "rest")
+
+    def __init__(self, lease: Lease, a: Answer):
+        self.lease, self.rest = lease, a.rest
+        lease.streams = True
+
+    def __iter__(self):
+        try:
+            yield from self.rest
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        self.lease.back(keep=False)
--- a/mallowvalve/flow/repeats.py
+++ b/mallowvalve/flow/repeats.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import hashlib
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -9,12 +8,14 @@
 import msgspec
 from gevent.event import Event
 
+from mallowvalve import clock
 from mallowvalve.count import vital
 from mallowvalve.kind import Address
 from mallowvalve.mesh.task import Mesh
 
 SPAN = 10.0
 MOST = 20000
+EACH = 63
 FLUSH = 0.005
 _encode = msgspec.msgpack.Encoder().encode
 _names = msgspec.msgpack.Decoder(list[bytes]).decode
@@ -29,7 +30,7 @@
         self._failed: OrderedDict[bytes, list[float]] = OrderedDict()
 
     def failed(self, name: bytes, now: float) -> None:
-        self._failed.setdefault(name, []).append(now)
+        self._failed[name] = [*self._failed.get(name, [])[-EACH:], now]
         self._failed.move_to_end(name)
         while len(self._failed) > MOST:
             self._failed.popitem(last=False)
@@ -63,15 +64,15 @@
         self._job.kill()
 
     def failed(self, name: bytes) -> None:
-        self.repeats.failed(name, time.monotonic())
+        self.repeats.failed(name, clock.now())
         self._news.append(name)
         self._wake.set()
 
     def is_one(self, name: bytes) -> bool:
-        return self.repeats.is_one(name, time.monotonic())
+        return self.repeats.is_one(name, clock.now())
 
     def _heard(self, _sender: Address, body: bytes) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for name in _names(body):
             self.repeats.failed(name, now)
 
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import time
 from collections import deque
 from urllib.parse import unquote
 
@@ -8,12 +7,12 @@
 import gevent
 import msgspec
 
-from mallowvalve import web
+from mallowvalve import clock, web
 from mallowvalve.claim.ledger import Verdict
 from mallowvalve.finding import Finding
 from mallowvalve.flow.claims import Claims, digest
 from mallowvalve.flow.draw import emptied
-from mallowvalve.flow.pool import Failure, Lease, Pool, stream
+from mallowvalve.flow.pool import Failure, Lease, Pool, Stream
 from mallowvalve.flow.repeats import RepeatTask, name_of
 from mallowvalve.flow.session import Answer
 from mallowvalve.law.echotask import EchoTask
@@ -66,7 +65,7 @@
         self.serve = serve
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        now = time.monotonic()
+        now = clock.now()
         web.say(resp, {"bounces": [
             {"ago_ms": int((now - b.at) * 1000), "route": b.route, "tenant": b.tenant, "target": b.target,
              "status": b.status, "outcome": b.outcome, "why": b.why}
@@ -95,7 +94,7 @@
         return self._read(c, resp)
 
     def _in_budget(self, c: Call) -> bool:
-        now, budget = time.monotonic(), self.pool.budget(c.plan.service)
+        now, budget = clock.now(), self.pool.budget(c.plan.service)
         if c.key and (known := self.claims.look(c.key)) is not None and known != "released":
             return True
         c.again = c.again or self.repeats.is_one(c.name) or bool(c.key) and known == "released"
@@ -111,8 +110,8 @@
             self._emptied = None
             return True
         resp.set_header("Connection", "close")
-        self._emptied = self._emptied or time.monotonic()
-        if time.monotonic() - self._emptied < GRACE:
+        self._emptied = self._emptied or clock.now()
+        if clock.now() - self._emptied < GRACE:
             return True
         self.counts.add("bounced_evacuated")
         bounce(resp, 503, maybe, [Finding("proxy", "its zone is evacuated: ask a directory again")], 1)
@@ -143,10 +142,10 @@
         limit = req.get_header("Mallow-Limit") or str(plan.policy.limit_ms)
         if not limit.isascii() or not limit.isdigit() or not 0 < int(limit) < 1 << 31:
             return no(400, "Mallow-Limit", "want milliseconds")
-        end = time.monotonic() + min(int(limit), plan.policy.limit_ms) / 1000
+        end = clock.now() + min(int(limit), plan.policy.limit_ms) / 1000
         body = b""
         try:
-            with gevent.Timeout(max(0.001, end - time.monotonic())):
+            with gevent.Timeout(max(0.001, end - clock.now())):
                 body = web.body_of(req, self.node.params.body_bytes)
         except gevent.Timeout:
             resp.set_header("Connection", "close")
@@ -174,65 +173,65 @@
         tried: set = set()
         tries = 1 + c.plan.policy.retry
         for n in range(tries):
-            if n and not self.pool.budget(c.plan.service).again(time.monotonic()):
+            if n and not self.pool.budget(c.plan.service).again(clock.now()):
                 return self._refuse(resp, c, 502, UNKNOWN, "the upstream failed and the retry budget is spent", 1)
             lease = self.pool.take(c.plan, c.tenant, tried, c.end)
             if isinstance(lease, Failure):
                 return self._refuse(resp, c, lease.status, UNKNOWN if n else NOT_RUN, lease.why, lease.retry_after)
-            if time.monotonic() >= c.end:
-                lease.back(keep=True)
-                return self._refuse(resp, c, 504, UNKNOWN if n else NOT_RUN, "the limit is over", 1)
-            a = self._exchange(lease, c)
-            if a is not None:
-                return self._answer(resp, c, lease, a)
+            with lease:
+                if clock.now() >= c.end:
+                    lease.back(keep=True)
+                    return self._refuse(resp, c, 504, UNKNOWN if n else NOT_RUN, "the limit is over", 1)
+                a = self._exchange(lease, c)
+                if a is not None:
+                    return self._answer(resp, c, lease, a)
             tried.add(lease.row.beat.address)
         return self._refuse(resp, c, 502, UNKNOWN, "the upstreams did not answer well", 1)
 
     def _once(self, c: Call, resp) -> None:
         dig = digest(c.method, c.target, c.body)
-        v, nonce = self.claims.claim(c.key, dig, min(c.end, time.monotonic() + CLAIM_LIMIT))
+        v, nonce = self.claims.claim(c.key, dig, min(c.end, clock.now() + CLAIM_LIMIT))
         while v.state in ("open", "released"):
             if v.state == "open":
                 v = self.claims.wait(c.key, dig, c.end)
-            if v.state == "open" or time.monotonic() >= c.end:
+            if v.state == "open" or clock.now() >= c.end:
                 return self._refuse(resp, c, 504, UNKNOWN, "an earlier try of this key is still open", 1)
             if v.state == "released":
-                v, nonce = self.claims.claim(c.key, dig, min(c.end, time.monotonic() + CLAIM_LIMIT))
+                v, nonce = self.claims.claim(c.key, dig, min(c.end, clock.now() + CLAIM_LIMIT))
         if v.state != "granted":
             return self._known(resp, c, v)
         lease = self.pool.take(c.plan, c.tenant, set(), c.end)
-        if isinstance(lease, Lease) and (time.monotonic() >= c.end or not self.echo.admits()):
+        if isinstance(lease, Lease) and (clock.now() >= c.end or not self.echo.admits()):
             lease.back(keep=True)
             lease = Failure("the limit is over, or the proxy is out of date", 504, 1)
         if isinstance(lease, Failure):
             out = NOT_RUN if self.claims.release(c.key, nonce, c.end) else UNDECIDED
             return self._refuse(resp, c, lease.status, out, lease.why, lease.retry_after)
-        a = self._exchange(lease, c)
-        if a is None:
-            self.claims.forfeit(c.key, nonce)
-            return self._refuse(resp, c, 502, UNKNOWN, "sent, but no whole answer came back", None)
-        kind = next((v for k, v in a.headers if k.lower() == "content-type"), "")
-        kept = a.body if a.body is not None and len(a.body) <= c.plan.policy.keep else None
-        self.claims.done(c.key, nonce, a.status, kind, kept)
-        return self._answer(resp, c, lease, a)
+        with lease:
+            a = self._exchange(lease, c)
+            if a is None:
+                self.claims.forfeit(c.key, nonce)
+                return self._refuse(resp, c, 502, UNKNOWN, "sent, but no whole answer came back", None)
+            kind = next((v for k, v in a.headers if k.lower() == "content-type"), "")
+            kept = a.body if a.body is not None and len(a.body) <= c.plan.policy.keep else None
+            self.claims.done(c.key, nonce, a.status, kind, kept)
+            return self._answer(resp, c, lease, a)
 
     def _exchange(self, lease: Lease, c: Call) -> Answer | None:
         s = lease.session
         if not c.again:
-            self.pool.budget(c.plan.service).first(time.monotonic())
+            self.pool.budget(c.plan.service).first(clock.now())
             c.again = True
         if not s.send(c.wire(str(s.beat.address)), c.end):
             self.counts.add("upstream_broken")
-            lease.row.broken = time.monotonic()
-            lease.back(keep=False)
+            lease.row.broken = clock.now()
             return None
         r = s.receive(c.method, c.end)
         if r.is_ok():
             return r.ok_value
         self.counts.add("upstream_" + r.err_value.partition(":")[0])
         if r.err_value != "limit":
-            lease.row.broken = time.monotonic()
-        lease.back(keep=False)
+            lease.row.broken = clock.now()
         return None
 
     def _answer(self, resp, c: Call, lease: Lease, a: Answer) -> None:
@@ -246,7 +245,7 @@
             else:
                 resp.append_header(k, v)
         if a.rest is not None:
-            resp.stream = stream(lease, a)
+            resp.stream = Stream(lease, a)
             if a.length is not None:
                 resp.content_length = a.length
             return
@@ -268,7 +267,7 @@
 
     def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
         self.repeats.failed(c.name)
-        self.bounces.append(Bounced(time.monotonic(), c.plan.route, c.tenant, c.target[:200], status, outcome, why))
+        self.bounces.append(Bounced(clock.now(), c.plan.route, c.tenant, c.target[:200], status, outcome, why))
         self.counts.add(f"bounced_{outcome}")
         self.counts.add(f"bounced_route_{c.plan.route}")
         bounce(resp, status, outcome, [Finding(f"routes.{c.plan.route}", why)], after)
--- a/mallowvalve/flow/session.py
+++ b/mallowvalve/flow/session.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
 import gevent
@@ -9,6 +8,7 @@
 from gevent import socket
 from result import Err, Ok, Result
 
+from mallowvalve import clock
 from mallowvalve.beat.board import Beat
 
 WHOLE = 256 << 10
@@ -45,11 +45,11 @@
     __slots__ = ("beat", "sock", "since")
 
     def __init__(self, beat: Beat, sock):
-        self.beat, self.sock, self.since = beat, sock, time.monotonic()
+        self.beat, self.sock, self.since = beat, sock, clock.now()
 
     @classmethod
     def open(cls, beat: Beat, health: str, end: float) -> Result[Session, str]:
-        left = end - time.monotonic()
+        left = end - clock.now()
         if left <= 0:
             return Err("limit")
         try:
@@ -58,14 +58,14 @@
             return Err(f"unreachable: {e.strerror or e}")
         s = cls(beat, sock)
         s.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        why = s._identify(health, min(end, time.monotonic() + 1.0))
+        why = s._identify(health, min(end, clock.now() + 1.0))
         if why is None:
             return Ok(s)
         s.close()
         return Err(why)
 
     def send(self, data: bytes, end: float) -> bool:
-        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        self.sock.settimeout(max(0.001, end - clock.now()))
         try:
             self.sock.sendall(data)
         except OSError:
@@ -73,9 +73,9 @@
         return True
 
     def receive(self, method: str, end: float) -> Result[Answer, str]:
-        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        self.sock.settimeout(max(0.001, end - clock.now()))
         try:
-            with gevent.Timeout(max(0.001, end - time.monotonic())):
+            with gevent.Timeout(max(0.001, end - clock.now())):
                 return self._receive(method)
         except gevent.Timeout:
             return Err("limit")
@@ -162,13 +162,13 @@
         idle = self._idle.get((b.name, b.incarnation), [])
         while idle:
             s = idle.pop()
-            if s.beat.address == b.address and not s.stale(time.monotonic()):
+            if s.beat.address == b.address and not s.stale(clock.now()):
                 return s
             s.close()
         return None
 
     def give(self, s: Session) -> None:
-        s.since = time.monotonic()
+        s.since = clock.now()
         self._idle.setdefault((s.beat.name, s.beat.incarnation), []).append(s)
 
     def keep(self, live: set[tuple[str, int]]) -> None:
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -1,11 +1,11 @@
 from __future__ import annotations
 
 import random
-import time
 
 import gevent
 import msgspec
 
+from mallowvalve import clock
 from mallowvalve.count import change, vital
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
@@ -35,7 +35,7 @@
         on("who", lambda s, b: wire.encode(self._who()), quick=True)
         node.gauge("revision", lambda: self.echo.revision)
         node.gauge("held_index", lambda: self.echo.state.index if self.echo.state else 0)
-        node.gauge("fresh", lambda: self.echo.fresh(time.monotonic()))
+        node.gauge("fresh", lambda: self.echo.fresh(clock.now()))
         node.allow(lambda service: service in self.tree.doc.services)
 
     def __enter__(self) -> EchoTask:
@@ -46,7 +46,7 @@
         gevent.killall(self._jobs)
 
     def admits(self) -> bool:
-        e, now = self.echo, time.monotonic()
+        e, now = self.echo, clock.now()
         if not e.fresh(now):
             return False
         seat = e.state.settings.roster.get(str(e.addr))
@@ -59,8 +59,8 @@
         return self._rng.choice(laws) if laws else None
 
     def offer(self, command: bytes, limit: float) -> wire.Took:
-        end = time.monotonic() + limit
-        while (left := end - time.monotonic()) > 0:
+        end = clock.now() + limit
+        while (left := end - clock.now()) > 0:
             to = self.law()
             if to is None:
                 gevent.sleep(min(0.05, left))
@@ -102,14 +102,14 @@
             if to is None:
                 gevent.sleep(0.1)
                 continue
-            r = self.node.mesh.call(to, "want", wire.encode(self.echo.want(time.monotonic())), 1.5)
+            r = self.node.mesh.call(to, "want", wire.encode(self.echo.want(clock.now())), 1.5)
             if r.is_err():
                 self._forget(to)
                 gevent.sleep(0.1)
                 continue
             f = wire.fed(r.ok_value)
             self._warm(f)
-            self.echo.fed(f, time.monotonic())
+            self.echo.fed(f, clock.now())
             if f.group is None:
                 gevent.sleep(0.05)
 
@@ -121,7 +121,7 @@
     def _rounds(self) -> None:
         while True:
             gevent.sleep(ROUND)
-            now = time.monotonic()
+            now = clock.now()
             if not self.echo.quiet(now):
                 continue
             m = self.echo.round(now)
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import time
 import uuid
 
 import falcon
@@ -8,7 +7,7 @@
 import jsonpatch
 import msgspec
 
-from mallowvalve import finding, web
+from mallowvalve import clock, finding, web
 from mallowvalve.aim.plan import Seen, plan
 from mallowvalve.finding import Finding
 from mallowvalve.law.state import Change, Evacuate, Settings, encode
@@ -136,7 +135,7 @@
         new = self.task.check(doc)
         if new.is_err():
             return web.bounce(resp, 422, web.NOT_RUN, new.err_value)
-        board = self.task.node.beats.board.all(time.monotonic())
+        board = self.task.node.beats.board.all(clock.now())
         seen = [Seen(b.service, b.instance, b.locality) for b, health, _ in board if health == "ready"]
         old = self.task.tree()
         web.say(resp, {"base": s.doc_revision, "moves": plan(old, new.ok_value, seen, s.evacuated), "doc": doc})
@@ -281,7 +280,7 @@
         since = req.get_param_as_int("since", required=True, min_value=0)
         prefix = req.get_param("prefix") or ""
         wait = min(WATCH_MOST, (req.get_param_as_int("wait_ms") or 0) / 1000)
-        end = time.monotonic() + wait
+        end = clock.now() + wait
         if self.confirm(resp) is None:
             return
         while True:
@@ -291,7 +290,7 @@
             events = st.tie.since(since, prefix)
             if events is None:
                 return web.bounce(resp, 410, web.NOT_RUN, [Finding("since", f"compacted up to {st.tie.compacted}")])
-            if events or time.monotonic() >= end or self.task.node.stopping.is_set():
+            if events or clock.now() >= end or self.task.node.stopping.is_set():
                 break
             gevent.sleep(0.05)
         web.say(resp, {
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -10,6 +10,7 @@
 from gevent.queue import Empty, Queue
 from result import Err, Ok, Result
 
+from mallowvalve import clock
 from mallowvalve.count import change, vital
 from mallowvalve.finding import Findings
 from mallowvalve.kind import Address
@@ -43,7 +44,7 @@
         p = node.params
         self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot))
         if loaded.picture is not None:
-            self.core.start(loaded.picture, loaded.hard, loaded.entries, time.monotonic())
+            self.core.start(loaded.picture, loaded.hard, loaded.entries, clock.now())
         self._box: Queue = Queue()
         self._judge = Judge()
         self.stalled = False
@@ -80,12 +81,12 @@
 
     def offer(self, command: bytes, limit: float, repeatable: bool = True) -> wire.Took:
         """Offers to whoever leads until the limit; only a repeatable command goes again after an undecided end."""
-        end, again = time.monotonic() + limit, {"leader", "replaced"} | ({"undecided"} if repeatable else set())
+        end, again = clock.now() + limit, {"leader", "replaced"} | ({"undecided"} if repeatable else set())
         t = wire.Took("leader")
-        while t.code in again and (left := end - time.monotonic()) > 0:
+        while t.code in again and (left := end - clock.now()) > 0:
             t = self._offer_once(command, left)
             if t.code in again:
-                gevent.sleep(min(0.05, max(0.0, end - time.monotonic())))
+                gevent.sleep(min(0.05, max(0.0, end - clock.now())))
         return t
 
     def _offer_once(self, command: bytes, limit: float) -> wire.Took:
@@ -96,7 +97,7 @@
         return wire.took(r.ok_value) if r.is_ok() else wire.Took("undecided")
 
     def read(self, limit: float) -> wire.Took:
-        end = time.monotonic() + limit
+        end = clock.now() + limit
         t = self._read(limit)
         if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
             return t
@@ -105,7 +106,7 @@
             return wire.Took("undecided")
         t = wire.took(r.ok_value)
         while t.code == "ok" and (self.core.state is None or self.core.state.revision < t.revision):
-            if time.monotonic() > end:
+            if clock.now() > end:
                 return wire.Took("undecided")
             gevent.sleep(0.01)
         return t
@@ -141,10 +142,10 @@
 
     def _run(self) -> None:
         while True:
-            now = time.monotonic()
+            now = clock.now()
             for act in self._take(max(0.001, self.core.wakeup(now) - now)):
-                act(time.monotonic())
-            self.core.tick(time.monotonic())
+                act(clock.now())
+            self.core.tick(clock.now())
             self._flush()
             self._log()
 
@@ -158,13 +159,13 @@
         return out
 
     def _flush(self) -> None:
-        r = self.core.ready(time.monotonic())
+        r = self.core.ready(clock.now())
         if r is not None:
             group = self.core.raft.group
             self._send(group, r.early)
             self._persist(lambda: store.save(self.tale, r, Hard(group, self.core.raft.term, self.core.raft.vote)))
             self._send(group, r.late)
-            self.core.saved(r, time.monotonic())
+            self.core.saved(r, clock.now())
             if self.tale.full():
                 self._compact()
         replies, self.core.replies = self.core.replies, []
@@ -175,9 +176,9 @@
         pool = gevent.get_hub().threadpool
         while True:
             try:
-                t = time.monotonic()
+                t = clock.now()
                 pool.apply(act)
-                if time.monotonic() - t > 1.0:
+                if clock.now() - t > 1.0:
                     self.node.counts.add("disk_slow")
                 if self.stalled:
                     change("disk_well")
@@ -220,7 +221,7 @@
         while True:
             answers = self._ask_all()
             v = decide(self._who(), answers, first_generation(), self.core.unborn)
-            self._act(self._judge.hear(v, time.monotonic()), answers)
+            self._act(self._judge.hear(v, clock.now()), answers)
             self._say_here()
             gevent.sleep(FOUND_EVERY if self.core.raft is None else HERE)
 
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import time
 
 import falcon
 import gevent
@@ -12,7 +11,7 @@
 from gevent.event import Event
 from result import Err, Ok, Result
 
-from mallowvalve import finding, web
+from mallowvalve import clock, finding, web
 from mallowvalve.beat.board import Beat
 from mallowvalve.beat.task import BeatTask
 from mallowvalve.bond import formula
@@ -152,7 +151,7 @@
         web.say(resp, {"upstreams": [
             {"service": b.service, "instance": b.instance, "incarnation": b.incarnation, "health": h,
              "usage": b.usage, "locality": str(b.locality), "address": str(b.address), "silent_ms": int(age * 1000)}
-            for b, h, age in self.node.beats.board.all(time.monotonic())
+            for b, h, age in self.node.beats.board.all(clock.now())
         ]})
 
 
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -161,6 +161,7 @@
 
 def make_app() -> falcon.App:
     app = falcon.App()
+    app.resp_options.default_media_type = None
     app.set_error_serializer(lambda req, resp, e: bounce(resp, e.status_code, NOT_RUN, [Finding("request", e.title or "")]))
     app.add_error_handler(Exception, _crash)
     return app
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -1,9 +1,9 @@
 import random
-import time
 
 import pytest
 from gevent.server import StreamServer
 
+from mallowvalve import clock
 from mallowvalve.beat.board import SILENT, Beat, Board
 from mallowvalve.flow.budget import Budget
 from mallowvalve.flow.draw import Draw, cap, reachable
@@ -158,7 +158,7 @@
     server = StreamServer(("127.0.0.1", 0), serve)
     server.start()
     try:
-        end = time.monotonic() + 5
+        end = clock.now() + 5
         r = Session.open(Beat(
             "s", "i0", 1, 1, 0.0, "ready", EU, Address("127.0.0.1", server.server_port)), "/health", end)
         if r.is_err():
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -1,4 +1,3 @@
-import msgspec
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.found import Found, Judge, Start, Wait, decide, heard_enough
