--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -18,6 +18,8 @@
 
 ROUND = 0.3
 LARGE = 32768
+ATTEMPT = 0.8
+AGAIN = ("leader", "replaced", "undecided")
 
 
 class EchoTask:
@@ -59,19 +61,21 @@
         return self._rng.choice(laws) if laws else None
 
     def offer(self, command: bytes, limit: float) -> wire.Took:
+        """Offers a command that may be given more than once, in short attempts: a dead leader's machine answers nothing."""
         end = clock.now() + limit
         while (left := end - clock.now()) > 0:
             to = self.law()
             if to is None:
                 gevent.sleep(min(0.05, left))
                 continue
+            left = min(left, ATTEMPT)
             r = self.node.mesh.call(to, "offer", wire.encode(wire.Offer(command, left)), left)
             if r.is_err():
                 self._forget(to)
                 gevent.sleep(min(0.05, left))
                 continue
             t = wire.took(r.ok_value)
-            if t.code not in ("leader", "replaced"):
+            if t.code not in AGAIN:
                 return t
             self.echo.leader = t.leader
             gevent.sleep(min(0.05, left))
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -11,6 +11,7 @@
 from mallowvalve.aim.plan import Seen, plan
 from mallowvalve.finding import Finding
 from mallowvalve.kind import Address
+from mallowvalve.law.echotask import ATTEMPT
 from mallowvalve.law.state import Change, Evacuate, Settings, Strike, encode
 from mallowvalve.law.task import LawTask
 from mallowvalve.law.wire import Took
@@ -257,7 +258,8 @@
         return r.ok_value
 
     def run(self, resp, c) -> None:
-        t = self.task.offer(encode(c), TIE_LIMIT, repeatable=not isinstance(c, Renew | Unlock))
+        again = not isinstance(c, Renew | Unlock)
+        t = self.task.offer(encode(c), TIE_LIMIT, ATTEMPT if again else TIE_LIMIT, again)
         if not t.body:
             return self.refuse(resp, t)
         s = _said(t.body)
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -79,12 +79,12 @@
     def check(self, doc: dict) -> Result[Tree, Findings]:
         return gevent.get_hub().threadpool.apply(build, (doc,))
 
-    def offer(self, command: bytes, limit: float, repeatable: bool = True) -> wire.Took:
+    def offer(self, command: bytes, limit: float, attempt: float = 60.0, repeatable: bool = True) -> wire.Took:
         """Offers to whoever leads until the limit; only a repeatable command goes again after an undecided end."""
         end, again = clock.now() + limit, {"leader", "replaced"} | ({"undecided"} if repeatable else set())
         t = wire.Took("leader")
         while t.code in again and (left := end - clock.now()) > 0:
-            t = self._offer_once(command, left)
+            t = self._offer_once(command, min(left, attempt))
             if t.code in again:
                 gevent.sleep(min(0.05, max(0.0, end - clock.now())))
         return t
--- a/sim/echo.py
+++ b/sim/echo.py
@@ -4,6 +4,7 @@
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law import wire
+from mallowvalve.law.echotask import AGAIN, ATTEMPT
 from mallowvalve.law.echo import Echo
 from sim.world import Node, World
 
@@ -75,20 +76,20 @@
         offer(self, command, self.now + limit, then)
 
 
-def offer(node: Node, command: bytes, end: float, then) -> None:
-    left = end - node.now
+def offer(node: Node, command: bytes, end: float, then, attempt: float = ATTEMPT) -> None:
+    left = min(end - node.now, attempt)
     if left <= 0:
         return then(wire.Took("undecided"))
     to = node.law()
 
     def took(data: bytes | None) -> None:
         t = wire.took(data) if data is not None else None
-        if t is not None and t.code not in ("leader", "replaced"):
+        if t is not None and t.code not in AGAIN:
             return then(t)
         if hasattr(node, "echo"):
             node.echo.leader = t.leader if t is not None else None
         else:
             node.leader = t.leader if t is not None else None
-        node.wake(0.05, lambda: offer(node, command, end, then))
+        node.wake(0.05, lambda: offer(node, command, end, then, attempt))
 
     node.call(to, "offer", wire.encode(wire.Offer(command, left)), left, took)
--- a/sim/users.py
+++ b/sim/users.py
@@ -7,6 +7,7 @@
 from mallowvalve.claim.ledger import Claim, Done, Forfeit, Release, Verdict
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
+from mallowvalve.law.echotask import ATTEMPT
 from mallowvalve.law.state import Change, Evacuate, encode
 from mallowvalve.tie.state import Lock, Next, Put, Said, Unlock
 from sim.echo import EchoNode, offer
@@ -122,7 +123,7 @@
         return None
 
     def propose(self, c, limit: float, then) -> None:
-        offer(self, encode(c), self.now + limit, then)
+        offer(self, encode(c), self.now + limit, then, limit if isinstance(c, Change | Evacuate | Unlock) else ATTEMPT)
 
     def serial(self) -> str:
         self.n += 1
