--- a/mallowvalve/beat/task.py
+++ b/mallowvalve/beat/task.py
@@ -71,10 +71,10 @@
             with self._lock:
                 self.board.forget(clock.now())
                 body = encode(self.board.digest())
-            peers = self.bond.alive()
-            if not peers:
+            neighbours = self.bond.alive()
+            if not neighbours:
                 continue
-            r = self.mesh.call(self._rng.choice(peers).addr, "digest", body, ROUND)
+            r = self.mesh.call(self._rng.choice(neighbours).addr, "digest", body, ROUND)
             if r.is_ok():
                 try:
                     self._merge(_aged(r.ok_value))
--- a/mallowvalve/bond/detector.py
+++ b/mallowvalve/bond/detector.py
@@ -97,10 +97,10 @@
         self.pr += 1
         self._start, self._acked, self._asked, self._target = now, False, False, None
         self._sync()
-        peers = self.alive()
-        if not peers:
+        neighbours = self.alive()
+        if not neighbours:
             return
-        self._target = self.rng.choice(peers)
+        self._target = self.rng.choice(neighbours)
         self._send(self._target.addr, Ping(self._head(), self.me.addr, self._target.addr, self.pr))
 
     def _ask(self) -> None:
@@ -126,12 +126,12 @@
 
     def _sync(self) -> None:
         self._turn += 1
-        peers = [r.addr for r in self.alive()]
-        if peers:
-            self._tell_all(self.rng.choice(peers), answer=True)
+        neighbours = [r.addr for r in self.alive()]
+        if neighbours:
+            self._tell_all(self.rng.choice(neighbours), answer=True)
         lone = [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
-        if lone and (not peers or self._turn % 4 == 0):
-            for s in lone if not peers else [self.rng.choice(lone)]:
+        if lone and (not neighbours or self._turn % 4 == 0):
+            for s in lone if not neighbours else [self.rng.choice(lone)]:
                 self._tell_all(s, answer=True)
         gone = [r.addr for r in self.view.values() if r.state == FAILED]
         if gone and self._turn % 3 == 0:
--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -21,4 +21,4 @@
     node.app.add_sink(serve, "/")
     node.gauge("busy", lambda: sum(pool.draw.busy.values()))
     with node, echo, pool, repeats:
-        node.run(lambda: echo.admits() and not emptied(params.locality, echo.echo.state.settings.evacuated))
+        node.run(lambda: echo.admits() and not emptied(params.locality, echo.echo.state.params.evacuated))
--- a/mallowvalve/flow/pool.py
+++ b/mallowvalve/flow/pool.py
@@ -101,7 +101,7 @@
 
     def usable(self, plan: Plan, tenant: str, tried: set[Address]) -> list[Row]:
         homes = self.echo.tree.homes(tenant)
-        out = self.echo.echo.state.settings.evacuated
+        out = self.echo.echo.state.params.evacuated
         return [r for r in self.beats.usable(plan.service) if r.beat.address not in tried and reachable(r.beat.locality, homes, out)]
 
     def leave(self, row: Row) -> None:
@@ -129,7 +129,7 @@
         if now is None or now.beat.state != "ready" or now.beat.incarnation != row.beat.incarnation:
             return False
         return tenant in self.echo.tree.cell_of and reachable(
-            row.beat.locality, self.echo.tree.homes(tenant), self.echo.echo.state.settings.evacuated
+            row.beat.locality, self.echo.tree.homes(tenant), self.echo.echo.state.params.evacuated
         )
 
     def _wait(self, plan: Plan, end: float) -> bool:
--- a/mallowvalve/flow/repeats.py
+++ b/mallowvalve/flow/repeats.py
@@ -48,10 +48,10 @@
 class RepeatTask:
     """Tells the other proxies of failures at once: a hasty client comes back through another one."""
 
-    __slots__ = ("repeats", "mesh", "peers", "_news", "_wake", "_job")
+    __slots__ = ("repeats", "mesh", "neighbours", "_news", "_wake", "_job")
 
-    def __init__(self, mesh: Mesh, peers: Callable[[], list[Address]]):
-        self.repeats, self.mesh, self.peers = Repeats(), mesh, peers
+    def __init__(self, mesh: Mesh, neighbours: Callable[[], list[Address]]):
+        self.repeats, self.mesh, self.neighbours = Repeats(), mesh, neighbours
         self._news: list[bytes] = []
         self._wake = Event()
         mesh.on("failed", self._heard, quick=True)
@@ -82,12 +82,12 @@
             self._wake.clear()
             news, self._news = self._news, []
             body = _encode(news)
-            for a in self.peers():
+            for a in self.neighbours():
                 if a != self.mesh.me:
                     self.mesh.cast(a, "failed", body)
             gevent.sleep(FLUSH)
 
 
-def name_of(client: str, tenant: str, method: str, target: str, body: bytes) -> bytes:
-    parts = (client.encode(), tenant.encode(), method.encode(), target.encode(), body)
+def name_of(consumer: str, tenant: str, method: str, target: str, body: bytes) -> bytes:
+    parts = (consumer.encode(), tenant.encode(), method.encode(), target.encode(), body)
     return hashlib.blake2b(b"\0".join(parts), digest_size=16).digest()
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -89,7 +89,7 @@
         if c is None:
             return
         if not self._in_budget(c):
-            return self._refuse(resp, c, 503, UNDECIDED if c.key else NOT_RUN, "too many repeats just now", 2)
+            return self._bounce(resp, c, 503, UNDECIDED if c.key else NOT_RUN, "too many repeats just now", 2)
         if c.plan.kind == "once":
             return self._once(c, resp)
         return self._read(c, resp)
@@ -108,7 +108,7 @@
             self.counts.add("bounced_not_fresh")
             bounce(resp, 503, maybe, [Finding("proxy", "its settings may be out of date")], 1)
             return False
-        if not emptied(self.node.params.locality, self.echo.echo.state.settings.evacuated):
+        if not emptied(self.node.params.locality, self.echo.echo.state.params.evacuated):
             self._emptied = None
             return True
         resp.set_header("Connection", "close")
@@ -176,19 +176,19 @@
         tries = 1 + c.plan.policy.retry
         for n in range(tries):
             if n and not self.pool.budget(c.plan.service).again(clock.now()):
-                return self._refuse(resp, c, 502, UNKNOWN, "the upstream failed and the retry budget is spent", 1)
+                return self._bounce(resp, c, 502, UNKNOWN, "the upstream failed and the retry budget is spent", 1)
             lease = self.pool.take(c.plan, c.tenant, tried, c.end)
             if isinstance(lease, Failure):
-                return self._refuse(resp, c, lease.status, UNKNOWN if n else NOT_RUN, lease.why, lease.retry_after)
+                return self._bounce(resp, c, lease.status, UNKNOWN if n else NOT_RUN, lease.why, lease.retry_after)
             with lease:
                 if clock.now() >= c.end:
                     lease.back(keep=True)
-                    return self._refuse(resp, c, 504, UNKNOWN if n else NOT_RUN, "the limit is over", 1)
+                    return self._bounce(resp, c, 504, UNKNOWN if n else NOT_RUN, "the limit is over", 1)
                 a = self._exchange(lease, c)
                 if a is not None:
                     return self._answer(resp, c, lease, a)
             tried.add(lease.row.beat.address)
-        return self._refuse(resp, c, 502, UNKNOWN, "the upstreams did not answer well", 1)
+        return self._bounce(resp, c, 502, UNKNOWN, "the upstreams did not answer well", 1)
 
     def _once(self, c: Call, resp) -> None:
         dig = digest(c.method, c.target, c.body)
@@ -197,7 +197,7 @@
             if v.state == "open":
                 v = self.claims.wait(c.key, dig, c.end)
             if v.state == "open" or clock.now() >= c.end:
-                return self._refuse(resp, c, 504, UNKNOWN, "an earlier try of this key is still open", 1)
+                return self._bounce(resp, c, 504, UNKNOWN, "an earlier try of this key is still open", 1)
             if v.state == "released":
                 v, nonce = self.claims.claim(c.key, dig, min(c.end, clock.now() + CLAIM_LIMIT))
         if v.state != "granted":
@@ -208,12 +208,12 @@
             lease = Failure("the limit is over, or the proxy is out of date", 504, 1)
         if isinstance(lease, Failure):
             out = NOT_RUN if self.claims.release(c.key, nonce, c.end) else UNDECIDED
-            return self._refuse(resp, c, lease.status, out, lease.why, lease.retry_after)
+            return self._bounce(resp, c, lease.status, out, lease.why, lease.retry_after)
         with lease:
             a = self._exchange(lease, c)
             if a is None:
                 self.claims.forfeit(c.key, nonce)
-                return self._refuse(resp, c, 502, UNKNOWN, "sent, but no whole answer came back", None)
+                return self._bounce(resp, c, 502, UNKNOWN, "sent, but no whole answer came back", None)
             kind = next((v for k, v in a.headers if k.lower() == "content-type"), "")
             kept = a.body if a.body is not None and len(a.body) <= c.plan.policy.keep else None
             self.claims.done(c.key, nonce, a.status, kind, kept)
@@ -263,13 +263,13 @@
             resp.set_header("Mallow-Repeat", "1")
             return
         if v.state == "conflict":
-            return self._refuse(resp, c, 409, UNDECIDED, "this key was used for another request", None)
+            return self._bounce(resp, c, 409, UNDECIDED, "this key was used for another request", None)
         if v.state == "undecided":
-            return self._refuse(resp, c, 503, UNDECIDED, "the ledger did not answer in time", 1)
+            return self._bounce(resp, c, 503, UNDECIDED, "the ledger did not answer in time", 1)
         why = "ran; its answer was too large to keep" if v.state == "done" else "an earlier try may have run"
-        return self._refuse(resp, c, 502, UNKNOWN, why, None)
+        return self._bounce(resp, c, 502, UNKNOWN, why, None)
 
-    def _refuse(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
+    def _bounce(self, resp, c: Call, status: int, outcome: str, why: str, after: float | None) -> None:
         if outcome == UNKNOWN or c.owed:
             self.repeats.failed(c.name)
         self.bounces.append(Bounced(clock.now(), c.plan.route, c.tenant, c.target[:200], status, outcome, why))
--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -16,7 +16,7 @@
 from mallowvalve.vote.raft import Raft, Ready
 from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
 
-SETTINGS = (Change, Evacuate, Enrol, Strike)
+PARAMS = (Change, Evacuate, Enrol, Strike)
 HOLD = 0.5
 
 
@@ -24,7 +24,7 @@
     token: Any
     term: int
     limit: float
-    settings: bool
+    params: bool
     outcome: Outcome | None = None
 
 
@@ -130,8 +130,8 @@
         if index is None:
             self.replies.append((token, Took("leader")))
             return
-        settings = isinstance(command(data), SETTINGS)
-        self._pending[index] = Pending(token, self.raft.term, limit, settings)
+        params = isinstance(command(data), PARAMS)
+        self._pending[index] = Pending(token, self.raft.term, limit, params)
 
     def read(self, token: Any, limit: float, now: float) -> None:
         if not self.leads:
@@ -196,7 +196,7 @@
             self.echoes.begin(now)
         if not self._led:
             return
-        self.echoes.watch(self.state.settings, now)
+        self.echoes.watch(self.state.params, now)
         self._answer_waiting(now)
         self._answer_reads(now)
         self._answer_wants(now)
@@ -207,7 +207,7 @@
         for index, p in self._waiting:
             o = p.outcome
             held = self.echoes.held_elsewhere(index, now)
-            if held and (not p.settings or self.echoes.in_force(o.revision, now)):
+            if held and (not p.params or self.echoes.in_force(o.revision, now)):
                 self.replies.append((p.token, Took(o.code, o.revision, o.body)))
             elif now >= p.limit:
                 self.replies.append((p.token, Took("undecided", o.revision)))
@@ -242,7 +242,7 @@
                 es = self.raft.log.since(p.want.index)
                 entries = [e for e in es if e.index <= self.state.index]
             self.replies.append((p.token, Fed(
-                self.addr, self.raft.group, body, entries, self.state.index, self.state.settings.revision, sure,
+                self.addr, self.raft.group, body, entries, self.state.index, self.state.params.revision, sure,
                 self.raft.log.voters_at(self.state.index),
             )))
 
@@ -261,7 +261,7 @@
         v = grow.next_voters(self.raft, self.seen, now)
         if v is not None and self.raft.change_voters(v, self._clock(now)) is not None:
             self.counts.add("vote_changes")
-        step = self.echoes.roster_step(self.state.settings, now)
+        step = self.echoes.roster_step(self.state.params, now)
         if step is not None:
             self.raft.propose(COMMAND, encode(step), self._clock(now))
 
--- a/mallowvalve/law/echo.py
+++ b/mallowvalve/law/echo.py
@@ -15,10 +15,10 @@
 class Echo:
     __slots__ = (
         "addr", "boot", "role", "locality", "group", "voters", "state", "leader", "counts", "lost_leader",
-        "_sure", "_answers", "_led", "_on_settings",
+        "_sure", "_answers", "_led", "_on_params",
     )
 
-    def __init__(self, addr: Address, boot: int, role: str, locality: Locality, on_settings: Callable[[State], None]):
+    def __init__(self, addr: Address, boot: int, role: str, locality: Locality, on_params: Callable[[State], None]):
         self.addr, self.boot, self.role, self.locality = addr, boot, role, locality
         self.group: Group | None = None
         self.voters: Voters | None = None
@@ -28,11 +28,11 @@
         self.counts = Counts()
         self._sure = self._led = -1e9
         self._answers: dict[float, set[Address]] = {}
-        self._on_settings = on_settings
+        self._on_params = on_params
 
     @property
     def revision(self) -> int:
-        return self.state.settings.revision if self.state else 0
+        return self.state.params.revision if self.state else 0
 
     def fresh(self, now: float) -> bool:
         return self.state is not None and now - self._sure <= WINDOW
@@ -71,7 +71,7 @@
         return Round(self.addr, now)
 
     def roster(self) -> list[Address]:
-        return [Address.read(a).ok_value for a in self.state.settings.roster] if self.state else []
+        return [Address.read(a).ok_value for a in self.state.params.roster] if self.state else []
 
     def tell(self, r: Round) -> Told:
         return Told(self.addr, self.boot, r.stamp, self.group, self.revision, self.state.index if self.state else 0)
@@ -83,7 +83,7 @@
             return True
         if t.group != self.group or t.stamp not in self._answers:
             return False
-        seat = self.state.settings.roster.get(str(t.sender))
+        seat = self.state.params.roster.get(str(t.sender))
         if seat is not None and seat.boot == t.boot:
             self._answers[t.stamp].add(t.sender)
             self._count(t.stamp)
@@ -102,7 +102,7 @@
         return t.revision > self.revision
 
     def _count(self, stamp: float) -> None:
-        roster = self.state.settings.roster
+        roster = self.state.params.roster
         if str(self.addr) not in roster:
             return
         if len(self._answers[stamp]) > len(roster) // 2:
@@ -120,7 +120,7 @@
         before = self.revision if self.group == group else -1
         self.group, self.state = group, s
         if self.revision != before:
-            self._on_settings(s)
+            self._on_params(s)
         return True
 
     def _apply(self, f: Fed) -> None:
@@ -129,4 +129,4 @@
             if e.index == self.state.index + 1:
                 self.state.apply(e.index, e.at, e.data if e.kind == 1 else b"")
         if self.revision != before:
-            self._on_settings(self.state)
+            self._on_params(self.state)
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -29,7 +29,7 @@
         self.node = node
         p = node.params
         self.tree: Tree = EMPTY
-        self.echo = Echo(p.mesh, node.boot, p.role, p.locality, self._settings)
+        self.echo = Echo(p.mesh, node.boot, p.role, p.locality, self._params)
         self._rng = random.Random()
         on = node.mesh.on
         on("round", lambda s, b: wire.encode(self.echo.tell(wire.round_(b))), quick=True)
@@ -51,7 +51,7 @@
         e, now = self.echo, clock.now()
         if not e.fresh(now):
             return False
-        seat = e.state.settings.roster.get(str(e.addr))
+        seat = e.state.params.roster.get(str(e.addr))
         return seat is not None and seat.boot == e.boot
 
     def law(self) -> Address | None:
@@ -85,10 +85,10 @@
         if self.echo.leader == a:
             self.echo.leader = None
 
-    def _settings(self, s: State) -> None:
-        r = build(msgspec.json.decode(s.settings.doc))
+    def _params(self, s: State) -> None:
+        r = build(msgspec.json.decode(s.params.doc))
         if r.is_err():
-            change("picture_not_understood", revision=s.settings.revision, findings=[str(f) for f in r.err_value])
+            change("picture_not_understood", revision=s.params.revision, findings=[str(f) for f in r.err_value])
             return
         self.tree = r.ok_value
         self.node.counts.add("pictures")
@@ -148,4 +148,4 @@
 def large_docs(f: wire.Fed) -> list[bytes]:
     datas = [e.data for e in f.entries if e.kind == COMMAND and len(e.data) > LARGE]
     docs = [c.doc for c in map(command, datas) if isinstance(c, Change)]
-    return docs + ([State.load(f.picture).settings.doc] if len(f.picture) > LARGE else [])
+    return docs + ([State.load(f.picture).params.doc] if len(f.picture) > LARGE else [])
--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -4,7 +4,7 @@
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.echo import WINDOW
-from mallowvalve.law.state import Enrol, Settings, Strike
+from mallowvalve.law.state import Enrol, Params, Strike
 from mallowvalve.law.wire import Want
 from mallowvalve.vote.wire import Group
 
@@ -22,12 +22,12 @@
 
 
 class Echoes:
-    __slots__ = ("locality", "heard_of", "_settings", "_majority_at", "_calm", "_group", "_struck")
+    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck")
 
     def __init__(self, locality: Locality):
         self.locality = locality
         self.heard_of: dict[Address, Heard] = {}
-        self._settings = Settings()
+        self._params = Params()
         self._majority_at: dict[int, float] = {}
         self._calm = 0.0
         self._group: Group | None = None
@@ -55,11 +55,11 @@
         have = sum(h.want.group == self._group and h.want.index >= index for h in near)
         return have >= min(COPIES, len(near))
 
-    def watch(self, s: Settings, now: float) -> None:
-        if s.revision != self._settings.revision:
-            for a in self._settings.roster.keys() - s.roster.keys():
+    def watch(self, s: Params, now: float) -> None:
+        if s.revision != self._params.revision:
+            for a in self._params.roster.keys() - s.roster.keys():
                 self._struck[a] = now + WINDOW + SLACK
-            self._settings = msgspec.structs.replace(s, roster=dict(s.roster))
+            self._params = msgspec.structs.replace(s, roster=dict(s.roster))
         if s.revision in self._majority_at:
             return
         if not s.roster or 2 * len(self._holders(s.revision)) > len(s.roster):
@@ -68,7 +68,7 @@
             del self._majority_at[next(iter(self._majority_at))]
 
     def in_force(self, revision: int, now: float) -> bool:
-        s = self._settings
+        s = self._params
         if revision > s.revision:
             return False
         since = min((t for r, t in self._majority_at.items() if r >= revision), default=None)
@@ -79,7 +79,7 @@
         calm = now >= self._calm and all(t <= now for t in self._struck.values())
         return calm and len(self._holders(revision)) == len(s.roster)
 
-    def roster_step(self, s: Settings, now: float) -> Enrol | Strike | None:
+    def roster_step(self, s: Params, now: float) -> Enrol | Strike | None:
         if not self.in_force(s.revision, now):
             return None
         for a, h in sorted(self.heard_of.items()):
@@ -100,7 +100,7 @@
     def _holders(self, revision: int) -> list[Address]:
         out = []
         for a, h in self.heard_of.items():
-            seat = self._settings.roster.get(h.name)
+            seat = self._params.roster.get(h.name)
             if seat is None:
                 continue
             former_life_over = seat.boot != h.want.boot
--- a/mallowvalve/law/found.py
+++ b/mallowvalve/law/found.py
@@ -114,6 +114,6 @@
 
 
 def heard_enough(base: Held, answers: list[Who]) -> bool:
-    roster = State.load(base.state).settings.roster
+    roster = State.load(base.state).params.roster
     heard = {str(w.addr) for w in answers}
     return not roster or 2 * len(heard & roster.keys()) > len(roster)
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -12,7 +12,7 @@
 from mallowvalve.finding import Finding
 from mallowvalve.kind import Address
 from mallowvalve.law.echotask import ATTEMPT
-from mallowvalve.law.state import Change, Evacuate, Settings, Strike, encode
+from mallowvalve.law.state import Change, Evacuate, Params, Strike, encode
 from mallowvalve.law.task import LawTask
 from mallowvalve.law.wire import Took
 from mallowvalve.tie.state import Lock, Next, Put, Renew, Said, Unlock
@@ -28,14 +28,14 @@
     def __init__(self, task: LawTask):
         self.task = task
 
-    def confirm(self, resp: falcon.Response) -> Settings | None:
+    def confirm(self, resp: falcon.Response) -> Params | None:
         t = self.task.read(2.0)
         if t.code != "ok":
-            self.refuse(resp, t)
+            self.bounce(resp, t)
             return None
-        return self.task.core.state.settings
+        return self.task.core.state.params
 
-    def refuse(self, resp: falcon.Response, t: Took) -> None:
+    def bounce(self, resp: falcon.Response, t: Took) -> None:
         if t.code in ("leader", "replaced"):
             web.bounce(resp, 503, web.NOT_RUN, [Finding("law", "no leader here just now")], 1)
             if t.leader is not None:
@@ -58,7 +58,7 @@
     base: int
 
 
-def patched(resp: falcon.Response, s: Settings, d: PatchDoc) -> dict | None:
+def patched(resp: falcon.Response, s: Params, d: PatchDoc) -> dict | None:
     if d.base != s.doc_revision:
         web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {s.doc_revision} now")])
         return None
@@ -110,7 +110,7 @@
         if t.code == "conflict":
             return web.bounce(resp, 409, web.NOT_RUN, [Finding("base", f"the revision is {t.revision} now")])
         if t.code != "ok":
-            return self.refuse(resp, t)
+            return self.bounce(resp, t)
         web.say(resp, {"revision": t.revision, "in_force": True})
 
 
@@ -165,7 +165,7 @@
             return web.bounce(resp, 404, web.NOT_RUN, [Finding("zone", f"no zone {r.ok_value.zone!r}")])
         t = self.task.offer(encode(Evacuate(r.ok_value.zone, r.ok_value.evacuated)), APPLY_LIMIT)
         if t.code != "ok":
-            return self.refuse(resp, t)
+            return self.bounce(resp, t)
         web.say(resp, {"revision": t.revision, "in_force": True})
 
 
@@ -217,7 +217,7 @@
             "leader": str(c.leader()) if c.leader() else None, "term": r.term, "generation": r.group.generation,
             "role": r.role, "index": c.state.index, "revision": c.state.revision,
             "voters": sorted(map(str, v.voters.values())), "learners": sorted(map(str, v.learners.values())),
-            "roster": sorted(c.state.settings.roster), "disk": "refuses" if self.task.stalled else "well",
+            "roster": sorted(c.state.params.roster), "disk": "refuses" if self.task.stalled else "well",
         })
 
 
@@ -261,7 +261,7 @@
         again = not isinstance(c, Renew | Unlock)
         t = self.task.offer(encode(c), TIE_LIMIT, ATTEMPT if again else TIE_LIMIT, again)
         if not t.body:
-            return self.refuse(resp, t)
+            return self.bounce(resp, t)
         s = _said(t.body)
         status = {"ok": 200, "held": 409, "conflict": 409, "lost": 410, "missing": 404}[s.code]
         body = {"code": s.code, "revision": t.revision}
@@ -310,7 +310,7 @@
         while True:
             st = self.task.core.state
             if st is None:
-                return self.refuse(resp, Took("leader"))
+                return self.bounce(resp, Took("leader"))
             events = st.tie.since(since, prefix)
             if events is None:
                 return web.bounce(resp, 410, web.NOT_RUN, [Finding("since", f"compacted up to {st.tie.compacted}")])
--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -48,7 +48,7 @@
     locality: Locality
 
 
-class Settings(msgspec.Struct, array_like=True):
+class Params(msgspec.Struct, array_like=True):
     doc: bytes = b"{}"
     doc_revision: int = 0
     evacuated: dict[str, int] = {}
@@ -58,11 +58,11 @@
 
 
 class State:
-    __slots__ = ("generation", "index", "clock", "settings", "ledger", "tie")
+    __slots__ = ("generation", "index", "clock", "params", "ledger", "tie")
 
     def __init__(self, generation: int):
         self.generation, self.index, self.clock = generation, 0, 0
-        self.settings, self.ledger, self.tie = Settings(), Ledger(), Tie()
+        self.params, self.ledger, self.tie = Params(), Ledger(), Tie()
 
     @property
     def revision(self) -> int:
@@ -94,7 +94,7 @@
         return Outcome(said.code, self.revision, encode(said))
 
     def _change(self, c: Change) -> Outcome:
-        s = self.settings
+        s = self.params
         if c.ask and c.ask in s.asks:
             return Outcome("ok", s.asks[c.ask])
         if c.base is not None and c.base != s.doc_revision:
@@ -107,7 +107,7 @@
         return Outcome("ok", self.revision)
 
     def _evacuate(self, c: Evacuate) -> Outcome:
-        s = self.settings
+        s = self.params
         if c.on == (c.zone in s.evacuated):
             return Outcome("ok", s.revision)
         if c.on:
@@ -115,32 +115,32 @@
         return self._set(lambda s: s.evacuated.pop(c.zone))
 
     def _enrol(self, c: Enrol) -> Outcome:
-        if self.settings.roster.get(str(c.addr)) == Seat(c.boot, c.locality):
-            return Outcome("ok", self.settings.revision)
+        if self.params.roster.get(str(c.addr)) == Seat(c.boot, c.locality):
+            return Outcome("ok", self.params.revision)
         self._bury(str(c.addr))
         return self._set(lambda s: s.roster.__setitem__(str(c.addr), Seat(c.boot, c.locality)))
 
     def _bury(self, addr: str) -> None:
-        seat = self.settings.roster.get(addr)
+        seat = self.params.roster.get(addr)
         if seat is not None:
             self.ledger.apply(Lose(f"{addr}#{seat.boot}"), self.clock)
 
     def _set(self, act) -> Outcome:
-        act(self.settings)
-        self.settings.revision = self.revision
+        act(self.params)
+        self.params.revision = self.revision
         return Outcome("ok", self.revision)
 
     def dump(self) -> bytes:
         return encode([
-            self.generation, self.index, self.clock, self.settings, self.ledger.dump(), self.tie.dump(),
+            self.generation, self.index, self.clock, self.params, self.ledger.dump(), self.tie.dump(),
         ])
 
     @classmethod
     def load(cls, data: bytes, generation: int | None = None) -> State:
-        g, index, clock, settings, ledger, tie = msgspec.msgpack.decode(data)
+        g, index, clock, params, ledger, tie = msgspec.msgpack.decode(data)
         s = cls(g if generation is None else generation)
         s.index, s.clock = index, clock
-        s.settings = msgspec.convert(settings, Settings)
+        s.params = msgspec.convert(params, Params)
         s.ledger.load(ledger)
         s.tie.load(tie)
         return s
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -71,9 +71,9 @@
         s = self.core.state
         if s is None:
             return EMPTY
-        if self._tree[0] != s.settings.doc_revision or self._tree[0] == 0:
-            doc = msgspec.json.decode(s.settings.doc)
-            self._tree = (s.settings.doc_revision, build(doc).unwrap())
+        if self._tree[0] != s.params.doc_revision or self._tree[0] == 0:
+            doc = msgspec.json.decode(s.params.doc)
+            self._tree = (s.params.doc_revision, build(doc).unwrap())
         return self._tree[1]
 
     def check(self, doc: dict) -> Result[Tree, Findings]:
--- a/mallowvalve/play/client.py
+++ b/mallowvalve/play/consumer.py
@@ -21,7 +21,7 @@
         self.tenant, self.method, self.path, self.once, self.weight = tenant, method, path, once, weight
 
 
-class Client:
+class Consumer:
     def __init__(self, name: str, ways: list[Address], locality: str, shares: list[Share], rate: float, journal, seed: int,
                  relentless: bool = False):
         self.relentless = relentless
@@ -124,15 +124,15 @@
         self.until = now + 0.3
 
 
-def serve(ways: list[Address], localities: list[str], shares: list[Share], clients: int, rate: float, journal: str, seed: int, seconds: float,
+def serve(ways: list[Address], localities: list[str], shares: list[Share], consumers: int, rate: float, journal: str, seed: int, seconds: float,
           relentless: bool = False) -> None:
     stop = Event()
     for sig in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(sig, stop.set)
     with open(journal, "a", buffering=1) as j:
         g = Group()
-        for i in range(clients):
-            c = Client(f"c{i}", ways, localities[i % len(localities)], shares, rate / clients, j, seed, relentless)
+        for i in range(consumers):
+            c = Consumer(f"c{i}", ways, localities[i % len(localities)], shares, rate / consumers, j, seed, relentless)
             g.spawn(c.run, stop)
         stop.wait(timeout=seconds)
         stop.set()
--- a/mallowvalve/play/main.py
+++ b/mallowvalve/play/main.py
@@ -6,7 +6,7 @@
 import click
 
 from mallowvalve.kind import Address
-from mallowvalve.play import client, upstream
+from mallowvalve.play import consumer, upstream
 
 
 def address(_ctx, _param, value):
@@ -22,7 +22,7 @@
 
 @click.group()
 def play() -> None:
-    """Stand-in clients and upstreams, for trying and testing a fleet."""
+    """Stand-in consumers and upstreams, for trying and testing a fleet."""
 
 
 @play.command("upstream")
@@ -38,21 +38,21 @@
     upstream.serve(upstream.Upstream(service, instance, at, locality, tell, journal, work))
 
 
-@play.command("clients")
+@play.command("consumers")
 @click.option("--way", multiple=True, callback=address, required=True)
 @click.option("--locality", multiple=True, required=True)
 @click.option("--shares", required=True, help="JSON list of [tenant, method, path, once, weight]")
-@click.option("--clients", default=20)
-@click.option("--rate", default=50.0, help="requests a second, all clients together")
+@click.option("--consumers", default=20)
+@click.option("--rate", default=50.0, help="requests a second, all consumers together")
 @click.option("--journal", default="/dev/null")
 @click.option("--seed", default=1)
 @click.option("--seconds", default=1e9)
 @click.option("--relentless", is_flag=True, help="retry at once, again and again, without marking it")
-def clients_command(way, locality, shares, clients, rate, journal, seed, seconds, relentless) -> None:
-    """Clients that ask a directory, keep sessions open and retry within a limit."""
+def consumers_command(way, locality, shares, consumers, rate, journal, seed, seconds, relentless) -> None:
+    """Consumers that ask a directory, keep sessions open and retry within a limit."""
     try:
-        rows = [client.Share(*s) for s in json.loads(shares)]
+        rows = [consumer.Share(*s) for s in json.loads(shares)]
     except (ValueError, TypeError) as e:
         click.echo(f"shares: {e}", err=True)
         sys.exit(2)
-    client.serve(way, list(locality), rows, clients, rate, journal, seed, seconds, relentless)
+    consumer.serve(way, list(locality), rows, consumers, rate, journal, seed, seconds, relentless)
--- a/mallowvalve/way/main.py
+++ b/mallowvalve/way/main.py
@@ -26,7 +26,7 @@
         tenant = req.get_param("tenant")
         if tenant is not None and tenant not in self.echo.tree.cell_of:
             return web.bounce(resp, 404, web.NOT_RUN, [Finding("tenant", f"no tenant {tenant!r}")])
-        out = self.echo.echo.state.settings.evacuated if self.echo.echo.state else {}
+        out = self.echo.echo.state.params.evacuated if self.echo.echo.state else {}
         good = [
             r for r in self.node.bond.alive("flow")
             if r.state == ALIVE and r.ready and not emptied(r.locality, out)
--- a/mallowvalve/whole/fleet.py
+++ b/mallowvalve/whole/fleet.py
@@ -31,7 +31,7 @@
     config: dict
     shares: list[list] = []
     rate: float = 50.0
-    clients: int = 20
+    consumers: int = 20
 
 
 class Proc:
@@ -111,14 +111,14 @@
         self.start(name)
         return p
 
-    def start_clients(self, name: str = "clients", seed: int = 1, rate: float | None = None, relentless: bool = False) -> Proc:
+    def start_consumers(self, name: str = "consumers", seed: int = 1, rate: float | None = None, relentless: bool = False) -> Proc:
         s = self.shape
-        args = ["play", "clients", "--shares", json.dumps(s.shares), "--clients", str(s.clients), "--rate",
+        args = ["play", "consumers", "--shares", json.dumps(s.shares), "--consumers", str(s.consumers), "--rate",
                 str(rate or s.rate), "--journal", str(self.folder / "asked.jsonl"), "--seed", str(seed)]
         args += ["--relentless"] if relentless else []
         args += [x for p in self.of("way") for x in ("--way", f"{HOST}:{p.web}")]
         args += [x for loc in sorted({n.locality for n in s.nodes}) for x in ("--locality", loc)]
-        self.procs[name] = Proc(name, "clients", args, 0, 0, "", self.folder / f"{name}.log")
+        self.procs[name] = Proc(name, "consumers", args, 0, 0, "", self.folder / f"{name}.log")
         return self.start(name)
 
     def of(self, role: str) -> list[Proc]:
--- a/mallowvalve/whole/main.py
+++ b/mallowvalve/whole/main.py
@@ -70,7 +70,7 @@
             click.echo(msgspec.json.encode(fig).decode())
             sys.exit(1 if found else 0)
         if load and f.shape.shares:
-            f.start_clients()
+            f.start_consumers()
         end = time.monotonic() + (seconds or 1e9)
         try:
             while time.monotonic() < end:
--- a/mallowvalve/whole/trial.py
+++ b/mallowvalve/whole/trial.py
@@ -182,7 +182,7 @@
     ups = [p for p in f.of("upstream")]
     for p in ups:
         call(p.web, "POST", "/-/faults", {"fault": "garbage", "share": 0.6})
-    f.start_clients("hasty", seed=99, rate=f.shape.rate / 2, relentless=True)
+    f.start_consumers("hasty", seed=99, rate=f.shape.rate / 2, relentless=True)
     time.sleep(20)
     for p in ups:
         call(p.web, "POST", "/-/faults", {"fault": "", "share": 0})
@@ -260,11 +260,11 @@
     start = time.time()
     time.sleep(14)
     rows = [r for r in f.rows("ran.jsonl") if r["at"] > start and r["service"] == p.args[3]]
-    peers = {u.name for u in f.of("upstream") if u.args[3] == p.args[3]}
+    neighbours = {u.name for u in f.of("upstream") if u.args[3] == p.args[3]}
     shares = []
     for lo, hi in ((0, 2), (2, 5), (5, 9), (9, 14)):
         part = [r["instance"] for r in rows if lo <= r["at"] - start < hi]
-        mean = len(part) / max(1, len(peers))
+        mean = len(part) / max(1, len(neighbours))
         shares.append(round(part.count(p.name) / mean, 2) if mean else 0.0)
     print(f"cold upstream's work over the mean of its pool, 0-2, 2-5, 5-9, 9-14 s: {shares}", flush=True)
     return [] if shares[0] <= 0.5 else [f"a cold upstream got {shares[0]} of the mean in its first 2 s"]
@@ -279,7 +279,7 @@
 
 def run(f: Fleet, acts: list[str], seed: int = 1) -> tuple[list[str], dict]:
     found: list[str] = []
-    f.start_clients(seed=seed)
+    f.start_consumers(seed=seed)
     time.sleep(3)
     with Operators(f, seed) as ops:
         for a in acts:
@@ -290,7 +290,7 @@
             found += [f"{a}: {g}" for g in got]
             print(f"{a}: {time.time() - t:.1f} s, {len(got)} findings", flush=True)
         time.sleep(2)
-    f.stop("clients", 30)
+    f.stop("consumers", 30)
     asked, ran = f.rows("asked.jsonl"), f.rows("ran.jsonl")
     found += ops.findings() + judge(f.shape.config, asked, ran)
     acks = sorted(ops.ack_times)
--- a/sim/echo.py
+++ b/sim/echo.py
@@ -14,19 +14,19 @@
         super().__init__(world, addr)
         self.role, self.locality, self.laws = role, locality, laws
         self.rng = random.Random(world.rng.random())
-        self.settings_log: list[tuple[float, int, bytes]] = []
-        self.echo = Echo(addr, self.life, role, locality, self._settings)
+        self.params_log: list[tuple[float, int, bytes]] = []
+        self.echo = Echo(addr, self.life, role, locality, self._params)
         self.wake(0.01, self._follow)
         self.every(0.3, self._round)
 
-    def _settings(self, state) -> None:
-        self.settings_log.append((self.now, state.settings.revision, state.settings.doc))
+    def _params(self, state) -> None:
+        self.params_log.append((self.now, state.params.revision, state.params.doc))
 
     def admits(self) -> bool:
         e = self.echo
         if not e.fresh(self.now):
             return False
-        seat = e.state.settings.roster.get(str(e.addr))
+        seat = e.state.params.roster.get(str(e.addr))
         return seat is not None and seat.boot == e.boot
 
     def law(self) -> Address:
--- a/sim/law.py
+++ b/sim/law.py
@@ -15,9 +15,9 @@
 class LawNode(Node):
     role = "law"
 
-    def __init__(self, world: World, addr: Address, locality: Locality, seeds: list[Address], disk: SimDisk, peers):
+    def __init__(self, world: World, addr: Address, locality: Locality, seeds: list[Address], disk: SimDisk, neighbours):
         super().__init__(world, addr)
-        self.locality, self.seeds, self.disk, self.peers = locality, seeds, disk, peers
+        self.locality, self.seeds, self.disk, self.neighbours = locality, seeds, disk, neighbours
         self.rng = random.Random(world.rng.random())
         self.tale = Tale.open(disk, "sim", self._fresh_id(), segment_bytes=20_000).unwrap()
         loaded = store.load(self.tale).unwrap()
@@ -121,7 +121,7 @@
 
     def _gather(self) -> None:
         self._answers = []
-        to = set(self.peers()) | set(self.seeds)
+        to = set(self.neighbours()) | set(self.seeds)
         if self.core.raft is not None:
             to |= set(self.core.raft.log.voters.voters.values())
         asked = to - {self.addr}
--- a/sim/users.py
+++ b/sim/users.py
@@ -182,7 +182,7 @@
         def took(data: bytes | None) -> None:
             node = self.world.nodes.get(to)
             if data is not None and wire.took(data).code == "ok" and node is not None and node.core.state is not None:
-                s = node.core.state.settings
+                s = node.core.state.params
                 self.history.reads.append((begun, self.now, s.doc_revision, s.doc))
             else:
                 self.leader = wire.took(data).leader if data is not None else None
--- a/tests/shapes.py
+++ b/tests/shapes.py
@@ -25,7 +25,7 @@
     return Shape(
         nodes=[Place("law", z) for z in ZONES[::2]] + [Place("way", z) for z in ZONES[:2]] + [Place("flow", z) for z in ZONES[::2]],
         upstreams=[Pool("boards", ["eu/eu-a", "us/us-a"]), Pool("runs", ["eu/eu-a", "eu/eu-b", "us/us-a"])],
-        config=CONFIG, shares=SHARES, rate=40.0, clients=8,
+        config=CONFIG, shares=SHARES, rate=40.0, consumers=8,
     )
 
 
@@ -61,7 +61,7 @@
     ]
     return Shape(
         nodes=[Place("law", z) for z in ZONES] + [Place("way", z) for z in ZONES[::2]] + [Place("flow", z) for z in SERVING[:9]],
-        upstreams=[Pool(s, SERVING) for s in config["services"]], config=config, shares=shares, rate=400.0, clients=60,
+        upstreams=[Pool(s, SERVING) for s in config["services"]], config=config, shares=shares, rate=400.0, consumers=60,
     )
 
 
@@ -87,5 +87,5 @@
              Pool("catalogue", SERVING + ZONES[4:5])]
     return Shape(
         nodes=[Place("law", z) for z in ZONES] + [Place("way", z) for z in ZONES[::2]] + [Place("flow", z) for z in SERVING],
-        upstreams=pools, config=config, shares=shares, rate=350.0, clients=60,
+        upstreams=pools, config=config, shares=shares, rate=350.0, consumers=60,
     )
--- a/tests/test_bond.py
+++ b/tests/test_bond.py
@@ -16,9 +16,9 @@
     return Record(addr, boot, inc, state, "flow", "n", LOC, addr, True)
 
 
-def bond(peers=(B, C, D), inc=0) -> Bond:
+def bond(neighbours=(B, C, D), inc=0) -> Bond:
     b = Bond(record(A, inc=inc), "f", [B], random.Random(1), 2.0, 30, 0.5)
-    b.receive(Tell(head(B), [record(p) for p in peers]), 0.0)
+    b.receive(Tell(head(B), [record(p) for p in neighbours]), 0.0)
     return b
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -77,7 +77,7 @@
 
 def test_an_acknowledgement_waits_for_a_copy_elsewhere_while_one_can_be_reached():
     c = alone()
-    c.want(want(G, c.state.index, c.state.settings.revision, 6.0), "w", 6.0)
+    c.want(want(G, c.state.index, c.state.params.revision, 6.0), "w", 6.0)
     c.propose(msgspec.msgpack.encode(Tick()), "t", 20.0, 6.0)
     out = step(c, 6.0)
     fed = dict(out)["w"]
@@ -92,9 +92,9 @@
 def test_a_change_is_acknowledged_once_the_roster_holds_it_or_its_window_is_over():
     c = alone()
     now = 8.0
-    c.want(want(G, c.state.index, c.state.settings.revision, now), "w", now)
+    c.want(want(G, c.state.index, c.state.params.revision, now), "w", now)
     seated = {}
-    while str(B) not in c.state.settings.roster:
+    while str(B) not in c.state.params.roster:
         now += 0.1
         for t, f in step(c, now):
             seated = f
@@ -103,10 +103,10 @@
         now += 0.1
         for t, f in step(c, now):
             c.want(want(G, f.index, f.revision, now), "w", now)
-    assert seated and c.echoes.in_force(c.state.settings.revision, now)
+    assert seated and c.echoes.in_force(c.state.params.revision, now)
     c.propose(encode(Change(None, b"{}", "z")), "t", now + 30, now)
     out = dict(step(c, now))
-    assert "t" not in out and out["w"].revision == c.state.settings.revision
+    assert "t" not in out and out["w"].revision == c.state.params.revision
     assert "t" not in dict(go_on(c, now, now + 5.0))
     c.want(want(G, out["w"].index, out["w"].revision, now + 5.0), "w", now + 5.0)
     assert dict(step(c, now + 5.0))["t"].code == "ok"
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -70,7 +70,7 @@
 
 def test_founding_anew_needs_most_of_the_roster_to_answer():
     s = State(1)
-    s.settings.roster = {str(p): Seat(1, Locality("eu", "x")) for p in P}
+    s.params.roster = {str(p): Seat(1, Locality("eu", "x")) for p in P}
     h = Held(G, OLD, s.dump())
     flow = [who("", p, role="flow") for p in P]
     assert heard_enough(h, flow[:2]) and not heard_enough(h, flow[:1])
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -14,9 +14,9 @@
 
 
 def test_clients_are_served_whole_and_nothing_runs_twice(fleet):
-    fleet.start_clients(seed=7)
+    fleet.start_consumers(seed=7)
     assert until(lambda: len(fleet.rows("asked.jsonl")) >= 100, 30)
-    assert fleet.stop("clients", 30) == 0
+    assert fleet.stop("consumers", 30) == 0
     asked, ran = fleet.rows("asked.jsonl"), fleet.rows("ran.jsonl")
     assert all(r["whole"] for r in asked if r["ok"])
     assert sum(r["ok"] for r in asked) >= 0.95 * len(asked)
