An acknowledgement waits for every echo that answers promptly

Cause: two copies outside the leader's locality are enough for a wiped core, not for a wiped fleet with one node left: the survivor need not be one of the two.

Ruled out: the choice of the base (the survivor's state was the highest left), late wipes (the write was acknowledged before).

Change: an acknowledgement waits for each echo that holds a question open or was answered less than 0.3 s ago; a frozen one costs that once. The two copies elsewhere stay as the least.

Kept, since orders have seconds and an acknowledged one must not go missing.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -235,6 +235,7 @@
                 continue
             del self._parked[a]
             sure = self.echoes.sure(a, self.raft.confirmed)
+            self.echoes.fed(a, now)
             body, entries = b"", []
             if not same or p.want.index < self.raft.log.base or p.want.index > self.state.index:
                 body = self._dump()
--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -11,6 +11,7 @@
 SLACK = 0.1
 REACHED = 1.5
 COPIES = 2
+PROMPT = 0.3
 GONE = 15.0
 
 
@@ -19,6 +20,13 @@
     at: float
     name: str
     asks: list[tuple[int, float]]
+    fed_at: float | None = None
+
+    def holds(self, group: Group | None, index: int) -> bool:
+        return self.want.group == group and self.want.index >= index
+
+    def prompt(self, now: float) -> bool:
+        return now - self.at < REACHED and (self.fed_at is None or now - self.fed_at < PROMPT)
 
 
 class Echoes:
@@ -43,17 +51,24 @@
         h = self.heard_of.get(w.addr)
         if h is None or h.want.boot != w.boot:
             h = self.heard_of[w.addr] = Heard(w, now, str(w.addr), [])
-        h.want, h.at = w, now
+        h.want, h.at, h.fed_at = w, now, None
         h.asks = [*h.asks[-16:], (need, w.stamp)]
 
+    def fed(self, a: Address, now: float) -> None:
+        h = self.heard_of.get(a)
+        if h is not None:
+            h.fed_at = now
+
     def sure(self, a: Address, confirmed: int) -> float:
         h = self.heard_of.get(a)
         return max((s for n, s in h.asks if n <= confirmed), default=-1.0) if h else -1.0
 
     def held_elsewhere(self, index: int, now: float) -> bool:
+        lacking = [h for h in self.heard_of.values() if not h.holds(self._group, index)]
+        if any(h.prompt(now) for h in lacking):
+            return False
         near = [h for h in self.heard_of.values() if now - h.at < REACHED and h.want.locality != self.locality]
-        have = sum(h.want.group == self._group and h.want.index >= index for h in near)
-        return have >= min(COPIES, len(near))
+        return sum(h.holds(self._group, index) for h in near) >= min(COPIES, len(near))
 
     def watch(self, s: Params, now: float) -> None:
         if s.revision != self._params.revision:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -89,6 +89,24 @@
     assert dict(step(c, 8.0))["late"].code == "ok"
 
 
+def test_an_acknowledgement_waits_for_every_echo_that_answers_promptly_and_for_no_other():
+    c = alone()
+    go_on(c, 5.2, 8.0)
+    others = [Address("10.0.1.1", n + 1) for n in range(4)]
+
+    def wants(who, index, now):
+        for a in who:
+            w = Want(a, 7, "flow", US, G, index, c.state.params.revision, now)
+            c.want(w, a, now)
+
+    wants(others, c.state.index, 8.0)
+    c.propose(encode(Tick()), "t", 20.0, 8.0)
+    assert "t" not in dict(step(c, 8.0))
+    wants(others[:3], c.state.index, 8.1)
+    assert "t" not in dict(step(c, 8.1))
+    assert dict(step(c, 8.35))["t"].code == "ok"
+
+
 def test_a_change_is_acknowledged_once_the_roster_holds_it_or_its_window_is_over():
     c = alone()
     now = 8.0
