--- a/mallowvalve/will/main.py
+++ b/mallowvalve/will/main.py
@@ -6,18 +6,27 @@
 
 import click
 
-from mallowvalve.whole.call import call
+from mallowvalve.kind import Address
+from mallowvalve.will.call import call_at
+
+
+def addresses(_ctx, _param, values) -> list[Address]:
+    read = [Address.read(v) for v in values]
+    bad = [f"{v}: {r.err_value}" for v, r in zip(values, read) if r.is_err()]
+    if bad:
+        raise click.BadParameter("; ".join(bad))
+    return [r.ok_value for r in read]
 
 
 def ask(ctx, method: str, path: str, body=None) -> dict:
     last = (0, "no address given", {})
     for at in ctx.obj["at"]:
-        host, _, port = at.rpartition(":")
-        status, data, headers = call(int(port), method, path, body, limit=12.0)
-        last = status, data, headers
-        if status == 503 and headers.get("mallow-leader"):
-            status, data, headers = call(int(headers["mallow-leader"].rpartition(":")[2]), method, path, body, limit=12.0)
-            last = status, data, headers
+        last = call_at(*at.pair, method, path, body, limit=12.0)
+        status, data, headers = last
+        leader = Address.read(headers.get("mallow-leader", "")) if status == 503 else None
+        if leader is not None and leader.is_ok():
+            last = call_at(*leader.ok_value.pair, method, path, body, limit=12.0)
+            status, data, headers = last
         if status and status != 503:
             break
     status, data, _ = last
@@ -42,7 +51,7 @@
 
 
 @click.group()
-@click.option("--at", multiple=True, required=True, envvar="MALLOWVALVE_AT", help="HOST:PORT of a law's web, may be given again")
+@click.option("--at", multiple=True, required=True, callback=addresses, envvar="MALLOWVALVE_AT", help="HOST:PORT of a law's web, may be given again")
 @click.pass_context
 def will(ctx, at) -> None:
     """What operators do: apply, read, evacuate, give back, look."""
