--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -6,8 +6,11 @@
 
 from mallowvalve.claim.asks import Asked, Asks
 from mallowvalve.claim.ledger import Claim, Done, Forfeit, Ledger, Lose, Release
+from mallowvalve.beat.roll import Roll, Rolled
 from mallowvalve.kind import Address, Locality, Revision
+from mallowvalve.tie.plain import Count, Extend, Free, Plain, Take, Write
 from mallowvalve.tie.state import Lock, Next, Put, Renew, Said, Tie, Unlock
+from mallowvalve.tree.items import Amend, Items
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True, tag="change"):
@@ -39,7 +42,10 @@
     pass
 
 
-Command = Change | Evacuate | Enrol | Strike | Tick | Claim | Done | Release | Forfeit | Lose | Lock | Renew | Unlock | Next | Put
+Ledgered = Claim | Done | Release | Forfeit | Lose
+Tied = Lock | Renew | Unlock | Next | Put
+Plainly = Take | Extend | Free | Count | Write
+Command = Change | Evacuate | Enrol | Strike | Tick | Ledgered | Tied | Plainly | Amend | Rolled
 encode = msgspec.msgpack.Encoder().encode
 command = msgspec.msgpack.Decoder(Command).decode
 
@@ -82,11 +88,13 @@
 
 
 class State:
-    __slots__ = ("generation", "index", "clock", "params", "ledger", "tie", "asks")
+    __slots__ = ("generation", "index", "clock", "params", "ledger", "tie", "asks", "items", "roll", "plain", "turned")
 
     def __init__(self, generation: int):
         self.generation, self.index, self.clock = generation, 0, 0
         self.params, self.ledger, self.tie, self.asks = Params(), Ledger(), Tie(), Asks()
+        self.items, self.roll, self.plain = Items(), Roll(), Plain()
+        self.turned = 0
 
     @property
     def revision(self) -> int:
@@ -125,8 +133,16 @@
                 return self._enrol(c)
             case Strike():
                 return self._strike(c)
+            case Amend():
+                return Outcome("ok", self.revision, encode(self.items.apply(c)))
+            case Rolled():
+                self.roll.apply(c, self.clock)
+                return Outcome("ok", self.revision)
+            case Take() | Extend() | Free() | Count() | Write():
+                return Outcome("ok", self.revision, encode(self.plain.apply(c, self.clock)))
             case Tick():
                 self.tie.lapse(self.clock)
+                self.plain.lapse(self.clock)
                 return Outcome("ok", self.revision)
             case Claim() | Done() | Release() | Forfeit() | Lose():
                 v = self.ledger.apply(c, self.clock, self.revision)
--- a/mallowvalve/params.py
+++ b/mallowvalve/params.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 from result import Err, Ok, Result
@@ -24,6 +25,46 @@
     helpers: int | None = None
 
 
+class BudgetBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Repeats a service takes: `ratio` of its first tries within any `span` seconds, and `slack` more, fleet-wide."""
+
+    ratio: float = 0.2
+    span: float = 10.0
+    slack: float = 0.0
+
+
+class ColdBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests a second a cold upstream takes, fleet-wide: its own rate times `over`, and `slack` more."""
+
+    over: float = 1.0
+    slack: float = 0.0
+
+
+class Acks(msgspec.Struct, frozen=True, kw_only=True):
+    """What an acknowledgement waits for: `commit` a quorum's disks, `held` the echoes in touch too, `force` all of them."""
+
+    settings: Literal["force", "held", "commit"] = "force"
+    ties: Literal["held", "commit"] = "held"
+
+
+class Terms(msgspec.Struct, frozen=True, kw_only=True):
+    """Names of the headers that clients, proxies and upstreams say these things with; an empty one is not said.
+
+    `ask` names one try of a client and comes back with its answer, `limit` is what time is left (ms), `seal` marks
+    an upstream's own success, `expect` the instance a request is meant for, `instance` who answers, `usage` its
+    running, waiting and slots, `not_run` its word that nothing ran, `cold` how long it stays cold (ms).
+    """
+
+    ask: str = "Mallow-Ask"
+    limit: str = "Mallow-Limit"
+    seal: str = ""
+    expect: str = "Mallow-Expect"
+    instance: str = "Mallow-Instance"
+    usage: str = "Mallow-Usage"
+    not_run: str = "Mallow-Not-Run"
+    cold: str = "Mallow-Cold"
+
+
 class Raw(msgspec.Struct, frozen=True, kw_only=True):
     name: str
     locality: str
@@ -38,6 +79,18 @@
     sessions: int = 2048
     body_bytes: int = 1 << 20
     faults: str | None = None
+    pages: str | None = None
+    directory: str | None = None
+    seed_port: int | None = None
+    zones: dict[str, str] = {}
+    serve_on: bool = False
+    holds: Literal["all", "settings"] = "all"
+    ties_at: str = "/ties"
+    beat_ms: float = 1500.0
+    budget: BudgetBounds = BudgetBounds()
+    cold: ColdBounds = ColdBounds()
+    acks: Acks = Acks()
+    terms: Terms = Terms()
 
 
 class Params(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,6 +108,17 @@
     sessions: int
     body_bytes: int
     faults: str | None
+    pages: Address | None = None
+    directory: Address | None = None
+    zones: dict[str, str] = {}
+    serve_on: bool = False
+    holds: Literal["all", "settings"] = "all"
+    ties_at: str = "/ties"
+    beat_ms: float = 1500.0
+    budget: BudgetBounds = BudgetBounds()
+    cold: ColdBounds = ColdBounds()
+    acks: Acks = Acks()
+    terms: Terms = Terms()
 
 
 def load(role: str, path: str | None, flags: dict) -> Result[Params, Findings]:
@@ -81,6 +145,21 @@
     ):
         values[key] = _text(kind, text, key, found)
     seeds = [_text(Address, s, f"seeds[{i}]", found) for i, s in enumerate(raw.seeds)]
+    if raw.seed_port is not None and not 0 < raw.seed_port < 65536:
+        found.append(Finding("seed_port", "must be 1 to 65535"))
+    if raw.seed_port is not None and not found:
+        seeds = [Address(s.host, raw.seed_port) for s in seeds]
+    for key in ("pages", "directory"):
+        text = getattr(raw, key)
+        values[key] = _text(Address, text, key, found) if text is not None else None
+    if not raw.ties_at.startswith("/"):
+        found.append(Finding("ties_at", "must begin with /"))
+    for place, v in (("budget.ratio", raw.budget.ratio), ("budget.slack", raw.budget.slack), ("cold.slack", raw.cold.slack)):
+        if v < 0:
+            found.append(Finding(place, "must not be negative"))
+    for place, v in (("budget.span", raw.budget.span), ("cold.over", raw.cold.over), ("beat_ms", raw.beat_ms)):
+        if v <= 0:
+            found.append(Finding(place, "must be positive"))
     if len(seeds) > 3:
         found.append(Finding("seeds", "three at most"))
     if raw.mesh == raw.web:
@@ -103,7 +182,9 @@
         return Err(found)
     return Ok(Params(
         role=role, name=raw.name, fleet=raw.fleet, seeds=seeds, data=Path(raw.data) if raw.data else None,
-        log=raw.log, detector=d, polite=raw.polite, sessions=raw.sessions, body_bytes=raw.body_bytes, faults=raw.faults, **values,
+        log=raw.log, detector=d, polite=raw.polite, sessions=raw.sessions, body_bytes=raw.body_bytes, faults=raw.faults,
+        zones=raw.zones, serve_on=raw.serve_on, holds=raw.holds, ties_at=raw.ties_at, beat_ms=raw.beat_ms,
+        budget=raw.budget, cold=raw.cold, acks=raw.acks, terms=raw.terms, **values,
     ))
 
 
