--- /dev/null
+++ b/sim/capacity.py
@@ -0,0 +1,342 @@
+"""What a node, an upstream, a route, a tenant and a change cost in bytes, memory and processor time, on this code."""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import click
+import msgspec
+
+from mallowvalve.beat.board import Beat, Board
+from mallowvalve.beat.roll import Roll, Rolled
+from mallowvalve.bond.detector import Bond
+from mallowvalve.bond.wire import VERSION, Head, Tell
+from mallowvalve.bond.wire import decode as bond_decode
+from mallowvalve.bond.wire import encode as bond_encode
+from mallowvalve.kind import Address
+from mallowvalve.law import wire
+from mallowvalve.law.core import Core, founding
+from mallowvalve.law.cut import dump, load
+from mallowvalve.law.echo import Echo
+from mallowvalve.law.state import Change, Enrol, Evacuate, Seat, State, encode
+from mallowvalve.law.wire import Fed, Want
+from mallowvalve.mesh.frame import Frame, seal
+from mallowvalve.tree.build import build
+from mallowvalve.tree.items import Amend, HostRoute, Items
+from mallowvalve.vote.wire import COMMAND, Entry, Voters
+from sim.target import (
+    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, beat, doc, item, record, rolled, sizes, voters,
+)
+
+
+def kept(make: Callable[[], object]) -> tuple[object, int]:
+    """What `make` makes, and the bytes it keeps; slow, for each allocation is traced."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    x = make()
+    gc.collect()
+    n = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return x, n
+
+
+def spent(act: Callable[[], object], most: float = 0.3) -> float:
+    """Processor seconds of one `act`: the least of as many turns as fit into `most` seconds."""
+    best, total = 1e9, 0.0
+    while total < most:
+        t = time.process_time()
+        act()
+        one = time.process_time() - t
+        best, total = min(best, one), total + max(one, 1e-6)
+    return best
+
+
+def decoded(kind, x):
+    """As it comes off the wire: no text shared with its neighbours."""
+    return msgspec.msgpack.decode(encode(x), type=kind)
+
+
+def roll(n: int) -> Roll:
+    r = Roll()
+    for i in range(n):
+        c = decoded(Rolled, rolled(i))
+        try:
+            r.apply(c, 1)
+        except NotImplementedError:
+            r.rows[c.changes[0].instance] = c.changes[0]
+    return r
+
+
+def items(n: int) -> Items:
+    x = Items()
+    for lo in range(0, n, 500):
+        c = decoded(Amend, Amend([item(i) for i in range(lo, min(n, lo + 500))]))
+        try:
+            x.apply(c)
+        except NotImplementedError:
+            for it in c.items:
+                x.rows[it.kind, it.name] = it
+                r = msgspec.json.decode(it.doc, type=HostRoute)
+                x.hosts.setdefault(r.host, []).append(r)
+    return x
+
+
+def bond(n: int) -> Bond:
+    b = Bond(record(0), "mallowvalve", [addr(1)], random.Random(1), 1.7178, 30, 0.5)
+    head = Head(VERSION, "mallowvalve", addr(1), BOOT + 1, 3)
+    for i in range(1, n):
+        b.receive(decoded(Tell, Tell(head, [record(i)])), 0.0)
+    return b
+
+
+def board(n: int) -> Board:
+    b = Board()
+    for i in range(n):
+        b.hear(decoded(Beat, beat(i)), 0.0)
+    return b
+
+
+def memory(part: float) -> None:
+    """Bytes kept a thing, in the node's own structures."""
+    for what, make, n in (
+        ("route items", items, ROUTES), ("roll rows", roll, UPSTREAMS), ("membership", bond, NODES), ("board rows", board, UPSTREAMS),
+    ):
+        for m in (int(n * part / 10), int(n * part)):
+            _, b = kept(lambda: make(m))
+            click.echo(f"memory  {what:12} {m:7}  {b / m:7.0f} B each  {b / 1e6:8.1f} MB")
+    for r, t in ((int(ROUTES * part), 0), (1000, int(TENANTS * part))):
+        d = msgspec.json.encode(doc(r, t, SERVICES))
+        _, b = kept(lambda: build(msgspec.json.decode(d)).unwrap())
+        click.echo(f"memory  tree         {r:7} routes, {t} tenants: {b / max(r, t):.0f} B each, {b / 1e6:.1f} MB; document {len(d) / 1e6:.1f} MB")
+
+
+def echo_of(rows: int, routes: int) -> Echo:
+    e = Echo(addr(9), BOOT, "flow", at(9), lambda r: None)
+    s = State(GROUP.generation)
+    s.items, s.roll = items(routes), roll(rows)
+    e.group, e.voters, e.state = GROUP, voters(), s
+    return e
+
+
+def change(part: float) -> None:
+    """Processor time that one change takes at one echo, decoding it included."""
+    for p in (part / 10, part):
+        e = echo_of(int(UPSTREAMS * p), int(ROUTES * p))
+        kinds = {
+            "one upstream": lambda i: rolled(i % max(1, int(UPSTREAMS * p))),
+            "one route": lambda i: Amend([item(i % max(1, int(ROUTES * p)), 8 + i)]),
+            "an evacuation": lambda i: Evacuate("region-00-a", i % 2 == 0),
+            "a seat": lambda i: Enrol(addr(i), BOOT + i, at(i)),
+        }
+        for what, make in kinds.items():
+            click.echo(f"change  {what:13} over {int(UPSTREAMS * p)} rows, {int(ROUTES * p)} routes: {_take_in(e, make)}")
+
+
+def _take_in(e: Echo, make) -> str:
+    n = [0]
+
+    def one() -> None:
+        n[0] += 1
+        i = e.state.index + 1
+        f = Fed(addr(1), GROUP, False, [Entry(i, 12, COMMAND, i, encode(make(n[0])))], i, 0, -1.0, e.voters)
+        data = wire.encode(f)
+        t = time.process_time()
+        e.fed(wire.fed(data), 0.0)
+        took.append(time.process_time() - t)
+
+    took: list[float] = []
+    try:
+        while sum(took) < 0.2 and len(took) < 2000:
+            one()
+    except NotImplementedError:
+        return "not built yet"
+    took.sort()
+    return f"{took[len(took) // 2] * 1e6:.0f} us"
+
+
+def tree(part: float) -> None:
+    """A change of the tree: the whole document travels, and each echo builds it anew; each seat does so too."""
+    for p in (part / 100, part / 10, part):
+        d = msgspec.json.encode(doc(int(ROUTES * p), int(TENANTS * p), SERVICES))
+        n = len(encode(Change(None, d)))
+        first, again = (spent(lambda: build(msgspec.json.decode(d)).unwrap(), 0.0001) for _ in range(2))
+        click.echo(f"tree    {int(ROUTES * p):7} routes, {int(TENANTS * p):7} tenants: {n / 1e6:6.2f} MB a change, "
+                   f"built in {first * 1e3:.0f} ms, once more in {again * 1e3:.0f} ms")
+
+
+def picture(part: float) -> None:
+    """The settings part of a state, given out and taken in whole."""
+    for p in (part / 10, part):
+        e = echo_of(int(UPSTREAMS * p), int(ROUTES * p))
+        pieces = dump(e.state)
+        size = sum(map(len, pieces))
+        whole = size > 100 * int(ROUTES * p)
+        out, back = spent(lambda: dump(e.state), 0.01), spent(lambda: load(pieces), 0.01)
+        click.echo(f"picture {int(ROUTES * p)} routes, {int(UPSTREAMS * p)} rows: {size / 1e6:.1f} MB in {len(pieces)} pieces, "
+                   f"out {out * 1e3:.0f} ms, in {back * 1e3:.0f} ms{'' if whole else ' (items and roll are not in it yet)'}")
+
+
+class Led:
+    """One leader that is its own quorum, fed wants by so many echoes; no sockets."""
+
+    def __init__(self, n: int, batch: int):
+        self.c = Core("a", addr(1), at(1), random.Random(1))
+        s = State(GROUP.generation)
+        s.params.roster = {str(addr(i)): Seat(BOOT + i, at(i)) for i in range(100, 100 + n)}
+        self.c.start(founding(GROUP, Voters({"a": addr(1)}), s), None, [], 0.0, s)
+        self.batch, self.now, self.sent, self.fed_entries = batch, 5.0, 0, 0
+        self.wants = {i: Want(addr(i), BOOT + i, "flow", at(i), GROUP, 0, 0, 0.0) for i in range(100, 100 + n)}
+        for wait in (0.1, *[0.5] * 6):
+            self.step()
+            self.now += wait
+
+    def step(self) -> list:
+        self.c.tick(self.now)
+        r = self.c.ready(self.now)
+        self.c.saved(r, self.now)
+        out, self.c.replies = self.c.replies, []
+        return out
+
+    def ask(self, who: list[int]) -> list:
+        """These echoes ask, so many a turn of the leader's loop; what was answered."""
+        out = []
+        for lo in range(0, len(who), self.batch):
+            for i in who[lo : lo + self.batch]:
+                self.c.want(self.wants[i], i, self.now)
+            out += self.answer(self.step())
+        return out
+
+    def parked(self) -> int:
+        """Echoes whose question waits for news."""
+        return len(self.c._parked)
+
+    def change(self, i: int, limit: float) -> list:
+        """One change proposed and fed to all whose questions wait; what else was answered."""
+        data = encode(rolled(i) if built(Roll()) else Evacuate(f"z{i}", True))
+        self.c.propose(data, "change", limit, self.now)
+        return self.answer(self.step())
+
+    def answer(self, replies: list) -> list:
+        done = []
+        for token, f in replies:
+            if not isinstance(f, Fed):
+                done.append(token)
+                continue
+            self.fed_entries += len(f.entries)
+            self.sent += len(seal(Frame("want", 1, True, wire.encode(f))))
+            w = self.wants[token]
+            self.wants[token] = msgspec.structs.replace(w, index=f.index, revision=f.revision, stamp=self.now)
+        return done
+
+
+def leader(part: float) -> None:
+    """What a leader that feeds every echo itself spends: at rest a second, and a change."""
+    for n in (int(NODES * part / 50), int(NODES * part / 5), int(NODES * part)):
+        for batch in (512, 32):
+            led = Led(n, batch)
+            everyone = list(led.wants)
+            for _ in range(2):
+                led.ask(everyone)
+            led.now += 0.6
+            led.sent, t = 0, time.process_time()
+            led.answer(led.step())
+            led.ask(everyone)
+            rest, bytes_ = 2 * (time.process_time() - t), 2 * led.sent
+            led.sent, t = 0, time.process_time()
+            got = led.change(1, led.now + 60) + led.ask(everyone)
+            led.now += 1.0
+            got += led.answer(led.step())
+            one = time.process_time() - t
+            click.echo(f"leader  {n:5} echoes, {batch:3} wants a turn: at rest {rest * 1e3:7.1f} ms a second, {bytes_ / 1e6:.3f} MB/s; "
+                       f"a change {one * 1e3:7.1f} ms, {led.sent / 1e6:.3f} MB{'' if got else ' (unanswered)'}")
+
+
+def built(x) -> bool:
+    try:
+        x.apply(Rolled([]), 0) if isinstance(x, Roll) else x.apply(Amend([]))
+        return True
+    except NotImplementedError:
+        return False
+
+
+def members(part: float) -> None:
+    """A period of the detector, nobody failed: one node's turn, its neighbour's answer, and taking both in."""
+    for n in sorted({15, 82, 500, int(NODES * part)}):
+        a, b = bond(n), bond(n)
+        b.me = b.view.pop(addr(1))
+        b.view[a.me.addr] = a.me
+        a.tick(0.0)
+        now, sent, count, t = 0.0, 0, 0, time.process_time()
+        for _ in range(4):
+            now += a.period
+            a._acked = True
+            out = a.tick(now)
+            back = [x for _, m in out for x in b.receive(decoded_tell(m), now)]
+            for _, m in back:
+                a.receive(decoded_tell(m), now)
+            sent += sum(len(bond_encode(m)) for _, m in out + back)
+            count += len(out) + len(back)
+        cpu, each = (time.process_time() - t) / 4, 4 * a.period
+        news = [len(bond_encode(m)) for _, m in a.ready(False)]
+        click.echo(f"members {n:5} nodes: {count / each:7.1f} datagrams a second a node, {sent / each / 1e3:8.2f} KB/s sent, as much taken in, "
+                   f"{cpu / a.period * 100:.1f}% of a core; own news {len(news)} datagrams, {sum(news) / 1e6:.2f} MB")
+
+
+def decoded_tell(m):
+    return bond_decode(bond_encode(m))
+
+
+def pick(part: float) -> None:
+    """Candidates of one request, from the board."""
+    for m in (60, 600, 6000, int(UPSTREAMS * part)):
+        b = board(m)
+        s = spent(lambda: b.usable("service-0001", 1.0), 0.1)
+        click.echo(f"pick    {m:6} upstreams on the board: {s * 1e6:8.0f} us a choice")
+
+
+def queue(_: float) -> None:
+    """Time in a node at 236 requests a second (1.3 million over 5,500), Poisson, by work a request and processes."""
+    for work_ms in (3.3, 1.6, 0.8, 0.5, 0.3):
+        row = []
+        for procs in (1, 2, 4):
+            mean, p99 = sojourn(1_300_000 / NODES, work_ms / 1e3, procs)
+            row.append(f"{procs}: {mean * 1e3:.2f}/{p99 * 1e3:.2f}")
+        click.echo(f"queue   {work_ms} ms a request, {236.4 * work_ms / 10:.0f}% of a core; mean/p99 ms by processes  {'  '.join(row)}")
+
+
+def sojourn(rate: float, work: float, procs: int, n: int = 200_000) -> tuple[float, float]:
+    """Mean and 99th of 100 of wait and work; each process has its own share of the arrivals, work has a c2 of 1/4."""
+    rng = random.Random(1)
+    free, now, out = [0.0] * procs, 0.0, []
+    for _ in range(n):
+        now += rng.expovariate(rate)
+        k = rng.randrange(procs)
+        free[k] = max(free[k], now) + rng.gammavariate(4, work / 4)
+        out.append(free[k] - now)
+    out.sort()
+    return sum(out) / n, out[int(n * 0.99)]
+
+
+PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, members, pick, queue)}
+
+
+@click.command()
+@click.argument("parts", nargs=-1)
+@click.option("--part", default=1.0, help="the target's sizes times this")
+def main(parts: tuple[str, ...], part: float) -> None:
+    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, members, pick, queue."""
+    click.echo(f"python {sys.version.split()[0]}")
+    click.echo(json.dumps(sizes(), indent=1))
+    for name in parts or PARTS:
+        PARTS[name](part)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sim/target.py
@@ -0,0 +1,143 @@
+"""The shape of a fleet at the target's size, and the bytes its messages take."""
+
+from __future__ import annotations
+
+import msgspec
+
+from mallowvalve.beat.board import Aged, Beat
+from mallowvalve.beat.roll import Rolled, Upstream
+from mallowvalve.bond.wire import ALIVE, VERSION, Ack, Head, Ping, Record, Tell
+from mallowvalve.bond.wire import encode as bond_encode
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law import wire
+from mallowvalve.law.state import Enrol, Evacuate, Strike, encode
+from mallowvalve.law.wire import Fed, Want
+from mallowvalve.mesh.frame import Frame, seal
+from mallowvalve.tree.items import Amend, HostRoute, Item, Part
+from mallowvalve.vote.wire import COMMAND, Entry, Group, Voters
+
+REGIONS, ZONES = 16, 34
+NODES, UPSTREAMS, SERVICES, ROUTES, TENANTS = 5500, 66_000, 3400, 130_000, 370_000
+GROUP = Group(20_000_000, "0123456789abcdef")
+BOOT = 3_141_592_653_589_793
+
+
+def at(i: int) -> Locality:
+    z = i % ZONES
+    return Locality(f"region-{z % REGIONS:02d}", f"region-{z % REGIONS:02d}-{'abc'[z // REGIONS]}")
+
+
+def addr(i: int, port: int = 7620) -> Address:
+    return Address(f"10.{i >> 16 & 255}.{i >> 8 & 255}.{i & 255}", port)
+
+
+def voters() -> Voters:
+    return Voters({f"{i:032x}": addr(i) for i in range(5)}, {f"{i:032x}": addr(i) for i in range(5, 13)})
+
+
+def upstream(i: int) -> Upstream:
+    return Upstream(f"up-{i:06x}", f"service-{i % SERVICES:04d}", addr(i, 8080), at(i), 6, "ready", 1, 86_400_000, 86_403_000)
+
+
+def rolled(i: int) -> Rolled:
+    return Rolled([upstream(i)])
+
+
+def route(i: int, version: int = 7) -> HostRoute:
+    split = [Part(f"service-{i % SERVICES:04d}", 90.0), Part(f"service-{(i + 1) % SERVICES:04d}", 10.0)]
+    one = i % 4
+    return HostRoute(
+        name=f"r-{i:07x}", version=version, host=f"h{i % 13_000:05d}.example", prefix=f"/p{i // 13_000}{i % 997:03d}/",
+        kind="try" if one == 0 else "read", limit_ms=1500.0, aim_ms=600.0, priority=1,
+        service=split[0].service if one else None, split=[] if one else split, tries=2, homes=[at(i).region],
+    )
+
+
+def item(i: int, version: int = 7) -> Item:
+    r = route(i, version)
+    return Item("routes", r.name, version, msgspec.json.encode(r))
+
+
+def record(i: int) -> Record:
+    return Record(addr(i), BOOT + i, 3, ALIVE, "flow", f"edge-{at(i).zone}-{i:04d}", at(i), addr(i, 8641), True)
+
+
+def beat(i: int) -> Beat:
+    u = upstream(i)
+    return Beat(u.service, u.instance, BOOT, 12_345, 0.5, "ready", u.locality, u.address)
+
+
+def doc(routes: int, tenants: int, services: int) -> dict:
+    """A tree of this size: twenty routes a cell, tenants spread over the cells."""
+    cells = max(1, routes // 20)
+    regions = {f"region-{r:02d}": {"zones": [str(at(z).zone) for z in range(r, ZONES, REGIONS)]} for r in range(REGIONS)}
+    return {
+        "services": {f"service-{s:04d}": {} for s in range(services)},
+        "regions": regions,
+        "cells": {
+            f"cell-{c:05d}": {
+                "region": at(c).region, "regions": [at(c).region],
+                "tenants": {f"tenant-{t:06d}": {"homes": [at(c).region]} for t in range(c, tenants, cells)},
+            } for c in range(cells)
+        },
+        "routes": {
+            f"route-{i:06d}": {
+                "cell": f"cell-{i % cells:05d}", "match": f'method GET and path "/p{i:06d}/*"', "kind": "read",
+                "service": f"service-{i % services:04d}", "order": i // cells,
+            } for i in range(routes)
+        },
+    }
+
+
+def fed(entries: list[Entry]) -> Fed:
+    n = 1_000_000
+    return Fed(addr(1), GROUP, False, entries, n, 20_000_000 << 36 | n, 123456.789, voters())
+
+
+def want() -> Want:
+    return Want(addr(9), BOOT, "flow", at(9), GROUP, 1_000_000, 20_000_000 << 36, 123456.789)
+
+
+def frame(kind: str, body: bytes, answer: bool = False) -> int:
+    return len(seal(Frame(kind, 100_000, answer, body)))
+
+
+def entry(data: bytes) -> Entry:
+    return Entry(1_000_000, 12, COMMAND, 86_400_000, data)
+
+
+def sizes() -> dict[str, int]:
+    """Bytes as encoded; what is "framed" has the mesh's own frame, not TCP's and IP's 40 a packet."""
+    head = Head(VERSION, "mallowvalve", addr(1), BOOT, 3)
+    idle = frame("want", wire.encode(fed([])), True)
+
+    def more(c) -> int:
+        return frame("want", wire.encode(fed([entry(encode(c))])), True) - idle
+
+    return {
+        "roll row": len(encode(upstream(65_000))),
+        "route item": len(encode(item(129_000))),
+        "membership record": len(bond_encode(record(5400))),
+        "ping": len(bond_encode(Ping(head, addr(1), addr(2), 9999))),
+        "ack": len(bond_encode(Ack(head, addr(1), addr(2), 9999))),
+        "tell of one": len(bond_encode(Tell(head, [record(5400)]))),
+        "tell of twelve": len(bond_encode(Tell(head, [record(5400 + i) for i in range(12)]))),
+        "beat noted, framed": frame("beats", encode([Aged(beat(65_000), 0.0)])),
+        "beat digest entry": len(encode({beat(65_000).name: beat(65_000).rank})) - 1,
+        "want, framed": frame("want", wire.encode(want())),
+        "fed idle, framed": idle,
+        "fed more: one upstream": more(rolled(65_000)),
+        "fed more: one route": more(Amend([item(129_000)], "operator-1/000123")),
+        "fed more: a seat": more(Enrol(addr(9), BOOT, at(9))),
+        "fed more: a strike": more(Strike(addr(9), BOOT)),
+        "fed more: an evacuation": more(Evacuate("region-00-a", True, "operator-1/000123")),
+        "round, framed": frame("round", wire.encode(wire.Round(addr(1), 123456.789))),
+        "told, framed": frame("round", wire.encode(wire.Told(addr(1), BOOT, 123456.789, GROUP, 20_000_000 << 36, 1_000_000)), True),
+        "tree: a route": _doc_more(routes=1000),
+        "tree: a tenant": _doc_more(tenants=1000),
+    }
+
+
+def _doc_more(routes: int = 0, tenants: int = 0) -> int:
+    few, many = doc(1000, 1000, 100), doc(1000 + routes, 1000 + tenants, 100)
+    return (len(msgspec.json.encode(many)) - len(msgspec.json.encode(few))) // 1000
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,56 @@
+"""Counted things of docs/CAPACITY.md stay within the bounds its laws were computed with: bytes and messages, no times."""
+
+import pytest
+
+from mallowvalve.bond.wire import encode as bond_encode
+from sim.capacity import Led, bond
+from sim.target import sizes
+
+MOST = {
+    "roll row": 100, "route item": 320, "membership record": 110, "ping": 80, "ack": 80, "tell of one": 150,
+    "tell of twelve": 1300, "beat noted, framed": 140, "beat digest entry": 40, "want, framed": 130,
+    "fed idle, framed": 720, "fed more: one upstream": 125, "fed more: one route": 365, "fed more: a seat": 80,
+    "fed more: a strike": 60, "fed more: an evacuation": 70, "round, framed": 50, "told, framed": 100,
+    "tree: a route": 140, "tree: a tenant": 50,
+}
+
+
+@pytest.mark.parametrize("what", MOST)
+def test_encoded_sizes_stay_under_what_the_page_counts_with(what):
+    assert 0 < sizes()[what] <= MOST[what]
+
+
+def test_each_size_has_its_bound():
+    assert sizes().keys() == MOST.keys()
+
+
+def test_a_datagram_of_members_fits_one_packet():
+    assert sizes()["tell of twelve"] <= 1472
+
+
+def test_an_echo_at_rest_asks_twice_a_second_and_is_answered_with_nothing_but_the_leaders_word():
+    led = Led(20, 512)
+    everyone = list(led.wants)
+    led.ask(everyone)
+    assert led.ask(everyone) == [] and led.parked() == 20
+    led.sent, led.now = 0, led.now + 0.6
+    led.answer(led.step())
+    assert led.parked() == 0 and led.sent <= 20 * 300
+
+
+def test_a_change_goes_to_each_echo_once():
+    led = Led(20, 512)
+    everyone = list(led.wants)
+    for _ in range(2):
+        led.ask(everyone)
+    led.fed_entries = 0
+    led.change(1, led.now + 60)
+    assert led.fed_entries == 20
+    assert led.ask(everyone) == ["change"] and led.fed_entries == 20
+
+
+def test_a_members_own_news_is_one_datagram_to_each_other():
+    b = bond(50)
+    b.tick(0.0)
+    out = b.ready(False)
+    assert len(out) == 49 and max(len(bond_encode(m)) for _, m in out) <= MOST["tell of one"]
