Upstreams' beats end at the core; the directory answers from the membership alone

An upstream's beat is noted where it arrives; only what it changes is a command in the log, several of one moment in one. Laws tell the leader once a second whom they heard, and the leader alone judges silence: after three beats, six where more than half of a service would fall silent at once, and never within a silence of its own beginning to lead. A law whose reports no leader took for 2.5 s acknowledges no beat, so that an upstream which can reach the other side goes there.

Weighed: acknowledging plain beats at a law that is cut off (an upstream would stay there and be held silent by all proxies of the other side), and a tombstone for silent ones too (one that was cut off for a minute could not come back).

--- /dev/null
+++ b/mallowvalve/law/beathttp.py
@@ -0,0 +1,154 @@
+"""Upstreams' own calls: their beats, and their leaving."""
+
+from __future__ import annotations
+
+import math
+from functools import lru_cache
+from typing import Literal
+from zlib import crc32
+
+import falcon
+import msgspec
+from msgspec.structs import fields
+from result import Err, Ok, Result
+
+from mallowvalve import finding, web
+from mallowvalve.beat.roll import Upstream
+from mallowvalve.bond.wire import ALIVE, Record
+from mallowvalve.finding import Finding, Findings, parse_json
+from mallowvalve.kind import Address, Locality
+
+BODY_BYTES = 16384
+NAME, COLD_MS, SLOTS, SEQUENCE = 200, 3_600_000, 1_000_000, 1 << 62
+NOWHERE = Address("0.0.0.0", 0)
+address_of = lru_cache(4096)(Address.read)
+
+
+class BeatDoc(msgspec.Struct):
+    """Times in ms; `cold_ms` is how much longer it stays cold."""
+
+    service: str
+    address: str
+    zone: str
+    slots: float
+    state: Literal["ready", "leaving"]
+    sequence: int
+    cold_ms: float = 0.0
+
+
+decode = msgspec.json.Decoder(BeatDoc).decode
+KNOWN = {f.name for f in fields(BeatDoc)}
+
+
+def read(instance: str, body: bytes, zones: dict[str, str]) -> Result[Upstream, tuple[int, Findings]]:
+    """A beat as a row to be; else the status and every finding. Fields that nobody knows are passed over."""
+    try:
+        d = decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Err((400, _findings(body)))
+    found = []
+    for place, text in (("instance", instance), ("service", d.service)):
+        if not 0 < len(text) <= NAME or not text.isprintable():
+            found.append(Finding(place, f"want 1 to {NAME} printable characters"))
+    for place, v, least, most in (
+        ("slots", d.slots, 1, SLOTS), ("cold_ms", d.cold_ms, 0, COLD_MS), ("sequence", d.sequence, 0, SEQUENCE),
+    ):
+        if not least <= v <= most:
+            found.append(Finding(place, f"want {least} to {most}"))
+    addr, loc = address_of(d.address), locality(d.zone, zones)
+    if addr.is_err():
+        found.append(Finding("address", addr.err_value))
+    if found:
+        return Err((400, found))
+    if loc is None:
+        return Err((422, [Finding("zone", f"no zone {d.zone[:NAME]!r}")]))
+    return Ok(Upstream(
+        instance, d.service, addr.ok_value, loc, int(d.slots), d.state, d.sequence, 0, math.ceil(d.cold_ms),
+    ))
+
+
+@lru_cache(4096)
+def _read_locality(zone: str) -> Locality | None:
+    return Locality.read(zone).ok()
+
+
+def locality(zone: str, zones: dict[str, str]) -> Locality | None:
+    """By the zones this node was told of; one that was told of none takes REGION/ZONE."""
+    if zone in zones:
+        return Locality(zones[zone], zone)
+    return None if zones else _read_locality(zone)
+
+
+def _findings(body: bytes) -> Findings:
+    doc = parse_json(body)
+    if doc.is_err():
+        return doc.err_value
+    if isinstance(doc.ok_value, dict):
+        doc = Ok({k: v for k, v in doc.ok_value.items() if k in KNOWN})
+    r = finding.read(BeatDoc, doc.ok_value)
+    return r.err_value if r.is_err() else [Finding("body", "not understood")]
+
+
+def beat_at(laws: list[Record], me: Record, at: Locality, instance: str) -> Address | None:
+    """Where else this upstream had better beat: a law in its own zone, or else in its region; None where it is."""
+    laws = [r for r in laws if r.state == ALIVE and r.ready and r.addr != me.addr]
+    for d in (0, 1):
+        if me.locality.distance(at) == d:
+            return None
+        near = [r for r in laws if r.locality.distance(at) == d]
+        if near:
+            return max(near, key=lambda r: (crc32(f"{instance} {r.web}".encode()), r.web)).web
+    return None
+
+
+class Beats:
+    def __init__(self, task, roll):
+        self.task, self.roll = task, roll
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response, instance: str) -> None:
+        node = self.task.node
+        body = web.body_of(req, BODY_BYTES)
+        if body is None:
+            return web.bounce(resp, 413, web.NOT_RUN, [Finding("body", f"larger than {BODY_BYTES} bytes")])
+        r = read(instance, body, node.params.zones)
+        if r.is_err():
+            node.counts.add("beat_refused")
+            status, found = r.err_value
+            return web.bounce(resp, status, web.NOT_RUN, found)
+        u = r.ok_value
+        if not self.roll.beat(u):
+            return unsure(resp)
+        bond = node.bond
+        to = beat_at(bond.alive("law"), bond.bond.me, u.locality, instance)
+        web.say(resp, {} if to is None else {"beat_at": str(to)})
+
+    def on_delete(self, req: falcon.Request, resp: falcon.Response, instance: str) -> None:
+        if not 0 < len(instance) <= NAME or not instance.isprintable():
+            return web.bounce(resp, 400, web.NOT_RUN, [Finding("instance", f"want 1 to {NAME} printable characters")])
+        if not self.roll.gone(Upstream(instance, "", NOWHERE, Locality("", ""), 0, "gone")):
+            return unsure(resp)
+        web.say(resp, {})
+
+
+class All:
+    """The roll as this node has it."""
+
+    def __init__(self, task, roll):
+        self.task, self.roll = task, roll
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        roll = self.roll.roll
+        web.say(resp, {"revision": roll.revision if roll else 0, "upstreams": [
+            {"instance": u.instance, "service": u.service, "address": str(u.address), "locality": str(u.locality),
+             "slots": u.slots, "state": u.state, "sequence": u.sequence, "since": u.since, "cold_until": u.cold_until}
+            for u in (sorted(roll.rows.values(), key=lambda u: (u.service, u.instance)) if roll else [])
+        ]})
+
+
+def unsure(resp: falcon.Response) -> None:
+    web.bounce(resp, 503, web.UNDECIDED, [Finding("law", "not confirmed in time; safe to repeat")], 1)
+
+
+def add_routes(app: falcon.App, task, roll) -> None:
+    app.add_route("/upstreams", All(task, roll))
+    app.add_route("/upstreams/{instance}", Beats(task, roll))
--- a/mallowvalve/law/main.py
+++ b/mallowvalve/law/main.py
@@ -1,20 +1,24 @@
 from __future__ import annotations
 
+import contextlib
 import uuid
 
 import gevent
 import msgspec
 from result import Err, Ok, Result
 
+from mallowvalve import web
 from mallowvalve.fault import FaultyDisk, Faults
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.kind import Address
-from mallowvalve.law import http, store
+from mallowvalve.law import beathttp, http, plainhttp, store
+from mallowvalve.law.rolltask import RollTask
 from mallowvalve.law.task import LawTask
 from mallowvalve.node import Node
 from mallowvalve.params import Params
 from mallowvalve.tale.disk import Disk, Folder
 from mallowvalve.tale.log import Tale
+from mallowvalve.way import main as way
 
 MEMORY, EVERY, MOST = "neighbours", 10.0, 64
 
@@ -73,12 +77,32 @@
                 self.node.counts.add("disk_errors")
 
 
+def directory(node: Node, task: LawTask) -> web.Server | None:
+    """The directory's answers, on an address of their own; None where this node gives none."""
+    p = node.params
+    if p.directory is None:
+        return None
+    app = web.make_app()
+    way.add_routes(app, node, task.tree, lambda: task.core.state.params.evacuated if task.core.state else {})
+    return web.Server(p.directory, app, node.counts, p.sessions)
+
+
 def serve(params: Params, tale: Tale, loaded: store.Loaded, faults: Faults) -> None:
     node = Node(params, remembered(tale.disk), faults)
     task = LawTask(node, tale, loaded)
+    roll = RollTask(task)
     http.add_routes(node.app, task)
+    beathttp.add_routes(node.app, task, roll)
+    plainhttp.add_routes(node.app, task, params.ties_at)
     node.allow(lambda service: service in task.tree().doc.services)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.picture() if task.core.raft else {})
-    with node, task, Memory(node, tale.disk):
-        node.run(lambda: task.core.leader() is not None and not task.stalled, task.hand_over)
+    ways = directory(node, task)
+
+    def leave() -> None:
+        if ways is not None:
+            ways.draining = True
+        task.hand_over()
+
+    with node, task, roll, Memory(node, tale.disk), ways or contextlib.nullcontext():
+        node.run(lambda: task.core.leader() is not None and not task.stalled, leave)
--- a/mallowvalve/way/main.py
+++ b/mallowvalve/way/main.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import falcon
 
 from mallowvalve import web
@@ -10,23 +12,25 @@
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
 from mallowvalve.params import Params
+from mallowvalve.tree.model import Tree
+from mallowvalve.way import answer
 
-LIFE_MS = 3000
+LIFE_MS, LIFE_S = 3000, 2
 MOST = 6
 
 
 class Connect:
-    def __init__(self, node: Node, echo: EchoTask):
-        self.node, self.echo = node, echo
+    def __init__(self, node: Node, tree: Callable[[], Tree], evacuated: Callable[[], dict[str, int]]):
+        self.node, self.tree, self.evacuated = node, tree, evacuated
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         near = Locality.read(req.get_param("locality") or str(self.node.params.locality))
         if near.is_err():
             return web.bounce(resp, 400, web.NOT_RUN, [Finding("locality", near.err_value)])
         tenant = req.get_param("tenant")
-        if tenant is not None and tenant not in self.echo.tree.cell_of:
+        if tenant is not None and tenant not in self.tree().cell_of:
             return web.bounce(resp, 404, web.NOT_RUN, [Finding("tenant", f"no tenant {tenant!r}")])
-        out = self.echo.echo.state.params.evacuated if self.echo.echo.state else {}
+        out = self.evacuated()
         good = [
             r for r in self.node.bond.alive("flow")
             if r.state == ALIVE and r.ready and not emptied(r.locality, out)
@@ -42,9 +46,35 @@
         })
 
 
+class Proxies:
+    """Where the consumers of a host may go; answered from the membership alone, so a node without a state answers too."""
+
+    def __init__(self, node: Node):
+        self.node = node
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        p = self.node.params
+        zone = req.get_param("zone") or ""
+        region = req.get_param("region") or p.zones.get(zone)
+        near = Locality(region, zone) if region else p.locality
+        to = answer.proxies(self.node.bond.alive("flow"), near)
+        if not to:
+            self.node.counts.add("way_nobody")
+            return web.bounce(resp, 503, web.NOT_RUN, [Finding("proxies", "none is ready")], 1)
+        self.node.counts.add("way_answers")
+        web.say(resp, {"proxies": list(map(str, to)), "life_s": LIFE_S})
+
+
+def add_routes(
+    app: falcon.App, node: Node, tree: Callable[[], Tree], evacuated: Callable[[], dict[str, int]],
+) -> None:
+    app.add_route("/connect", Connect(node, tree, evacuated))
+    app.add_route("/proxies", Proxies(node))
+
+
 def run(params: Params) -> None:
     node = Node(params)
     echo = EchoTask(node)
-    node.app.add_route("/connect", Connect(node, echo))
+    add_routes(node.app, node, lambda: echo.tree, lambda: echo.echo.state.params.evacuated if echo.echo.state else {})
     with node, echo:
         node.run(lambda: echo.echo.state is not None)
--- /dev/null
+++ b/tests/test_roll.py
@@ -0,0 +1,391 @@
+import msgspec
+import pytest
+from falcon import testing
+from msgspec.structs import replace
+
+from mallowvalve import web
+from mallowvalve.beat import roll as rolls
+from mallowvalve.beat.hear import Hear, Heard
+from mallowvalve.beat.roll import Roll, Rolled, Upstream
+from mallowvalve.bond.wire import FAILED, LEAVING, Record
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law import beathttp, rolltask
+from mallowvalve.law.state import State, command
+from mallowvalve.law.wire import Took
+from mallowvalve.params import Params
+
+EU, US = Locality("eu", "eu-a"), Locality("us", "us-a")
+
+
+def up(name="i1", seq=1, state="ready", at="10.0.0.1:80", service="s", cold=0, slots=4):
+    return Upstream(name, service, Address.read(at).ok_value, EU, slots, state, seq, 0, cold)
+
+
+def rolled(*trace):
+    """Each step of a trace is a clock and one change or a list of them."""
+    r = Roll()
+    for clock, c in trace:
+        r.apply(Rolled(c if isinstance(c, list) else [c]), clock)
+    return r
+
+
+def states(r):
+    return {i: u.state for i, u in r.rows.items()}
+
+
+def test_since_is_the_first_sight_and_a_cold_end_counts_from_where_it_is_applied():
+    r = rolled((1000, up(cold=3000)), (2000, up(seq=5, slots=6)), (3000, up(seq=6, slots=6, cold=500)))
+    u = r.rows["i1"]
+    assert (u.since, u.cold_until, u.slots, u.sequence) == (1000, 4000, 6, 5)
+    r.apply(Rolled([up(seq=7, slots=6, cold=5000)]), 9000)
+    assert r.rows["i1"].cold_until == 14000 and r.rows["i1"].since == 1000
+
+
+def test_leaving_is_never_turned_back_and_gone_is_final():
+    r = rolled((0, up()), (1, up(seq=5, state="leaving")), (2, up(seq=6)), (3, up(seq=7, state="silent")))
+    assert states(r) == {"i1": "leaving"}
+    for c in (up(seq=9, state="gone"), up(seq=10), up(seq=11, state="leaving"), up(seq=12, state="silent")):
+        r.apply(Rolled([c]), 10)
+    assert states(r) == {"i1": "gone"}
+
+
+def test_silent_and_ready_take_turns_and_keep_what_else_is_known():
+    r = rolled((0, up(cold=9000)), (1, up(seq=1, state="silent")), (2, up(seq=4)), (3, up(seq=4, state="silent")))
+    assert states(r) == {"i1": "silent"} and r.rows["i1"].cold_until == 9000 and r.ready("s") == []
+    r.apply(Rolled([up(seq=8)]), 4)
+    assert states(r) == {"i1": "ready"} and r.rows["i1"].since == 0 and r.ready("s") == [r.rows["i1"]]
+
+
+def test_a_lower_sequence_overrides_nothing():
+    r = rolled((0, up(seq=7)), (1, up(seq=6, state="leaving")), (1, up(seq=6, state="silent")), (2, up(seq=3, slots=9)))
+    assert r.rows["i1"] == up(seq=7) and r.revision == 1
+
+
+def test_an_address_taken_over_ends_the_older_life_there():
+    r = rolled((0, up("old")), (5, up("other", at="10.0.0.2:80")), (9, up("new", service="t")))
+    assert states(r) == {"old": "gone", "other": "ready", "new": "ready"} and r.rows["old"].since == 9
+    r.apply(Rolled([up("old", seq=50)]), 10)
+    assert states(r)["old"] == "gone"
+    r.apply(Rolled([up("other", seq=2, at="10.0.0.1:80")]), 11)
+    assert states(r) == {"old": "gone", "other": "ready", "new": "gone"}
+
+
+def test_a_late_beat_brings_none_back_for_a_minute():
+    r = rolled((0, up()), (1000, up(state="gone")), (60_900, up(seq=9)))
+    assert states(r) == {"i1": "gone"}
+    r.apply(Rolled([]), 61_001)
+    assert states(r) == {} and r.revision == 3
+
+
+def test_one_never_known_is_gone_too():
+    r = rolled((0, up("x", state="gone")), (1, up("x", seq=4)))
+    assert states(r) == {"x": "gone"}
+
+
+def test_only_silent_and_leaving_ones_are_forgotten_and_may_come_again():
+    r = rolled((0, [up("a"), up("b", at="10.0.0.2:80"), up("c", at="10.0.0.3:80")]), (1, up("a", state="silent")),
+               (2, up("c", state="leaving", at="10.0.0.3:80")))
+    r.apply(Rolled([], "", ["a", "b", "c", "never"]), 3)
+    assert states(r) == {"b": "ready"}
+    r.apply(Rolled([up("a", seq=9)]), 4)
+    assert states(r)["a"] == "ready" and r.rows["a"].since == 4
+
+
+def test_the_revision_rises_with_each_command_that_changes_something_and_no_other():
+    r = Roll()
+    seen = []
+    for c in (up(), up(seq=2), up(seq=3, state="silent"), up(seq=3, state="silent"), up(seq=4), up(seq=5, slots=5)):
+        r.apply(Rolled([c]), 5)
+        seen.append(r.revision)
+    assert seen == [1, 1, 2, 2, 3, 4]
+
+
+def test_there_is_a_bound_on_rows_services_and_traces(monkeypatch):
+    monkeypatch.setattr(rolls, "MOST", 4)
+    monkeypatch.setattr(rolls, "MOST_SERVICES", 2)
+    monkeypatch.setattr(rolls, "MOST_GONE", 1)
+    r = Roll()
+    for n, s in enumerate("aabcaa"):
+        r.apply(Rolled([up(f"i{n}", service=s, at=f"10.0.0.{n + 1}:1")]), n)
+    assert sorted(r.rows) == ["i0", "i1", "i2", "i4"]
+    r.apply(Rolled([up("i1", seq=2, state="gone"), up("i0", seq=2, state="gone")]), 10)
+    r.apply(Rolled([]), 11)
+    assert sorted(r.rows) == ["i1", "i2", "i4"]
+
+
+def test_the_same_commands_give_the_same_rows_whatever_the_order_of_loading():
+    changes = [up(f"i{n}", at=f"10.0.0.{n % 3 + 1}:80", seq=n) for n in range(9)]
+    a, b = Roll(), Roll()
+    a.apply(Rolled(changes[:5]), 1)
+    b.rows = dict(reversed(a.rows.items()))
+    for r in (a, b):
+        r.apply(Rolled(changes[5:]), 2)
+    assert a.rows == b.rows
+
+
+def beat(h, r, u, now, clock=0):
+    return h.beat(u, r, clock, now)
+
+
+def test_what_a_beat_changes():
+    h, r = Hear(), rolled((1000, up(cold=3000)))
+    assert beat(h, r, up("new"), 0.0) == up("new")
+    assert beat(h, r, up(seq=2), 0.1) is None
+    for u in (up(seq=3, slots=5), up(seq=3, at="10.0.0.9:80"), up(seq=3, service="t"), up(seq=3, state="leaving")):
+        assert beat(h, r, u, 0.2) == u
+    assert beat(h, r, up(seq=4, cold=2200), 0.3, 2000) is None
+    assert beat(h, r, up(seq=5, cold=2201), 0.4, 2000) == up(seq=5, cold=2201)
+    r.apply(Rolled([up(seq=5, state="silent")]), 1)
+    assert beat(h, r, up(seq=6), 0.5) == up(seq=6)
+    assert beat(h, r, up(seq=5), 0.6) is None
+
+
+def test_a_late_beat_is_neither_a_change_nor_a_sign_of_life():
+    h, r = Hear(), rolled((0, up(seq=5)))
+    assert beat(h, r, up(seq=4, slots=9), 1.0) is None and h.report(0.0, 1.0) == []
+    assert beat(h, r, up(seq=9), 1.0) is None and beat(h, r, up(seq=8, state="leaving"), 2.0) is None
+    assert h.report(0.0, 2.0) == [Heard("i1", 1000)]
+
+
+def test_a_notice_of_leaving_is_offered_until_it_was_acknowledged_here():
+    h, r = Hear(), rolled((0, up()), (1, up(seq=2, state="leaving")))
+    assert beat(h, r, up(seq=3, state="leaving"), 0.0) is not None
+    h.acked(up(seq=3, state="leaving"))
+    assert beat(h, r, up(seq=4, state="leaving"), 0.0) is None
+    assert beat(h, r, up(seq=5), 0.0) is None
+    r.apply(Rolled([up(state="gone")]), 5)
+    assert beat(h, r, up(seq=6), 0.0) is None
+
+
+def test_the_fleets_clock_goes_on_between_commands():
+    h = Hear()
+    assert h.clock(5000, 10.0) == 5000 and h.clock(5000, 10.5) == 5500
+    assert h.clock(5400, 10.6) == 5400 and h.clock(5400, 11.6) == 6400
+
+
+def eight():
+    return rolled((0, [up(f"i{n}", at=f"10.0.0.{n + 1}:80") for n in range(8)]))
+
+
+def lead(h, r, start, end, heard, step=0.25):
+    """Judges from start to end while those named beat; what was said, with when."""
+    out, now = [], start
+    while now < end:
+        h.told([Heard(i, 0) for i in heard], now)
+        c = h.judge(r, now)
+        if c is not None:
+            out.append((now, sorted(u.instance for u in c.changes), c.forget))
+            r.apply(c, int(now * 1000))
+        now += step
+    return out
+
+
+def test_the_leader_judges_who_was_heard_by_no_law_for_three_beats():
+    h, r = Hear(1.5), eight()
+    others = [f"i{n}" for n in range(1, 8)]
+    assert lead(h, r, 100.0, 104.0, [*others, "i0"]) == []
+    said = lead(h, r, 104.0, 112.0, others)
+    assert said == [(108.25, ["i0"], [])] and states(r)["i0"] == "silent"
+    assert beat(h, r, up("i0", seq=2), 112.0) == up("i0", seq=2)
+
+
+def test_a_new_leader_waits_a_whole_silence_and_one_that_stood_still_waits_again():
+    h, r = Hear(1.5), eight()
+    heard = [f"i{n}" for n in range(1, 8)]
+    assert lead(h, r, 50.0, 54.5, heard) == []
+    h.follow()
+    assert lead(h, r, 90.0, 94.5, heard) == []
+    assert lead(h, r, 97.5, 102.0, heard) == []
+    assert lead(h, r, 102.0, 103.0, heard) == [(102.0, ["i0"], [])]
+
+
+def test_a_mass_silence_is_judged_one_step_slower():
+    h, r = Hear(1.5), eight()
+    all_, few = [f"i{n}" for n in range(8)], [f"i{n}" for n in range(3)]
+    lead(h, r, 0.0, 10.0, all_)
+    said = lead(h, r, 10.0, 22.0, few)
+    assert said == [(18.75, ["i3", "i4", "i5", "i6", "i7"], [])]
+    h, r = Hear(1.5), eight()
+    lead(h, r, 0.0, 10.0, all_)
+    assert lead(h, r, 10.0, 22.0, all_[4:]) == [(14.25, ["i0", "i1", "i2", "i3"], [])]
+
+
+def test_those_of_a_mass_that_fall_silent_one_after_the_other_within_a_beat_are_one_mass():
+    h, r = Hear(1.5), eight()
+    lead(h, r, 0.0, 8.0, [f"i{n}" for n in range(8)])
+    for n in range(8):
+        h.told([Heard(f"i{n}", 0)], 8.0 + n * 0.18)
+    said = lead(h, r, 9.5, 30.0, [])
+    assert said[0][0] >= 17.0 and sum((n for _, n, _ in said), []) == [f"i{n}" for n in range(8)]
+
+
+def test_one_alone_in_its_service_is_no_mass():
+    h, r = Hear(1.5), rolled((0, up()))
+    lead(h, r, 0.0, 10.0, ["i1"])
+    assert lead(h, r, 10.0, 15.0, []) == [(14.25, ["i1"], [])]
+
+
+def test_the_silent_and_those_that_left_without_a_word_are_forgotten_after_a_minute():
+    h, r = Hear(1.5), eight()
+    r.apply(Rolled([up("i7", seq=2, state="leaving", at="10.0.0.8:80")]), 1)
+    heard = [f"i{n}" for n in range(1, 7)]
+    said = lead(h, r, 0.0, 70.0, heard)
+    assert said == [(4.5, ["i0"], []), (60.0, [], ["i0", "i7"])]
+    h.prune(r, 200.0)
+    assert {x.instance for x in h.report(-1.0, 200.0)} == set(heard)
+
+
+def test_a_report_says_only_who_was_heard_since_the_last():
+    h, r = Hear(), eight()
+    beat(h, r, up("i0", seq=2), 1.0)
+    beat(h, r, up("i1", seq=2, at="10.0.0.2:80"), 2.0)
+    assert h.report(1.0, 2.5) == [Heard("i1", 500)]
+    leader = Hear()
+    leader.told(h.report(0.0, 2.5), 12.5)
+    assert leader.report(0.0, 12.5) == [Heard("i0", 1500), Heard("i1", 500)]
+    leader.told([Heard("i1", 9000)], 12.5)
+    assert leader.report(0.0, 12.5)[1] == Heard("i1", 500)
+
+
+PARAMS = Params(
+    role="law", name="l1", fleet="f", locality=EU, mesh=Address("10.1.0.1", 1), web=Address("10.1.0.1", 2), seeds=[],
+    data=None, log=None, detector=None, polite=1.0, sessions=9, body_bytes=9, faults=None,
+    zones={"eu-a": "eu", "eu-b": "eu", "us-a": "us"},
+)
+
+
+def law_at(host, loc, state=0, ready=True):
+    return Record(Address(host, 1), 1, 0, state, "law", host, loc, Address(host, 2), ready)
+
+
+class Law:
+    """A law whose state is applied at once, with a mesh that answers nothing."""
+
+    def __init__(self):
+        self.node, self.core, self.mesh, self.bond = self, self, self, self
+        self.params, self.counts = PARAMS, web.Counts()
+        self.state, self.leads, self.says = State(1), True, "ok"
+        self.me = law_at("10.1.0.1", EU)
+        self.laws, self.offered = [], []
+
+    def on(self, *a, **k):
+        pass
+
+    def alive(self, role):
+        return self.laws
+
+    def leader(self):
+        return None
+
+    def offer(self, data, limit, attempt):
+        self.offered.append(command(data))
+        if self.says == "ok":
+            self.state.apply(self.state.index + 1, 1000, data)
+        return Took(self.says)
+
+
+class AtOnce(rolltask.RollTask):
+    def offer(self, u):
+        return self._rolled(Rolled([u]), 0.9)
+
+
+@pytest.fixture
+def law():
+    t = Law()
+    task = AtOnce(t)
+    app = web.make_app()
+    beathttp.add_routes(app, t, task)
+    return t, testing.TestClient(app), task
+
+
+BEAT = {"service": "s", "address": "10.0.0.1:80", "zone": "eu-a", "version": "v1", "slots": 4, "state": "ready",
+        "cold_ms": 0, "sequence": 1}
+
+
+def test_a_first_beat_is_offered_a_plain_one_is_not(law):
+    t, c, _ = law
+    r = c.simulate_put("/upstreams/i1", json=BEAT)
+    assert r.status_code == 200 and r.json == {} and t.state.roll.rows["i1"].address == Address("10.0.0.1", 80)
+    assert c.simulate_put("/upstreams/i1", json=BEAT | {"sequence": 2, "later": [1]}).status_code == 200
+    assert len(t.offered) == 1
+    assert c.simulate_put("/upstreams/i1", json=BEAT | {"sequence": 3, "cold_ms": 2500.5}).status_code == 200
+    assert t.state.roll.rows["i1"].cold_until == 3501
+    seen = c.simulate_get("/upstreams").json
+    assert seen["revision"] == 2 and seen["upstreams"][0]["locality"] == "eu/eu-a"
+
+
+def test_a_notice_of_leaving_and_an_end_are_acknowledged_only_once_taken(law):
+    t, c, _ = law
+    c.simulate_put("/upstreams/i1", json=BEAT)
+    t.says = "undecided"
+    leaving = BEAT | {"state": "leaving", "sequence": 2}
+    r = c.simulate_put("/upstreams/i1", json=leaving)
+    assert r.status_code == 503 and r.headers["retry-after"] == "1"
+    assert c.simulate_delete("/upstreams/i1").status_code == 503
+    t.says = "ok"
+    assert c.simulate_put("/upstreams/i1", json=leaving).status_code == 200
+    assert states(t.state.roll) == {"i1": "leaving"}
+    n = len(t.offered)
+    assert c.simulate_put("/upstreams/i1", json=leaving | {"sequence": 3}).status_code == 200 and len(t.offered) == n
+    for _ in range(2):
+        assert c.simulate_delete("/upstreams/i1").status_code == 200
+    assert states(t.state.roll) == {"i1": "gone"} and len(t.offered) == n + 1
+    assert c.simulate_delete("/upstreams/never").status_code == 200
+
+
+def test_a_law_without_a_state_or_long_cut_from_the_leader_acknowledges_nothing(law):
+    t, c, task = law
+    assert c.simulate_put("/upstreams/i1", json=BEAT).status_code == 200
+    t.leads = False
+    assert c.simulate_put("/upstreams/i1", json=BEAT | {"sequence": 2}).status_code == 200
+    task._touched -= rolltask.OUT
+    assert c.simulate_put("/upstreams/i1", json=BEAT | {"sequence": 3}).status_code == 503
+    t.state = None
+    for r in (c.simulate_put("/upstreams/i1", json=BEAT), c.simulate_delete("/upstreams/i1")):
+        assert r.status_code == 503
+    assert c.simulate_get("/upstreams").json == {"revision": 0, "upstreams": []}
+
+
+def test_findings_have_their_place(law):
+    t, c, _ = law
+    for body, status, places in (
+        ({"service": "s", "zone": "eu-a"}, 400, ["address", "slots", "state", "sequence"]),
+        (BEAT | {"state": "gone", "slots": "x"}, 400, ["slots", "state"]),
+        (BEAT | {"address": "nobody", "slots": 0, "sequence": -1, "service": ""}, 400, ["service", "slots", "sequence", "address"]),
+        (BEAT | {"zone": "mars"}, 422, ["zone"]), ([], 400, [""]),
+    ):
+        r = c.simulate_put("/upstreams/i1", json=body)
+        assert (r.status_code, [f["place"] for f in r.json["findings"]]) == (status, places), r.text
+    assert c.simulate_put("/upstreams/i1", body=b"{").status_code == 400
+    assert c.simulate_put("/upstreams/" + "x" * 201, json=BEAT).status_code == 400
+    assert c.simulate_put("/upstreams/i1", body=b" " * 20000).status_code == 413
+    assert t.offered == []
+
+
+def test_a_full_roll_takes_no_more(law, monkeypatch):
+    t, c, _ = law
+    monkeypatch.setattr(rolls, "MOST", 1)
+    monkeypatch.setattr(rolls, "MOST_SERVICES", 1)
+    assert c.simulate_put("/upstreams/i1", json=BEAT).status_code == 200
+    assert c.simulate_put("/upstreams/i2", json=BEAT | {"address": "10.0.0.2:80"}).status_code == 503
+    assert c.simulate_put("/upstreams/i1", json=BEAT | {"sequence": 2}).status_code == 200
+
+
+def test_later_beats_are_asked_for_near_the_upstream():
+    me = law_at("10.1.0.1", EU)
+    same, other, far = law_at("10.1.0.2", EU), law_at("10.1.0.3", Locality("eu", "eu-b")), law_at("10.2.0.1", US)
+    ask = lambda laws, loc, who="i1": beathttp.beat_at(laws, me, loc, who)
+    assert ask([same, other, far], EU) is None
+    assert ask([same, other, far], Locality("eu", "eu-b")) == other.web
+    assert ask([same, far], Locality("eu", "eu-b")) is None
+    assert ask([same, other, far], US) == far.web
+    assert ask([same, other], US) is None
+    assert ask([replace(far, state=LEAVING), replace(far, state=FAILED), replace(far, ready=False)], US) is None
+    more = [law_at(f"10.2.0.{n}", US) for n in range(2, 5)]
+    to = [ask(more, US, f"i{n}") for n in range(60)]
+    assert {a for a in to} == {r.web for r in more} and to == [ask(more[::-1], US, f"i{n}") for n in range(60)]
+
+
+def test_the_wire_form_of_a_change_holds_what_is_forgotten():
+    data = msgspec.msgpack.encode(Rolled([up()], "", ["x"]))
+    assert command(data) == Rolled([up()], "", ["x"])
