Plain locks, numbers and cells: the machine, its pages, its picture

Callers of the platform bring no key for a call and ask another core machine after a second, so a repeat is known by what it says: a put by its value for 60 s, a lock by its holder. A retake of an unbroken hold gets a new token, so that a late free cannot end it; the earlier tokens still extend. A late take of a holder who gave back meanwhile was weighed: it cannot be told from a new one, and costs others one hold.

Waiting watches share one look at the state each 10 ms instead of polling each for themselves.

--- /dev/null
+++ b/mallowvalve/law/plainhttp.py
@@ -0,0 +1,237 @@
+"""Locks, numbers and keys over HTTP for callers that bring no key and ask another core machine after a second."""
+
+from __future__ import annotations
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from mallowvalve import clock, web
+from mallowvalve.finding import Finding, Findings
+from mallowvalve.law.state import State, encode
+from mallowvalve.law.task import LawTask
+from mallowvalve.law.wire import Took
+from mallowvalve.tie.plain import Count, Extend, Free, Plain, Put, Take, Word, Write, group_of
+
+LIMIT, ATTEMPT = 0.85, 0.6
+PAUSE, LOOK = 0.04, 0.01
+WATCH_MOST = 30.0
+NAME_MOST, VALUE_MOST, HOLD_MOST = 200, 64 << 10, 600_000
+BODY_MOST = 8 * VALUE_MOST
+NUMBER_MOST = 1 << 62
+_word = msgspec.msgpack.Decoder(Word).decode
+
+
+class TakeDoc(msgspec.Struct):
+    holder: str
+    hold_ms: float
+
+
+class ExtendDoc(msgspec.Struct):
+    holder: str
+    token: int
+    hold_ms: float
+
+
+class FreeDoc(msgspec.Struct):
+    holder: str
+    token: int
+
+
+class WriteDoc(msgspec.Struct):
+    value: str
+    base: int = 0
+
+
+def names(text: str) -> bool:
+    return 0 < len(text) <= NAME_MOST and text.isprintable()
+
+
+def check(name: str, d: msgspec.Struct | None = None) -> Findings:
+    found = []
+    if not names(name):
+        found.append(Finding("name", f"want 1 to {NAME_MOST} printable characters"))
+    if not names(getattr(d, "holder", "x")):
+        found.append(Finding("holder", f"want 1 to {NAME_MOST} printable characters"))
+    if not 0 < getattr(d, "hold_ms", 1) <= HOLD_MOST:
+        found.append(Finding("hold_ms", f"want more than 0, at most {HOLD_MOST}"))
+    if len(getattr(d, "value", "").encode()) > VALUE_MOST:
+        found.append(Finding("value", f"want at most {VALUE_MOST} bytes"))
+    for field in ("token", "base"):
+        if not 0 <= getattr(d, field, 0) < NUMBER_MOST:
+            found.append(Finding(field, "out of range"))
+    return found
+
+
+class Page:
+    def __init__(self, task: LawTask):
+        self.task = task
+
+    def read_as(self, kind: type, req, resp, name: str):
+        d = web.read_as(kind, req, resp, BODY_MOST)
+        if d is None:
+            return None
+        found = check(name, d)
+        return web.bounce(resp, 400, web.NOT_RUN, found) if found else d
+
+    def run(self, resp, c: Take | Extend | Free | Count | Write) -> Word | None:
+        """What was said to the command, or None once the trouble was answered; may offer it more than once."""
+        t = self.task.offer(encode(c), LIMIT, ATTEMPT)
+        return _word(t.body) if t.code == "ok" else self.bounce(resp, t)
+
+    def confirm(self, resp) -> Plain | None:
+        """The state with all that was acknowledged before this call, or None once the trouble was answered."""
+        end, t = clock.now() + LIMIT, Took("leader")
+        while (left := end - clock.now()) > 0:
+            t = self.task.read(min(left, ATTEMPT))
+            s: State | None = self.task.core.state
+            if t.code == "ok" and s is not None:
+                return s.plain
+            gevent.sleep(min(PAUSE, max(0.0, end - clock.now())))
+        return self.bounce(resp, t)
+
+    def bounce(self, resp, t: Took) -> None:
+        """503 only where the offer came back as never taken: whatever may still take effect is a 504."""
+        if t.code in ("leader", "replaced"):
+            return web.bounce(resp, 503, web.NOT_RUN, [Finding("law", "no leader just now")], 1)
+        web.bounce(resp, 504, web.UNDECIDED, [Finding("law", "not confirmed in time: say it again")], 1)
+
+
+class Locks(Page):
+    def on_post(self, req, resp, name: str) -> None:
+        d = self.read_as(TakeDoc, req, resp, name)
+        w = self.run(resp, Take(name, d.holder, d.hold_ms)) if d is not None else None
+        if w is not None:
+            self._say(resp, w, {"token": w.number})
+
+    def on_put(self, req, resp, name: str) -> None:
+        d = self.read_as(ExtendDoc, req, resp, name)
+        w = self.run(resp, Extend(name, d.holder, d.token, d.hold_ms)) if d is not None else None
+        if w is not None:
+            self._say(resp, w, {})
+
+    def on_delete(self, req, resp, name: str) -> None:
+        d = self.read_as(FreeDoc, req, resp, name)
+        w = self.run(resp, Free(name, d.holder, d.token)) if d is not None else None
+        if w is not None:
+            self._say(resp, w, {})
+
+    def _say(self, resp, w: Word, body: dict) -> None:
+        web.say(resp, body) if w.code == "ok" else web.say(resp, {"code": w.code}, 409)
+
+
+class Numbers(Page):
+    def on_post(self, req, resp, name: str) -> None:
+        found = check(name)
+        if found:
+            return web.bounce(resp, 400, web.NOT_RUN, found)
+        w = self.run(resp, Count(name))
+        if w is not None:
+            web.say(resp, {"value": w.number})
+
+
+class Cells(Page):
+    def on_get(self, req, resp, name: str) -> None:
+        found = check(name)
+        if found:
+            return web.bounce(resp, 400, web.NOT_RUN, found)
+        plain = self.confirm(resp)
+        if plain is None:
+            return
+        had = plain.cells.get(name)
+        if had is None:
+            return web.say(resp, {"revision": 0}, 404)
+        web.say(resp, {"value": had[0], "revision": had[1]})
+
+    def on_put(self, req, resp, name: str) -> None:
+        d = self.read_as(WriteDoc, req, resp, name)
+        w = self.run(resp, Write(name, d.value, d.base)) if d is not None else None
+        if w is not None:
+            web.say(resp, {"revision": w.number}, 200 if w.code == "ok" else 412)
+
+
+class Bell:
+    """Wakes watchers when a put was applied: one look each `LOOK` seconds for all of them, none while nobody waits."""
+
+    __slots__ = ("_task", "_waits", "_job")
+
+    def __init__(self, task: LawTask):
+        self._task = task
+        self._waits: dict[Event, tuple[str, int]] = {}
+        self._job = None
+
+    def wait(self, group: str, after: int, limit: float) -> None:
+        """Returns when the group is above `after`, at the limit (s), or when the law stops."""
+        rung = Event()
+        self._waits[rung] = group, after
+        if self._job is None:
+            self._job = gevent.spawn(self._run)
+        try:
+            rung.wait(timeout=max(0.0, limit))
+        finally:
+            del self._waits[rung]
+
+    def _run(self) -> None:
+        seen = None
+        while self._waits:
+            s = self._task.core.state
+            now = (s, s.plain.writes) if s is not None else None
+            if now is None or self._task.node.stopping.is_set():
+                self._ring(lambda group, after: True)
+            elif now != seen:
+                self._ring(lambda group, after: s.plain.revision(group) > after)
+            seen = now
+            gevent.sleep(LOOK)
+        self._job = None
+
+    def _ring(self, due) -> None:
+        for rung, (group, after) in self._waits.items():
+            if due(group, after):
+                rung.set()
+
+
+class Watch(Page):
+    def __init__(self, task: LawTask):
+        super().__init__(task)
+        self.bell = Bell(task)
+
+    def on_get(self, req, resp, name: str) -> None:
+        end = clock.now() + min(WATCH_MOST, req.get_param_as_int("wait_ms", min_value=0, default=0) / 1000)
+        after = req.get_param_as_int("after", min_value=0, max_value=NUMBER_MOST, default=0)
+        found = check(name)
+        if not found and group_of(name) != name:
+            found = [Finding("name", "want a group: up to and including the first dot")]
+        if found:
+            return web.bounce(resp, 400, web.NOT_RUN, found)
+        plain = self.confirm(resp)
+        if plain is None:
+            return
+        if after == 0:
+            return web.say(resp, {"events": [], "revision": plain.revision(name)})
+        self._watch(resp, plain, name, after, end)
+
+    def _watch(self, resp, plain: Plain, group: str, after: int, end: float) -> None:
+        while True:
+            got = plain.since(group, after)
+            if got is None:
+                return web.say(resp, {"code": "compacted"}, 410)
+            if got[0] or clock.now() >= end or self.task.node.stopping.is_set():
+                return web.say(resp, {"events": list(map(event, got[0])), "revision": got[1]})
+            self.bell.wait(group, after, end - clock.now())
+            s: State | None = self.task.core.state
+            if s is None:
+                return self.bounce(resp, Took("leader"))
+            plain = s.plain
+
+
+def event(p: Put) -> dict:
+    return {"name": p.name, "value": p.value, "revision": p.revision}
+
+
+def add_routes(app, task: LawTask, at: str) -> None:
+    """`at` is the path prefix, such as /ties."""
+    at = at.rstrip("/")
+    app.add_route(at + "/locks/{name}", Locks(task))
+    app.add_route(at + "/numbers/{name}", Numbers(task))
+    app.add_route(at + "/cells/{name}", Cells(task))
+    app.add_route(at + "/watch/{name}", Watch(task))
--- a/mallowvalve/tie/plain.py
+++ b/mallowvalve/tie/plain.py
@@ -2,8 +2,21 @@
 
 from __future__ import annotations
 
+import hashlib
+import math
+from collections import deque
+from collections.abc import Iterable, Iterator
+from itertools import islice
+
 import msgspec
 
+HISTORY_MS = 60_000
+HISTORY_MOST, HISTORY_BYTES = 100_000, 32 << 20
+SWEEP_MS = 1000
+SLACK_MS = 20
+TOKENS_MOST = 64
+SHORT = 32
+
 
 class Take(msgspec.Struct, frozen=True, array_like=True, tag="take"):
     name: str
@@ -41,11 +54,234 @@
     number: int = 0
 
 
+class Hold(msgspec.Struct, frozen=True, array_like=True):
+    """A lock while it is held; `tokens` are those of the unbroken hold, the newest last; `until` in fleet ms."""
+
+    holder: str
+    tokens: tuple[int, ...]
+    until: int
+
+
+class Put(msgspec.Struct, frozen=True, array_like=True):
+    revision: int
+    at: int
+    name: str
+    value: str
+
+
+class Kept(msgspec.Struct, frozen=True, array_like=True):
+    """What was said to a put; a refused one has revision 0."""
+
+    name: str
+    mark: str
+    at: int
+    revision: int
+
+
+class PlainPicture(msgspec.Struct, frozen=True, array_like=True):
+    token: int = 0
+    locks: dict[str, Hold] = {}
+    numbers: dict[str, int] = {}
+    cells: dict[str, tuple[str, int]] = {}
+    revisions: dict[str, int] = {}
+    history: list[Put] = []
+    kept: list[Kept] = []
+
+
+class Group:
+    __slots__ = ("revision", "events")
+
+    def __init__(self):
+        self.revision = 0
+        self.events: deque[Put] = deque()
+
+    @property
+    def compacted(self) -> int:
+        return self.events[0].revision - 1 if self.events else self.revision
+
+
+def group_of(name: str) -> str:
+    head, dot, _ = name.partition(".")
+    return head + dot
+
+
+def mark_of(value: str) -> str:
+    if len(value) <= SHORT:
+        return value
+    return hashlib.blake2b(value.encode(), digest_size=SHORT).hexdigest()
+
+
 class Plain:
-    __slots__ = ()
+    """Replicated; `clock` is the fleet clock in ms, which only rises."""
+
+    __slots__ = ("token", "locks", "numbers", "cells", "groups", "writes", "_history", "_bytes", "_kept", "_said", "_swept")
+
+    def __init__(self):
+        self.token = 0
+        self.locks: dict[str, Hold] = {}
+        self.numbers: dict[str, int] = {}
+        self.cells: dict[str, tuple[str, int]] = {}
+        self.groups: dict[str, Group] = {}
+        self.writes = 0
+        self._history: deque[Put] = deque()
+        self._bytes = 0
+        self._kept: deque[Kept] = deque()
+        self._said: dict[tuple[str, str], int] = {}
+        self._swept = 0
 
     def apply(self, c: Take | Extend | Free | Count | Write, clock: int) -> Word:
-        raise NotImplementedError
+        if clock - self._swept >= SWEEP_MS:
+            self.lapse(clock)
+        match c:
+            case Take():
+                return self._take(c, clock)
+            case Extend():
+                return self._extend(c, clock)
+            case Free():
+                return self._free(c, clock)
+            case Count():
+                n = self.numbers[c.name] = self.numbers.get(c.name, 0) + 1
+                return Word("ok", n)
+            case Write():
+                return self._write(c, clock)
 
     def lapse(self, clock: int) -> None:
-        pass
+        """Forgets what has run out; it is no longer heeded anyway, so when this is called changes no answer."""
+        self._swept = clock
+        for n in [n for n, h in self.locks.items() if h.until <= clock]:
+            del self.locks[n]
+        self._trim(clock)
+        while self._kept and (self._kept[0].at + HISTORY_MS < clock or len(self._kept) > HISTORY_MOST):
+            k = self._kept.popleft()
+            self._said.pop((k.name, k.mark), None)
+
+    def restless(self) -> bool:
+        return bool(self.locks)
+
+    def revision(self, group: str) -> int:
+        g = self.groups.get(group)
+        return g.revision if g else 0
+
+    def since(self, group: str, after: int) -> tuple[list[Put], int] | None:
+        """Puts above `after` and the group's revision, or None when the history begins later."""
+        g = self.groups.get(group)
+        if g is None:
+            return [], 0
+        if after < g.compacted:
+            return None
+        return list(islice(g.events, after - g.compacted, None)), g.revision
+
+    def _held(self, name: str, clock: int) -> Hold | None:
+        h = self.locks.get(name)
+        return h if h is not None and h.until > clock else None
+
+    def _take(self, c: Take, clock: int) -> Word:
+        h = self._held(c.name, clock)
+        if h is not None and h.holder != c.holder:
+            return Word("held")
+        self.token += 1
+        until, before = until_of(clock, c.hold_ms), ()
+        if h is not None:
+            until, before = max(until, h.until), h.tokens[1 - TOKENS_MOST :]
+        self.locks[c.name] = Hold(c.holder, (*before, self.token), until)
+        return Word("ok", self.token)
+
+    def _extend(self, c: Extend, clock: int) -> Word:
+        h = self._held(c.name, clock)
+        if h is None or h.holder != c.holder or c.token not in h.tokens:
+            return Word("lost")
+        self.locks[c.name] = Hold(h.holder, h.tokens, max(h.until, until_of(clock, c.hold_ms)))
+        return Word("ok", c.token)
+
+    def _free(self, c: Free, clock: int) -> Word:
+        h = self._held(c.name, clock)
+        if h is not None and (h.holder, h.tokens[-1]) == (c.holder, c.token):
+            del self.locks[c.name]
+        return Word("ok", c.token)
+
+    def _write(self, c: Write, clock: int) -> Word:
+        value, revision = self.cells.get(c.name, (None, 0))
+        if value == c.value:
+            return Word("ok", revision)
+        key = c.name, mark_of(c.value)
+        said = self._said.get(key)
+        if said:
+            return Word("ok", said)
+        if said == 0 or c.base not in (0, revision):
+            self._keep(key, clock, 0)
+            return Word("conflict", revision)
+        g = self.groups.setdefault(group_of(c.name), Group())
+        g.revision += 1
+        self.cells[c.name] = c.value, g.revision
+        self._keep(key, clock, g.revision)
+        self._record(g, Put(g.revision, clock, c.name, c.value))
+        self._trim(clock)
+        return Word("ok", g.revision)
+
+    def _keep(self, key: tuple[str, str], clock: int, revision: int) -> None:
+        if key in self._said:
+            return
+        self._said[key] = revision
+        self._kept.append(Kept(*key, clock, revision))
+
+    def _record(self, g: Group, p: Put) -> None:
+        self.writes += 1
+        g.events.append(p)
+        self._history.append(p)
+        self._bytes += len(p.value)
+
+    def _trim(self, clock: int) -> None:
+        h = self._history
+        while h and (h[0].at + HISTORY_MS < clock or len(h) > HISTORY_MOST or self._bytes > HISTORY_BYTES):
+            p = h.popleft()
+            self._bytes -= len(p.value)
+            self.groups[group_of(p.name)].events.popleft()
+
+    def picture(self) -> PlainPicture:
+        return PlainPicture(
+            self.token, self.locks.copy(), self.numbers.copy(), self.cells.copy(),
+            {n: g.revision for n, g in self.groups.items()}, list(self._history), list(self._kept),
+        )
+
+    def adopt(self, p: PlainPicture) -> None:
+        """Takes a picture in, or one part after the other."""
+        self.token = max(self.token, p.token)
+        self.locks.update(p.locks)
+        self.numbers.update(p.numbers)
+        self.cells.update(p.cells)
+        for n, r in p.revisions.items():
+            self.groups.setdefault(n, Group()).revision = r
+        for e in p.history:
+            self._record(self.groups.setdefault(group_of(e.name), Group()), e)
+        for k in p.kept:
+            self._keep((k.name, k.mark), k.at, k.revision)
+
+
+def until_of(clock: int, hold_ms: float) -> int:
+    """A little later than asked: the fleet clock counts whole ms, and no two clocks run alike."""
+    return clock + math.ceil(hold_ms) + SLACK_MS
+
+
+def parts(p: PlainPicture, rows: int = 2000, size: int = 1 << 20) -> Iterator[PlainPicture]:
+    """A picture in parts of about so many rows and characters, to be adopted in this order."""
+    yield PlainPicture(p.token)
+    for field in ("locks", "numbers", "cells", "revisions"):
+        for some in _slices(getattr(p, field).items(), rows, size):
+            yield PlainPicture(**{field: dict(some)})
+    for field in ("history", "kept"):
+        for some in _slices(getattr(p, field), rows, size):
+            yield PlainPicture(**{field: some})
+
+
+def _slices(items: Iterable, rows: int, size: int) -> Iterator[list]:
+    some, chars = [], 0
+    for i in items:
+        some.append(i)
+        v = i[1] if isinstance(i, tuple) else i
+        body = v[0] if isinstance(v, tuple) else getattr(v, "value", "")
+        chars += len(body)
+        if len(some) >= rows or chars >= size:
+            yield some
+            some, chars = [], 0
+    if some:
+        yield some
