--- a/sim/capacity.py
+++ b/sim/capacity.py
@@ -9,18 +9,24 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from types import SimpleNamespace
 
 import click
 import msgspec
+from falcon.testing import create_environ
 
+from mallowvalve import web
 from mallowvalve.beat.board import Beat, Board
-from mallowvalve.beat.roll import Roll, Rolled
+from mallowvalve.beat.hear import Hear, Heard
+from mallowvalve.beat.roll import Roll, Rolled, Upstream
 from mallowvalve.bond.detector import Bond
 from mallowvalve.bond.wire import VERSION, Head, Tell
 from mallowvalve.bond.wire import decode as bond_decode
 from mallowvalve.bond.wire import encode as bond_encode
+from mallowvalve.count import Counts
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
+from mallowvalve.law.beathttp import Beats
 from mallowvalve.law.core import Core, founding
 from mallowvalve.law.cut import dump, load
 from mallowvalve.law.echo import Echo
@@ -31,7 +37,7 @@
 from mallowvalve.tree.items import Amend, HostRoute, Items
 from mallowvalve.vote.wire import COMMAND, Entry, Voters
 from sim.target import (
-    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, beat, doc, item, record, rolled, sizes, voters,
+    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, beat, doc, item, record, rolled, sizes, upstream, voters,
 )
 
 
@@ -64,13 +70,11 @@
 
 
 def roll(n: int) -> Roll:
+    """Laid in row by row: what `apply` takes for each is measured apart."""
     r = Roll()
     for i in range(n):
-        c = decoded(Rolled, rolled(i))
-        try:
-            r.apply(c, 1)
-        except NotImplementedError:
-            r.rows[c.changes[0].instance] = c.changes[0]
+        u = decoded(Upstream, upstream(i))
+        r.rows[u.instance] = u
     return r
 
 
@@ -130,13 +134,14 @@
     for p in (part / 10, part):
         e = echo_of(int(UPSTREAMS * p), int(ROUTES * p))
         kinds = {
-            "one upstream": lambda i: rolled(i % max(1, int(UPSTREAMS * p))),
+            "a new upstream": lambda i: Rolled([upstream(1_000_000 + i)]),
+            "one silent": lambda i: Rolled([msgspec.structs.replace(upstream(i), state="silent")]),
             "one route": lambda i: Amend([item(i % max(1, int(ROUTES * p)), 8 + i)]),
             "an evacuation": lambda i: Evacuate("region-00-a", i % 2 == 0),
             "a seat": lambda i: Enrol(addr(i), BOOT + i, at(i)),
         }
         for what, make in kinds.items():
-            click.echo(f"change  {what:13} over {int(UPSTREAMS * p)} rows, {int(ROUTES * p)} routes: {_take_in(e, make)}")
+            click.echo(f"change  {what:14} over {int(UPSTREAMS * p)} rows, {int(ROUTES * p)} routes: {_take_in(e, make)}")
 
 
 def _take_in(e: Echo, make) -> str:
@@ -219,7 +224,7 @@
 
     def change(self, i: int, limit: float) -> list:
         """One change proposed and fed to all whose questions wait; what else was answered."""
-        data = encode(rolled(i) if built(Roll()) else Evacuate(f"z{i}", True))
+        data = encode(rolled(i))
         self.c.propose(data, "change", limit, self.now)
         return self.answer(self.step())
 
@@ -258,14 +263,6 @@
                        f"a change {one * 1e3:7.1f} ms, {led.sent / 1e6:.3f} MB{'' if got else ' (unanswered)'}")
 
 
-def built(x) -> bool:
-    try:
-        x.apply(Rolled([]), 0) if isinstance(x, Roll) else x.apply(Amend([]))
-        return True
-    except NotImplementedError:
-        return False
-
-
 def members(part: float) -> None:
     """A period of the detector, nobody failed: one node's turn, its neighbour's answer, and taking both in."""
     for n in sorted({15, 82, 500, int(NODES * part)}):
@@ -293,12 +290,51 @@
     return bond_decode(bond_encode(m))
 
 
+def hear(part: float) -> None:
+    """Beats at a core machine: one call up to the socket, one machine's report, and what the leader does with them."""
+    for n in (int(UPSTREAMS * part / 100), int(UPSTREAMS * part / 10), int(UPSTREAMS * part)):
+        r, lead, mine = roll(n), Hear(), Hear()
+        call = _call(mine, r, bond(int(NODES * part)))
+        one = spent(call, 0.1)
+        for i in range(0, n, 13):
+            mine.beat(upstream(i), r, 86_400_000, 1.0)
+        heard = mine.report(0.0, 1.5)
+        told = spent(lambda: lead.told(heard, 1.5), 0.05)
+        lead.told([Heard(i, 0) for i in r.rows], 9.0)
+        judged = spent(lambda: _judge(lead, r), 0.05)
+        click.echo(f"hear    {n:6} upstreams: {one * 1e6:5.0f} us a beat; a report of {len(heard)} is {len(encode(heard)) / 1e3:.1f} KB, "
+                   f"taken in {told * 1e3:.2f} ms; judged in {judged * 1e3:.1f} ms")
+
+
+def _judge(h: Hear, r: Roll) -> None:
+    h._led, h._judged = 0.0, 9.0
+    h.judge(r, 10.0)
+
+
+def _call(h: Hear, r: Roll, b: Bond) -> Callable[[], object]:
+    """A beat as it comes from the HTTP server to the product's page, of an upstream that is known."""
+    node = SimpleNamespace(params=SimpleNamespace(zones={}), counts=Counts(), bond=SimpleNamespace(alive=b.alive, bond=b))
+    page = Beats(SimpleNamespace(node=node), SimpleNamespace(beat=lambda u: h.beat(u, r, 86_400_000, 1.0) is None))
+    app = web.make_app()
+    app.add_route("/upstreams/{instance}", page)
+    u = upstream(1)
+    body = msgspec.json.encode({"service": u.service, "address": str(u.address), "zone": str(u.locality), "slots": 6,
+                                "state": "ready", "sequence": 1, "cold_ms": 0})
+
+    def one() -> None:
+        env = create_environ("/upstreams/up-000001", method="PUT", body=body)
+        if b"".join(app(env, lambda status, headers: None))[:1] != b"{":
+            raise SystemExit("a beat was not answered")
+
+    return one
+
+
 def pick(part: float) -> None:
-    """Candidates of one request, from the board."""
+    """Candidates of one request, from the board and from the roll."""
     for m in (60, 600, 6000, int(UPSTREAMS * part)):
-        b = board(m)
-        s = spent(lambda: b.usable("service-0001", 1.0), 0.1)
-        click.echo(f"pick    {m:6} upstreams on the board: {s * 1e6:8.0f} us a choice")
+        b, r = board(m), roll(m)
+        s, t = spent(lambda: b.usable("service-0001", 1.0), 0.1), spent(lambda: r.ready("service-0001"), 0.1)
+        click.echo(f"pick    {m:6} upstreams: {s * 1e6:8.0f} us a choice from the board, {t * 1e6:8.0f} us from the roll")
 
 
 def queue(_: float) -> None:
@@ -324,14 +360,14 @@
     return sum(out) / n, out[int(n * 0.99)]
 
 
-PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, members, pick, queue)}
+PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, hear, members, pick, queue)}
 
 
 @click.command()
 @click.argument("parts", nargs=-1)
 @click.option("--part", default=1.0, help="the target's sizes times this")
 def main(parts: tuple[str, ...], part: float) -> None:
-    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, members, pick, queue."""
+    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, hear, members, pick, queue."""
     click.echo(f"python {sys.version.split()[0]}")
     click.echo(json.dumps(sizes(), indent=1))
     for name in parts or PARTS:
