Views travel as digests on the ping; news by shares; a joiner asks till it agrees

Each period every member sent its whole view to one neighbour and got another back: n records a period and node, and each raised incarnation made every receiver ask for the sender's whole view. Now a ping carries 64 bits of the view; on a difference 64 bucket digests, then record digests, then the records that differ. News go straight to all up to 64 members; above, one member of each share passes them on (2 hops, one datagram a member), weighed against random forwarding, which sends each item four times over for the same reach.

--- a/mallowvalve/bond/detector.py
+++ b/mallowvalve/bond/detector.py
@@ -4,69 +4,85 @@
 
 import msgspec
 
+from mallowvalve.bond.share import Share
 from mallowvalve.bond.wire import (
-    ALIVE, FAILED, LEAVING, LEFT, VERSION, Ack, Head, Message, Ping, PingReq, Record, RelayPing, Tell,
+    ALIVE, ALL, FAILED, LEAVING, LEFT, SELF, VERSION, Ack, Head, Marks, Message, Ping, PingReq, Record, RelayPing, Sum, Sums,
+    Tell, Want,
 )
-from mallowvalve.count import Counts
 from mallowvalve.kind import Address
 
-BATCH = 12
 FORGET = 600.0
+QUIET = 60.0
+JOIN = 0.25
+YOUNG = 10.0
+HEAL = 1.0
+ACCUSED = 32
+TRIES = 16
 
 
-class Bond:
+class Bond(Share):
+    """The paper's detector (`_begin`, `_ask`, `_end`) and what joins, refutes and forgets; `Share` spreads views.
+
+    `tick` and `receive` take seconds of any one steady clock and return datagrams to send.
+    """
+
     __slots__ = (
-        "me", "fleet", "seeds", "rng", "period", "helpers", "round_trip", "pr", "view", "counts", "why",
-        "_start", "_target", "_acked", "_asked", "_out", "_seen", "_joined", "_turn",
+        "seeds", "period", "helpers", "round_trip", "pr", "_start", "_target", "_acked", "_asked", "_turn", "_born",
+        "_join_at", "_joined", "_healed",
     )
 
     def __init__(
         self, me: Record, fleet: str, seeds: list[Address], rng: random.Random,
         period: float, helpers: int, round_trip: float,
     ):
-        self.me, self.fleet, self.rng = me, fleet, rng
+        super().__init__(me, fleet, rng)
         self.seeds = [s for s in seeds if s != me.addr]
         self.period, self.helpers, self.round_trip = period, helpers, round_trip
         self.pr = 0
-        self.view: dict[Address, Record] = {}
-        self.counts = Counts()
         self._start: float | None = None
         self._target: Record | None = None
-        self._acked = self._asked = False
-        self._out: list[tuple[Address, Message]] = []
-        self._seen: dict[Address, float] = {}
-        self.why: dict[Address, str] = {}
-        self._joined = False
+        self._acked = False
+        self._asked: float | None = None
         self._turn = 0
-
-    def alive(self, role: str | None = None) -> list[Record]:
-        return [r for r in self.view.values() if r.state <= LEAVING and role in (None, r.role)]
+        self._born = self._join_at = None
+        self._joined = False
+        self._healed = float("-inf")
 
     def wakeup(self) -> float:
         if self._start is None:
             return 0.0
-        if self._target is not None and not self._acked and not self._asked:
-            return self._start + self.round_trip
-        return self._start + self.period
+        due = self._start + self.period
+        if self._target is not None and not self._acked and self._asked is None:
+            due = self._start + self.round_trip
+        return min(x for x in (due, self._join_at, self._flush_at) if x is not None)
 
     def tick(self, now: float) -> list[tuple[Address, Message]]:
         if self._start is None:
+            self._born = self._join_at = now
             self._begin(now)
         elif now >= self._start + self.period:
             self._end(now)
             self._begin(now)
-        elif self._target and not self._acked and not self._asked and now >= self._start + self.round_trip:
-            self._ask()
+        elif self._target and not self._acked and self._asked is None and now >= self._start + self.round_trip:
+            self._ask(now)
+        if self._join_at is not None and now >= self._join_at:
+            self._join(now)
+        self._flush(now)
         return self._take()
 
     def receive(self, m: Message, now: float) -> list[tuple[Address, Message]]:
         if m.head.version != VERSION or m.head.fleet != self.fleet or m.head.sender == self.me.addr:
             self.counts.add("bond_foreign")
             return []
+        sender = m.head.sender
+        if isinstance(m, Tell):
+            self._merge(m, now)
         self._check_sender(m.head, now)
         match m:
             case Ping():
                 self._send(m.origin, Ack(self._head(), m.origin, m.target, m.pr))
+                if m.total is not None:
+                    self._compare(sender, m.total)
             case PingReq() if m.target != self.me.addr:
                 self._send(m.target, RelayPing(self._head(), m.origin, m.target, self.me.addr, m.pr))
             case RelayPing():
@@ -75,10 +91,17 @@
                 self._send(m.origin, Ack(self._head(), m.origin, m.target, m.pr))
             case Ack() if m.origin == self.me.addr and m.pr == self.pr and self._target and m.target == self._target.addr:
                 self._acked = True
-            case Tell():
-                self._merge(m.records, now, m.head.sender)
-                if m.answer:
-                    self._tell_all(m.head.sender)
+            case Sum():
+                if self._compare(sender, m.total):
+                    self._settle()
+                    if m.ask:
+                        self._send(sender, Sum(self._head(), m.total, False))
+            case Sums():
+                self._show(sender, m.sums, self._join_at is not None)
+            case Marks():
+                self._fill(m, now)
+            case Want():
+                self._give(sender, m.marks, now)
         return self._take()
 
     def ready(self, ready: bool) -> list[tuple[Address, Message]]:
@@ -90,25 +113,25 @@
         return self._renew(ready=False, state=LEFT if final else LEAVING)
 
     def _renew(self, **fields) -> list[tuple[Address, Message]]:
-        self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, **fields)
+        self._raise(self.me.incarnation + 1, **fields)
         self._spread([self.me])
         return self._take()
 
     def _begin(self, now: float) -> None:
         self.pr += 1
-        self._start, self._acked, self._asked, self._target = now, False, False, None
-        self._sync()
-        neighbours = self.alive()
-        if not neighbours:
+        self._start, self._acked, self._asked, self._target = now, False, None, None
+        self._forget(now)
+        if self._join_at is None:
+            self._seek(now)
+        if not self._view.live:
             return
-        self._target = self.rng.choice(neighbours)
-        self._send(self._target.addr, Ping(self._head(), self.me.addr, self._target.addr, self.pr))
+        self._target = self.view[self.rng.choice(self._view.live)]
+        self._send(self._target.addr, Ping(self._head(), self.me.addr, self._target.addr, self.pr, self._digest.total))
 
-    def _ask(self) -> None:
-        self._asked = True
+    def _ask(self, now: float) -> None:
+        self._asked = now
         target = self._target.addr
-        others = [r.addr for r in self.alive() if r.addr != target]
-        for a in self.rng.sample(others, min(self.helpers, len(others))):
+        for a in self._view.some(self.rng, self.helpers, target):
             self._send(a, PingReq(self._head(), self.me.addr, target, self.pr))
         self.counts.add("bond_asked")
 
@@ -116,96 +139,115 @@
         r = self._target
         if r is None or self._acked:
             return
-        if not self._asked or now > self._start + self.period + self.round_trip:
+        late = max(1.5 * self.round_trip, self.period - 2 * self.round_trip)
+        if self._asked is None or self._asked > self._start + late or now > self._start + self.period + self.round_trip:
             self.counts.add("bond_void_period")
             return
         r = msgspec.structs.replace(r, state=FAILED)
-        helpers = min(self.helpers, max(0, len(self.alive()) - 1))
+        helpers = min(self.helpers, max(0, len(self._view.live) - 1))
         if not self._accept(r, now, f"no ack in period {self.pr}, direct or through {helpers} helpers"):
             return
         self.counts.add("bond_declared")
-        self._spread([r], also=r.addr)
+        self._spread([r], r.addr)
 
-    def _sync(self) -> None:
+    def _join(self, now: float) -> None:
+        """Until its view agrees with a neighbour's a new member asks four times a second, for ten seconds at most."""
+        if now > self._born + YOUNG or not self.seeds and not self._view.live:
+            self._settle()
+            return
+        self._join_at = now + JOIN
+        if not self._joined:
+            for s in self.seeds if len(self.seeds) <= 8 else self.rng.sample(self.seeds, 8):
+                self._send(s, Tell(self._head(), [self.me], ALL))
+        elif self._view.live:
+            self._send(self.rng.choice(self._view.live), Sum(self._head(), self._digest.total, True))
+
+    def _settle(self) -> None:
+        self._join_at = None
+
+    def _seek(self, now: float) -> None:
+        """Looks for those outside: seeds that are not in the view, and members held as failed."""
         self._turn += 1
-        neighbours = [r.addr for r in self.alive()]
-        if neighbours:
-            self._tell_all(self.rng.choice(neighbours), answer=True)
+        live = self._view.live
         lone = [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
-        if lone and (not neighbours or self._turn % 4 == 0):
-            for s in lone if not neighbours else [self.rng.choice(lone)]:
-                self._tell_all(s, answer=True)
-        gone = [r.addr for r in self.view.values() if r.state == FAILED]
-        if gone and self._turn % 3 == 0:
-            self._tell_all(self.rng.choice(gone), answer=True)
-        self._forget()
-
-    def _forget(self) -> None:
-        for a, r in list(self.view.items()):
-            if r.state > LEAVING and self._start - self._seen.get(a, self._start) > FORGET:
-                del self.view[a]
-                self._seen.pop(a, None)
-                self.why.pop(a, None)
+        if lone and (not live or self._turn % 4 == 0):
+            for s in lone if not live else [self.rng.choice(lone)]:
+                self._send(s, Tell(self._head(), [self.me], ALL))
+        n = len(live) + 1
+        for a, at in self.rng.sample(list(self._seen.items()), min(len(self._seen), 8)):
+            chance = TRIES / n if now - at < QUIET else TRIES / n / 4
+            if self.view[a].state == FAILED and self.rng.random() < chance:
+                self._send(a, Sum(self._head(), self._digest.total, False))
+
+    def _forget(self, now: float) -> None:
+        for a, at in list(self._seen.items()):
+            if now - at > FORGET:
+                self._drop(a)
+            elif now - at > QUIET:
+                self._digest.drop(a)
 
     def _check_sender(self, h: Head, now: float) -> None:
         r = self.view.get(h.sender)
         if r is None:
-            self._send(h.sender, Tell(self._head(), [self.me], True))
+            self._send(h.sender, Tell(self._head(), [self.me], SELF if self._joined else ALL))
             return
         stale = (h.incarnation, h.boot) != (r.incarnation, r.boot) and h.incarnation <= r.incarnation
         if stale or (r.state > LEAVING and h.incarnation <= r.incarnation):
             self._send(h.sender, Tell(self._head(), [r]))
+            if r.state == FAILED:
+                self._heal(h.sender, now)
         elif h.incarnation > r.incarnation:
-            self._send(h.sender, Tell(self._head(), [self.me], True))
-
-    def _merge(self, records: list[Record], now: float, sender: Address) -> None:
-        self.counts.add("bond_learned", sum(self._accept(r, now, f"told by {sender}") for r in records))
-
-    def _accept(self, r: Record, now: float, why: str) -> bool:
-        if r.addr == self.me.addr:
-            self._refute(r)
-            return False
-        old = self.view.get(r.addr)
-        if old is not None and r.rank <= old.rank:
-            return False
-        self.view[r.addr] = r
-        self._seen[r.addr], self.why[r.addr] = now, why
-        if old is None or old.state != r.state:
-            self.counts.add(("bond_alive", "bond_leaving", "bond_failed", "bond_left")[r.state])
-        return True
-
-    def _refute(self, r: Record) -> None:
+            self._send(h.sender, Tell(self._head(), [self.me], SELF))
+
+    def _heal(self, sender: Address, now: float) -> None:
+        """One held as failed speaks: a cut may be over. All held as failed are told so, to refute it before it spreads."""
+        if now < self._healed + HEAL:
+            return
+        self._healed = now
+        accused = [a for a in self._seen if a != sender and self.view[a].state == FAILED]
+        for a in self.rng.sample(accused, min(ACCUSED, len(accused))):
+            self._send(a, Tell(self._head(), [self.view[a]]))
+
+    def _merge(self, m: Tell, now: float) -> None:
+        sender, back = m.head.sender, []
+        for r in m.records:
+            if r.addr == self.me.addr:
+                self._refute(r, sender)
+                continue
+            old = self.view.get(r.addr)
+            if self._accept(r, now, f"told by {sender}"):
+                self.counts.add("bond_learned")
+                self._pass_on(r, old, sender, now)
+            elif old.state > LEAVING and r.rank < old.rank and sender != r.addr:
+                back.append(old)
+        if back:
+            self._send(sender, Tell(self._head(), back))
+        if m.share is not None:
+            self._relay(m, sender)
+        if m.ask == SELF:
+            self._send(sender, Tell(self._head(), [self.me]))
+        if m.ask == ALL:
+            self._tell(sender, [self.me, *(self.view[a] for a in self.view if a in self._digest)], now)
+
+    def _pass_on(self, r: Record, old: Record | None, sender: Address, now: float) -> None:
+        if r.state > LEAVING:
+            return
+        self._joined = True
+        if old is None and self._join_at is not None:
+            self._introduce(r.addr, now)
+        elif old is not None and old.state == FAILED and sender == r.addr:
+            self._report(r, now)
+
+    def _refute(self, r: Record, sender: Address) -> None:
         if r.boot == self.me.boot and r.incarnation <= self.me.incarnation and r.state <= self.me.state:
             return
         if r.incarnation < self.me.incarnation:
+            self._send(sender, Tell(self._head(), [self.me]))
             return
-        self.me = msgspec.structs.replace(self.me, incarnation=r.incarnation + 1)
+        self._raise(r.incarnation + 1)
         self.counts.add("bond_refuted")
-        self._spread([self.me])
-
-    def _spread(self, records: list[Record], also: Address | None = None) -> None:
-        to = [r.addr for r in self.alive()]
-        for a in to + ([also] if also else []):
-            self._send(a, Tell(self._head(), records))
-
-    def _tell_all(self, to: Address, answer: bool = False) -> None:
-        every = [self.me, *self.view.values()]
-        for i in range(0, len(every), BATCH):
-            self._send(to, Tell(self._head(), every[i : i + BATCH], answer and i == 0))
-
-    def _head(self) -> Head:
-        return Head(VERSION, self.fleet, self.me.addr, self.me.boot, self.me.incarnation)
-
-    def _send(self, to: Address, m: Message) -> None:
-        self._out.append((to, m))
-
-    def _take(self) -> list[tuple[Address, Message]]:
-        out, self._out = self._out, []
-        for _, m in out:
-            self.counts.add(f"bond_sent_{type(m).__name__.lower()}")
-        return out
+        self._spread([self.me], sender)
 
 
 def fresh_record(addr: Address, boot: int, role: str, name: str, locality, web: Address) -> Record:
     return Record(addr, boot, 0, ALIVE, role, name, locality, web, False)
-
--- a/mallowvalve/bond/task.py
+++ b/mallowvalve/bond/task.py
@@ -1,56 +1,57 @@
 from __future__ import annotations
 
-
 import gevent
 import msgspec
 from gevent import socket
-from gevent.lock import RLock
 
 from mallowvalve import clock
 from mallowvalve.bond.detector import Bond
-from mallowvalve.bond.wire import Record, decode, encode
+from mallowvalve.bond.share import DIRECT
+from mallowvalve.bond.wire import ALIVE, Record, decode, encode
 from mallowvalve.count import change, vital
 from mallowvalve.fault import Faults
 from mallowvalve.kind import Address
 
 NAMES = ("alive", "leaving", "failed", "left")
+AT_ONCE = 256
 
 
 class BondTask:
-    __slots__ = ("bond", "faults", "_sock", "_jobs", "_lock", "_known")
+    """Owns the socket. One greenlet waits for a datagram or the machine's next wakeup, whichever comes first.
+
+    What has arrived is always read before the clock is: an ack that waited while the process slept still counts.
+    """
+
+    __slots__ = ("bond", "faults", "_sock", "_job", "_known")
 
     def __init__(self, bond: Bond, faults: Faults = Faults()):
         self.bond, self.faults = bond, faults
-        self._lock = RLock()
         self._known: dict[Address, tuple[int, int]] = {}
 
     def __enter__(self) -> BondTask:
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(self.bond.me.addr.pair)
-        self._jobs = [vital(gevent.spawn(self._listen)), vital(gevent.spawn(self._run))]
+        self._sock.setblocking(False)
+        self._job = vital(gevent.spawn(self._run))
         return self
 
     def __exit__(self, *_) -> None:
-        gevent.killall(self._jobs)
+        gevent.kill(self._job)
         self._sock.close()
 
     def alive(self, role: str | None = None) -> list[Record]:
-        with self._lock:
-            return self.bond.alive(role)
+        return self.bond.alive(role)
 
     def view(self) -> list[Record]:
-        with self._lock:
-            return [self.bond.me, *self.bond.view.values()]
+        return [self.bond.me, *self.bond.view.values()]
 
     def ready(self, ready: bool) -> None:
-        self._do(lambda: self.bond.ready(ready))
+        self._do(self.bond.ready(ready))
 
     def leave(self, final: bool) -> None:
-        self._do(lambda: self.bond.leave(final))
+        self._do(self.bond.leave(final))
 
-    def _do(self, act) -> None:
-        with self._lock:
-            out = act()
+    def _do(self, out: list) -> None:
         for to, m in out:
             if self.faults.silent(self.bond.me.addr, to):
                 continue
@@ -60,30 +61,48 @@
                 self.bond.counts.add("bond_send_error")
         self._log()
 
-    def _listen(self) -> None:
-        while True:
+    def _run(self) -> None:
+        hub = gevent.get_hub()
+        arrived = hub.loop.io(self._sock.fileno(), 1)
+        try:
+            while True:
+                wait = self.bond.wakeup() - clock.now()
+                if wait > 0:
+                    with gevent.Timeout(max(0.005, wait), False):
+                        hub.wait(arrived)
+                self._read(1 if clock.now() < self.bond.wakeup() else AT_ONCE)
+                now = clock.now()
+                if now >= self.bond.wakeup():
+                    self._do(self.bond.tick(now))
+        finally:
+            arrived.close()
+
+    def _read(self, most: int) -> None:
+        for _ in range(most):
             try:
-                data, _ = self._sock.recvfrom(65536)
-                m = decode(data)
+                data = self._sock.recv(65536)
+            except BlockingIOError:
+                return
             except OSError:
                 continue
+            try:
+                m = decode(data)
             except msgspec.DecodeError:
                 self.bond.counts.add("bond_garbage")
                 continue
-            self._do(lambda: self.bond.receive(m, clock.now()))
-
-    def _run(self) -> None:
-        while True:
-            self._do(lambda: self.bond.tick(clock.now()))
-            gevent.sleep(max(0.01, self.bond.wakeup() - clock.now()))
+            self._do(self.bond.receive(m, clock.now()))
 
     def _log(self) -> None:
-        if len(self._known) > len(self.bond.view):
-            self._known = {a: k for a, k in self._known.items() if a in self.bond.view}
-        for r in list(self.bond.view.values()):
-            now = (r.boot, r.state)
-            if self._known.get(r.addr) == now:
+        why, view = self.bond.why, self.bond.view
+        if len(self._known) > len(view):
+            self._known = {a: k for a, k in self._known.items() if a in view}
+        while why:
+            a, text = why.popitem()
+            r = view.get(a)
+            if r is None or self._known.get(a) == (r.boot, r.state):
+                continue
+            new = a not in self._known
+            self._known[a] = (r.boot, r.state)
+            if new and r.state == ALIVE and len(view) > DIRECT:
                 continue
-            self._known[r.addr] = now
-            change(f"neighbour_{NAMES[r.state]}", neighbour=str(r.addr), name=r.name, incarnation=r.incarnation,
-                   why=self.bond.why.get(r.addr, ""))
+            change(f"neighbour_{NAMES[r.state]}", neighbour=str(a), name=r.name, incarnation=r.incarnation, why=text)
--- a/sim/members.py
+++ b/sim/members.py
@@ -14,10 +14,11 @@
 from sim.world import Node, World
 
 DETECT, MISTAKE, ASSUMED, ROUND_TRIP = 3.0, 1e-8, 0.15, 0.5
+UDP = 28
 
 
 class Member(Node):
-    def __init__(self, world: World, addr: Address, seeds: list[Address], n: int = 0):
+    def __init__(self, world: World, addr: Address, seeds: list[Address], n: int = 0, spread: bool = True):
         super().__init__(world, addr)
         self.rng = random.Random(world.rng.random())
         me = fresh_record(addr, self.rng.getrandbits(60), "flow", str(addr), ZONES[n % 6], addr)
@@ -25,20 +26,31 @@
             me, "sim", seeds, self.rng, formula.period(DETECT, ASSUMED),
             formula.helpers(MISTAKE, ASSUMED, ASSUMED), ROUND_TRIP,
         )
-        self.sent = 0
-        self.wake(self.rng.random() * self.bond.period, self._tick)
+        self.sent = self.bytes = 0
+        self._armed = world.now + self.rng.random() * (self.bond.period if spread else 0.0)
+        self.wake(self._armed - world.now, self._tick)
 
     def handle(self, kind, src, body, answer) -> None:
         self.emit(self.bond.receive(decode(body), self.now))
+        if self.bond.pr and self.bond.wakeup() < self._armed:
+            self._arm()
 
     def emit(self, out: list) -> None:
         for to, m in out:
+            data = encode(m)
             self.sent += 1
-            self.cast(to, "bond", encode(m))
+            self.bytes += len(data) + UDP
+            self.cast(to, "bond", data)
 
     def _tick(self) -> None:
+        if self.now < self._armed - 1e-9:
+            return
         self.emit(self.bond.tick(self.now))
-        self.wake(max(0.001, self.bond.wakeup() - self.now), self._tick)
+        self._arm()
+
+    def _arm(self) -> None:
+        self._armed = max(self.now + 0.001, self.bond.wakeup())
+        self.wake(self._armed - self.now, self._tick)
 
 
 class Group:
