--- a/mallowvalve/flow/budget.py
+++ b/mallowvalve/flow/budget.py
@@ -27,3 +27,30 @@
             return False
         self._earned -= 1.0
         return True
+
+
+class Sliding:
+    """Repeats within any span: a share of the first sends of that span, and a floor of their own. Times in seconds."""
+
+    __slots__ = ("ratio", "span", "floor", "_first", "_again")
+
+    def __init__(self, ratio: float, span: float, floor: float):
+        self.ratio, self.span, self.floor = ratio, span, floor
+        self._first: deque[float] = deque()
+        self._again: deque[float] = deque()
+
+    def first(self, now: float) -> None:
+        self._first.append(now)
+        self._forget(self._first, now)
+
+    def again(self, now: float) -> bool:
+        self._forget(self._first, now)
+        self._forget(self._again, now)
+        if len(self._again) + 1 > self.ratio * len(self._first) + self.floor:
+            return False
+        self._again.append(now)
+        return True
+
+    def _forget(self, q: deque[float], now: float) -> None:
+        while q and q[0] <= now - self.span:
+            q.popleft()
--- /dev/null
+++ b/mallowvalve/flow/front.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from mallowvalve import clock, web
+from mallowvalve.flow.link import Link
+from mallowvalve.flow.serve import Stream
+from mallowvalve.flow.steps import Ask, Body, Exchange, Open, Reply, Room, Step
+from mallowvalve.flow.tries import HOP, Tries
+
+SKIP = HOP - {"content-length"}
+REASONS = {
+    200: "200 OK", 201: "201 Created", 204: "204 No Content", 304: "304 Not Modified", 400: "400 Bad Request",
+    404: "404 Not Found", 413: "413 Too Large", 500: "500 Error", 502: "502 Bad Gateway", 503: "503 Unavailable",
+    504: "504 Timeout",
+}
+
+
+class Rooms:
+    """Who waits for a place at a service, the first to come first."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self):
+        self._waiting: dict[str, deque[Event]] = {}
+
+    def wait(self, service: str, left: float) -> bool:
+        if left <= 0:
+            return False
+        e, q = Event(), self._waiting.setdefault(service, deque())
+        q.append(e)
+        try:
+            return e.wait(timeout=left)
+        finally:
+            if e in q:
+                q.remove(e)
+
+    def freed(self, service: str) -> None:
+        q = self._waiting.get(service)
+        if q:
+            q.popleft().set()
+
+
+class Front:
+    """The callable of a proxy's server: host routes go the way of `tries`, all else to the app behind it."""
+
+    __slots__ = ("tries", "app", "rooms", "only", "mark")
+
+    def __init__(self, tries: Tries, app: Callable, only: bool):
+        self.tries, self.app, self.only = tries, app, only
+        self.rooms = Rooms()
+        self.mark = tries.params.terms.ask.lower()
+
+    def __call__(self, env: dict, start: Callable):
+        h = env["mallow.head"]
+        if not self._takes(h.said, h.target):
+            return self.app(env, start)
+        a = Ask(h.method, h.target, h.said, env.get("REMOTE_ADDR", ""), h.length, h.pairs)
+        steps, got = self.tries.carry(a), None
+        try:
+            while True:
+                got = self._do(steps.send(got), env)
+        except StopIteration as e:
+            return self._say(env, start, e.value)
+        finally:
+            steps.close()
+
+    def _takes(self, headers: dict[str, str], target: str) -> bool:
+        if not self.only and target.startswith("/-/"):
+            return False
+        if self.tries.knows(headers.get("host", "")):
+            return True
+        if "mallow-tenant" in headers:
+            return False
+        s = self.tries.echo.state
+        return self.only or s is not None and s.items.revision > 0
+
+    def _do(self, s: Step, env: dict):
+        match s:
+            case Exchange():
+                return s.session.exchange(s.method, s.request, s.end, s.ask)
+            case Body():
+                return self._body(env, s)
+            case Open():
+                r = Link.open(s.beat, self.mark, s.end)
+                self.tries.counts.add("upstream_sessions", r.is_ok())
+                return r
+            case Room():
+                return self.rooms.wait(s.service, s.end - clock.now())
+
+    def _body(self, env: dict, s: Body) -> Result[bytes, tuple[int, str, str]]:
+        length = env.get("CONTENT_LENGTH")
+        if length and int(length) > s.most:
+            return Err((413, "body", f"larger than {s.most} bytes"))
+        try:
+            with gevent.Timeout(max(0.001, s.end - clock.now())):
+                data = env["wsgi.input"].read(s.most + 1)
+        except gevent.Timeout:
+            return Err((408, "body", "did not arrive within the limit"))
+        except OSError:
+            return Err((400, "body", "broken off or badly chunked"))
+        return Err((413, "body", f"larger than {s.most} bytes")) if len(data) > s.most else Ok(data)
+
+    def _say(self, env: dict, start: Callable, r: Reply):
+        a = r.answer
+        if a is None:
+            return self._own(start, r)
+        if a.rest is not None and a.length is None and env["SERVER_PROTOCOL"] != "HTTP/1.1":
+            r.lease.back(keep=False)
+            return self._own(start, Reply(502, "unknown", [], close=True))
+        headers = [h for h in a.headers if h[0].lower() not in SKIP and h[0].lower() != "content-length"]
+        if a.length is not None and a.status not in (204, 304):
+            headers.append(("Content-Length", str(a.length)))
+        start(REASONS.get(a.status) or f"{a.status} Other", headers)
+        return [a.body] if a.rest is None else Stream(r.lease, a)
+
+    def _own(self, start: Callable, r: Reply):
+        body = web.encode({"outcome": r.outcome, "findings": r.findings})
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))), (web.OUTCOME, r.outcome)]
+        if r.retry_after is not None:
+            headers.append(("Retry-After", f"{r.retry_after:.2f}"))
+        if r.close:
+            headers.append(("Connection", "close"))
+        start(REASONS.get(r.status) or f"{r.status} Refused", headers)
+        return [body]
--- /dev/null
+++ b/mallowvalve/flow/host.py
@@ -0,0 +1,327 @@
+"""What a proxy knows of the upstreams of host routes: the roll's rows, and what it saw of each itself."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable
+
+from mallowvalve.beat.roll import Upstream
+from mallowvalve.flow.budget import Sliding
+from mallowvalve.flow.draw import emptied
+from mallowvalve.flow.steps import Answer
+from mallowvalve.kind import Locality
+from mallowvalve.law.echo import Echo
+from mallowvalve.params import Params
+from mallowvalve.tree.items import ServiceItem
+
+FILL, FAR = 0.85, (0.0, 0.1, 0.5)
+HALF = 0.4
+FRESH = 0.3
+FULL = 0.2
+QUEUED = 2
+BREAK, BREAK_MOST = 0.5, 4.0
+MUTE = 0.5
+COLD_SHARE = 0.9
+WRONG = 5.0
+BUDGET_SHARE, FLOOR_SHARE = 0.7, 0.5
+
+
+class Spot:
+    """One upstream as this proxy sees it. Times on the proxy's own clock (s); `load` counts requests of all proxies."""
+
+    __slots__ = (
+        "up", "busy", "base", "base_at", "since", "full_until", "broken_until", "pause", "wrong_until", "mute", "latency",
+        "cold_until", "cold_end", "cold_next", "cold_k", "cold_at",
+    )
+
+    def __init__(self, up: Upstream):
+        self.up, self.busy = up, 0
+        self.base, self.base_at, self.since = 0.0, -1e9, 0
+        self.full_until = self.broken_until = self.wrong_until = -1e9
+        self.pause = BREAK
+        self.mute: float | None = None
+        self.latency = 0.1
+        self.cold_until, self.cold_end, self.cold_next = 0, -1e9, -1e9
+        self.cold_k, self.cold_at = 0, (-1, -1)
+
+    def load(self, now: float, share: int) -> float:
+        if self.base_at < -1e8:
+            return float(self.busy * share)
+        return max(float(self.busy), self.base * 0.5 ** ((now - self.base_at) / HALF) + self.since)
+
+    def fill(self, now: float, share: int) -> float:
+        return (self.load(now, share) + 1) / max(1, self.up.slots)
+
+    def full(self, now: float, share: int, most: int) -> bool:
+        if now < self.full_until or self.busy >= most:
+            return True
+        return self.load(now, share) >= 2 * self.up.slots if now - self.base_at < FRESH else False
+
+    def sound(self, now: float) -> bool:
+        if now < self.broken_until:
+            return False
+        return self.mute is None or now - self.mute <= max(MUTE, 4 * self.latency)
+
+    def cold(self, now: float) -> bool:
+        return now < self.cold_end
+
+
+class Place:
+    """A place at an upstream and the session opened for it, given back exactly once."""
+
+    __slots__ = ("session", "hosts", "spot", "streams", "_left")
+
+    def __init__(self, hosts: Hosts, spot: Spot):
+        self.session, self.hosts, self.spot = None, hosts, spot
+        self.streams = self._left = False
+        spot.busy += 1
+
+    def back(self, keep: bool) -> None:
+        if self._left:
+            return
+        self._left = True
+        self.spot.busy -= 1
+        if self.session is not None and keep:
+            self.hosts.links.give(self.session, self.hosts.now())
+        elif self.session is not None:
+            self.session.close()
+        self.hosts.on_free(self.spot.up.service)
+
+
+class Links:
+    """Idle sessions, the last used first; none is used beyond the time that its upstream keeps it."""
+
+    __slots__ = ("_idle",)
+
+    def __init__(self):
+        self._idle: dict[str, list] = {}
+
+    def take(self, up: Upstream, now: float):
+        idle = self._idle.get(up.instance, ())
+        while idle:
+            s = idle.pop()
+            if s.beat.address == up.address and now - s.since <= s.life and not s.stale():
+                return s
+            s.close()
+        return None
+
+    def give(self, s, now: float) -> None:
+        s.since = now
+        self._idle.setdefault(s.beat.instance, []).append(s)
+
+    def tidy(self, ready: set[str], now: float) -> None:
+        for name, idle in list(self._idle.items()):
+            kept = [s for s in idle if name in ready and now - s.since <= s.life]
+            for s in idle:
+                if s not in kept:
+                    s.close()
+            if kept:
+                self._idle[name] = kept
+            else:
+                del self._idle[name]
+
+
+class Hosts:
+    __slots__ = (
+        "echo", "params", "rng", "now", "on_free", "links", "waiting", "spots", "_rings", "_roll", "_revision",
+        "_budgets", "_share", "_proxies", "_roster", "_out",
+    )
+
+    def __init__(
+        self, echo: Echo, params: Params, rng: random.Random, now: Callable[[], float],
+        on_free: Callable[[str], None] = lambda service: None,
+    ):
+        self.echo, self.params, self.rng, self.now, self.on_free = echo, params, rng, now, on_free
+        self.links = Links()
+        self.waiting: dict[str, int] = {}
+        self.spots: dict[str, Spot] = {}
+        self._rings: dict[str, list[tuple[int, list[Spot]]]] = {}
+        self._roll, self._revision = None, -1
+        self._budgets: dict[str, Sliding] = {}
+        self._share = self._proxies = 1
+        self._roster = -1
+        self._out: dict[str, int] = {}
+
+    def pick(self, service: str, homes: list[str], tried: set[str], now: float) -> tuple[Spot | None, bool]:
+        """The upstream for the next request, and whether there is any that may take it at all."""
+        self.sync(now)
+        out, share, any_, free, rest = self.echo.state.params.evacuated, self._share, False, [], []
+        item = self.echo.state.items.services.get(service)
+        for d, ring in self._rings.get(service, ()):
+            ok = [s for s in ring if s.up.instance not in tried and self._may(s, homes, out, now)]
+            any_ = any_ or bool(ok)
+            ok = [s for s in ok if not s.full(now, share, self.most(s, item)) and self._warm(s, item, now)]
+            good = [s for s in ok if s.sound(now)]
+            free += ok
+            if not good:
+                continue
+            s = self._two(good, now, share)
+            f = s.fill(now, share)
+            if f <= FILL:
+                return s, True
+            rest.append((f + FAR[d], s))
+        if rest:
+            return min(rest, key=lambda r: r[0])[1], True
+        return (min(free, key=lambda s: s.broken_until) if free else None), any_
+
+    def fits(self, s: Spot, service: str, homes: list[str], now: float) -> bool:
+        """Whether what was chosen a moment ago may still be sent to."""
+        self.sync(now)
+        if self.spots.get(s.up.instance) is not s or s.up.service != service:
+            return False
+        item = self.echo.state.items.services.get(service)
+        return self._may(s, homes, self.echo.state.params.evacuated, now) and self._warm(s, item, now)
+
+    def sending(self, s: Spot, now: float) -> None:
+        """Told right before the first byte: a cold upstream's turn is used up."""
+        s.since += 1
+        if s.mute is None:
+            s.mute = now
+        item = self.echo.state.items.services.get(s.up.service)
+        if s.cold(now) and item is not None and item.cold_per_s > 0:
+            s.cold_next = now + self._period(s, item)
+
+    def heard(self, s: Spot, a: Answer, took: float, now: float) -> None:
+        s.pause, s.broken_until = BREAK, -1e9
+        s.mute = now if s.busy > 1 else None
+        s.latency += 0.2 * (took - s.latency)
+        t = self.params.terms
+        usage = a.said.get(t.usage.lower()) if t.usage else None
+        if usage is not None:
+            self._usage(s, usage, now)
+        else:
+            s.since = max(0, s.since - 1)
+        cold = a.said.get(t.cold.lower(), "") if t.cold else ""
+        if cold.isdigit() and int(cold) > 0:
+            self._chill(s, now + int(cold[:6]) / 1000, now)
+
+    def failed(self, s: Spot, now: float) -> None:
+        if now >= s.broken_until:
+            s.broken_until, s.pause = now + s.pause, min(BREAK_MOST, s.pause * 2)
+        s.since = max(0, s.since - 1)
+
+    def turned_away(self, s: Spot, status: int, now: float) -> None:
+        if status == 421:
+            s.wrong_until = now + WRONG
+            return
+        s.full_until = now + FULL
+
+    def most(self, s: Spot, item: ServiceItem | None) -> int:
+        own = s.up.slots + QUEUED
+        if item is not None and item.sessions > 0:
+            own = min(own, max(1, item.sessions // self._proxies))
+        if s.base_at < -1e8:
+            own = min(own, max(1, -(-2 * s.up.slots // self._share)))
+        return own
+
+    def budget(self, service: str) -> Sliding:
+        b = self._budgets.get(service)
+        p = self.params.budget
+        if b is None:
+            b = self._budgets[service] = Sliding(BUDGET_SHARE * p.ratio, p.span, 0.0)
+        b.floor = FLOOR_SHARE * p.slack / self._proxies
+        return b
+
+    def sync(self, now: float) -> None:
+        state = self.echo.state
+        roll, p = state.roll, state.params
+        if p.revision != self._roster:
+            self._roster = p.revision
+            self._proxies = max(1, len(p.roster))
+            here = self.params.locality
+            self._share = max(1, sum(seat.locality == here for seat in p.roster.values()))
+            self._lifted(dict(p.evacuated), now)
+        if roll is not self._roll or roll.revision != self._revision:
+            self._rebuild(roll, state.clock, now)
+
+    def tidy(self) -> None:
+        if self.echo.state is None:
+            return
+        now = self.now()
+        self.sync(now)
+        self.links.tidy(set(self.spots), now)
+        known = self.echo.state.items.services
+        for s in [s for s in self._budgets if s not in known]:
+            del self._budgets[s]
+
+    def _rebuild(self, roll, clock: int, now: float) -> None:
+        self._roll, self._revision = roll, roll.revision
+        spots: dict[str, Spot] = {}
+        rings: dict[str, dict[int, list[Spot]]] = {}
+        for name, up in roll.rows.items():
+            if up.state != "ready":
+                continue
+            s = self.spots.get(name) or Spot(up)
+            if s.up.address != up.address or s.up.service != up.service:
+                s = Spot(up)
+            s.up = up
+            if up.cold_until != s.cold_until:
+                s.cold_until = up.cold_until
+                self._chill(s, now + max(0, up.cold_until - clock) / 1000, now)
+            spots[name] = s
+            rings.setdefault(up.service, {}).setdefault(self.params.locality.distance(up.locality), []).append(s)
+        self.spots = spots
+        self._rings = {k: sorted(by.items()) for k, by in rings.items()}
+
+    def _lifted(self, out: dict[str, int], now: float) -> None:
+        """Upstreams of a zone that was evacuated may have become cold, and the beat that says so may be on its way."""
+        before, self._out = self._out, out
+        for zone in before.keys() - out.keys():
+            for s in self.spots.values():
+                if emptied(s.up.locality, {zone: 0}):
+                    self._chill(s, now + 1.4 * self.params.beat_ms / 1000, now)
+
+    def _chill(self, s: Spot, end: float, now: float) -> None:
+        was = s.cold(now)
+        s.cold_end = max(s.cold_end, end) if was else end
+        if was or not s.cold(now):
+            return
+        item = self.echo.state.items.services.get(s.up.service)
+        if item is not None and item.cold_per_s > 0:
+            s.cold_next = now + self.rng.random() * self._period(s, item)
+
+    def _warm(self, s: Spot, item: ServiceItem | None, now: float) -> bool:
+        if not s.cold(now) or item is None or item.cold_per_s <= 0:
+            return True
+        return self._turns(s, item) > 0 and now >= s.cold_next
+
+    def _period(self, s: Spot, item: ServiceItem) -> float:
+        return max(1, self._turns(s, item)) / (COLD_SHARE * item.cold_per_s)
+
+    def _turns(self, s: Spot, item: ServiceItem) -> int:
+        """How many proxies share a cold upstream's rate, 0 when this one is not among them.
+
+        Each sends once a period, so in any one second at most once more than its share: they are as many as leaves the
+        sum below the bound, the nearest ones, ordered alike by all.
+        """
+        if s.cold_at == (self._roster, item.version):
+            return s.cold_k
+        c, rate = self.params.cold, item.cold_per_s
+        k = min(self._proxies, int(rate * c.over + c.slack - COLD_SHARE * rate + 1e-9))
+        k = max(k, 1 if rate * c.over + c.slack >= 1 else 0)
+        roster = self.echo.state.params.roster
+        order = sorted(roster, key=lambda a: (roster[a].locality.distance(s.up.locality), _mix(a, s.up.instance)))
+        s.cold_at, s.cold_k = (self._roster, item.version), k if not order or str(self.echo.addr) in order[:k] else 0
+        return s.cold_k
+
+    def _may(self, s: Spot, homes: list[str], out: dict[str, int], now: float) -> bool:
+        at: Locality = s.up.locality
+        return now >= s.wrong_until and (not homes or at.region in homes) and not (out and emptied(at, out))
+
+    def _two(self, good: list[Spot], now: float, share: int) -> Spot:
+        if len(good) == 1:
+            return good[0]
+        a, b = self.rng.sample(good, 2)
+        return a if a.fill(now, share) <= b.fill(now, share) else b
+
+    def _usage(self, s: Spot, text: str, now: float) -> None:
+        try:
+            running, waiting = (int(x) for x in text.split(",")[:2])
+        except ValueError:
+            return
+        s.base, s.base_at, s.since = float(max(0, running + waiting)), now, 0
+
+
+def _mix(a: str, b: str) -> bytes:
+    return hashlib.blake2b(f"{a}\0{b}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/mallowvalve/flow/link.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from gevent import socket
+from result import Err, Ok, Result
+
+from mallowvalve import clock
+from mallowvalve.beat.roll import Upstream
+from mallowvalve.flow.reader import Reader
+from mallowvalve.flow.steps import Answer
+
+LIFE = 4.0
+CONNECT = 0.5
+
+
+class Link:
+    """A session to an upstream of a host route; who answers there is checked by the `expect` header of each request."""
+
+    __slots__ = ("beat", "sock", "since", "life", "mark")
+
+    def __init__(self, up: Upstream, sock, mark: str):
+        self.beat, self.sock, self.mark = up, sock, mark
+        self.since, self.life = clock.now(), LIFE
+
+    @classmethod
+    def open(cls, up: Upstream, mark: str, end: float) -> Result[Link, str]:
+        left = end - clock.now()
+        if left <= 0:
+            return Err("limit")
+        try:
+            sock = socket.create_connection(up.address.pair, timeout=min(CONNECT, left))
+        except OSError as e:
+            return Err(f"unreachable: {e.strerror or e}")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Ok(cls(up, sock, mark))
+
+    def exchange(self, method: str, request: bytes, end: float, ask: str) -> Result[Answer, str]:
+        """Err begins with `unsent` only when no byte of the request has left."""
+        sock = self.sock
+        sock.settimeout(max(0.001, end - clock.now()))
+        try:
+            n = sock.send(request)
+        except OSError as e:
+            return Err(f"unsent: {e}")
+        r = Reader(method, self.mark if ask else "", ask)
+        try:
+            if n < len(request):
+                sock.sendall(memoryview(request)[n:])
+            while not r.done:
+                if (left := end - clock.now()) <= 0:
+                    return Err("limit")
+                sock.settimeout(left)
+                r.take(sock.recv(65536))
+                if r.why:
+                    return Err(r.why)
+                if r.large():
+                    return Ok(Answer(r.status, r.headers, None, r.length(), self._rest(r, end), False, r.said))
+        except TimeoutError:
+            return Err("limit")
+        except OSError as e:
+            return Err(f"broken: {e}")
+        self._note_life(r.said.get("keep-alive", ""))
+        keep = r.keep and not r.extra and not r.others
+        return Ok(Answer(r.status, r.headers, bytes(r.body), r.length() if r.bodiless else len(r.body), None, keep, r.said))
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def stale(self) -> bool:
+        self.sock.settimeout(0.0)
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK) is not None
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _note_life(self, text: str) -> None:
+        for part in text.split(","):
+            k, _, v = part.strip().partition("=")
+            if k.lower() == "timeout" and v.isdigit():
+                self.life = min(60.0, max(0.0, int(v) - 1.0))
+
+    def _rest(self, r: Reader, end: float) -> Iterator[bytes]:
+        yield r.drain()
+        while not r.done:
+            self.sock.settimeout(max(0.001, end - clock.now()))
+            r.take(self.sock.recv(65536))
+            if r.why:
+                raise ConnectionError("the upstream broke off mid-answer")
+            if r.body:
+                yield r.drain()
--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -5,13 +5,16 @@
 
 import gevent
 
-from mallowvalve import clock
+from mallowvalve import clock, web
 from mallowvalve.count import vital
 from mallowvalve.flow.draw import emptied
+from mallowvalve.flow.front import Front
+from mallowvalve.flow.host import Hosts
 from mallowvalve.flow.path import Path
 from mallowvalve.flow.pool import Pool
 from mallowvalve.flow.repeats import RepeatTask
 from mallowvalve.flow.serve import Bounces, Serve
+from mallowvalve.flow.tries import Tries
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.node import Node
 from mallowvalve.params import Params
@@ -20,10 +23,10 @@
 class Tidy:
     """Closes sessions to upstreams that are gone, once a second, and all at the end."""
 
-    __slots__ = ("pool", "_job")
+    __slots__ = ("pool", "hosts", "_job")
 
-    def __init__(self, pool: Pool):
-        self.pool = pool
+    def __init__(self, pool: Pool, hosts: Hosts):
+        self.pool, self.hosts = pool, hosts
 
     def __enter__(self) -> Tidy:
         self._job = vital(gevent.spawn(self._run))
@@ -32,11 +35,13 @@
     def __exit__(self, *_) -> None:
         self._job.kill()
         self.pool.sessions.keep(set())
+        self.hosts.links.tidy(set(), self.hosts.now())
 
     def _run(self) -> None:
         while True:
             gevent.sleep(1.0)
             self.pool.tidy()
+            self.hosts.tidy()
 
 
 def run(params: Params) -> None:
@@ -51,7 +56,35 @@
     serve = Serve(path, echo, params.body_bytes)
     pool.on_free = serve.freed
     node.app.add_route("/-/bounces", Bounces(path))
-    node.app.add_sink(serve, "/")
-    node.gauge("busy", lambda: sum(pool.draw.busy.values()))
-    with node, echo, Tidy(pool), repeats:
-        node.run(lambda: echo.admits() and not emptied(params.locality, echo.echo.state.params.evacuated))
+    hosts = Hosts(echo.echo, params, random.Random(), clock.now)
+    tries = Tries(echo.echo, hosts, params, node.counts, clock.now, random.Random())
+    _mount(node, serve, hosts, tries)
+    node.gauge("busy", lambda: sum(pool.draw.busy.values()) + sum(s.busy for s in hosts.spots.values()))
+    with node, echo, Tidy(pool, hosts), repeats:
+        node.run(lambda: _ready(params, echo))
+
+
+def _mount(node: Node, serve: Serve, hosts: Hosts, tries: Tries) -> None:
+    """With pages of their own, the front serves requests only; else it passes what is no host's to the one app."""
+    apart = node.params.pages is not None
+    app = web.make_app() if apart else node.app
+    app.add_sink(serve, "/")
+    front = Front(tries, app, only=apart)
+    hosts.on_free = front.rooms.freed
+    if apart:
+        node.front = front
+    else:
+        node.server.application = front
+    node.server.limits = lambda: _limits(tries)
+
+
+def _limits(tries: Tries):
+    s = tries.echo.state
+    return s.items.limits if s is not None and s.items.revision else None
+
+
+def _ready(params: Params, echo: EchoTask) -> bool:
+    s = echo.echo.state
+    if params.serve_on and s is not None and s.items.revision > 0:
+        return True
+    return echo.admits() and not emptied(params.locality, s.params.evacuated)
--- a/mallowvalve/flow/steps.py
+++ b/mallowvalve/flow/steps.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mallowvalve.beat.board import Beat
+from mallowvalve.beat.roll import Upstream
 from mallowvalve.claim.ledger import Claim, Done, Forfeit, Release
 from mallowvalve.finding import Finding
 
@@ -17,10 +18,12 @@
     headers: dict[str, str]
     consumer: str
     length: int | None = None
+    pairs: list[tuple[str, str]] = []
 
 
 class Body(msgspec.Struct, frozen=True):
     end: float
+    most: int | None = None
 
 
 class Offer(msgspec.Struct, frozen=True):
@@ -45,7 +48,9 @@
 
 
 class Open(msgspec.Struct, frozen=True):
-    beat: Beat
+    """`status` is asked first of a new session; with none the session opens at once, for a host route."""
+
+    beat: Beat | Upstream
     status: str
     end: float
 
@@ -57,6 +62,7 @@
     method: str
     request: bytes
     end: float
+    ask: str = ""
 
 
 Step = Body | Offer | Insist | Pause | Room | Open | Exchange
@@ -69,6 +75,7 @@
     length: int | None
     rest: Iterator[bytes] | None
     keep: bool = False
+    said: dict[str, str] = {}
 
 
 class Bounced(msgspec.Struct):
--- /dev/null
+++ b/mallowvalve/flow/tries.py
@@ -0,0 +1,313 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Generator
+
+import msgspec
+from result import Err, Ok, Result
+
+from mallowvalve.count import Counts
+from mallowvalve.finding import Finding
+from mallowvalve.flow.host import Hosts, Place
+from mallowvalve.flow.steps import Answer, Ask, Body, Exchange, Open, Reply, Room, Step
+from mallowvalve.law.echo import Echo
+from mallowvalve.params import Params, Terms
+from mallowvalve.tree.items import HostRoute
+
+HOP = frozenset((
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "content-length",
+    "expect", "proxy-authenticate", "proxy-authorization",
+))
+PROMISE = frozenset((408, 421, 429, 503))
+NOT_RUN, UNKNOWN = "not-run", "unknown"
+OPEN = 0.5
+HELD = 0.2
+LOOK = 0.03
+WAITING = 32
+OPENS = 3
+PART = 0.6
+LEAST = 0.02
+
+
+class Trip(msgspec.Struct):
+    """A request on a host route; what was decided for it is decided again before anything is sent."""
+
+    ask: Ask
+    host: str
+    path: str
+    route: HostRoute
+    service: str
+    at: float
+    end: float
+    mark: str = ""
+    body: bytes = b""
+    lines: str = ""
+    tried: set = msgspec.field(default_factory=set)
+    sent: int = 0
+    opens: int = 0
+    ran: bool = False
+
+
+class Tries:
+    """The way of a request on a host route, without sockets: what a step needs from outside is yielded.
+
+    A `read` may run again on another upstream; a `try` is sent again only on proof that it did not run. Once it may
+    have run, it never ends in a status that promises the opposite.
+    """
+
+    __slots__ = ("echo", "hosts", "counts", "now", "params", "rng", "_ask", "_limit", "_not_run", "_seal", "_drop")
+
+    def __init__(
+        self, echo: Echo, hosts: Hosts, params: Params, counts: Counts, now: Callable[[], float], rng: random.Random,
+    ):
+        self.echo, self.hosts, self.params, self.counts, self.now, self.rng = echo, hosts, params, counts, now, rng
+        t: Terms = params.terms
+        self._ask, self._limit, self._not_run, self._seal = (x.lower() for x in (t.ask, t.limit, t.not_run, t.seal))
+        self._drop = HOP | {self._limit, t.expect.lower()}
+
+    def knows(self, host: str) -> bool:
+        return self.echo.state is not None and bool(self.echo.state.items.hosts.get(bare(host)))
+
+    def carry(self, a: Ask) -> Generator[Step, object, Reply]:
+        self.counts.add("requests")
+        r = self._begin(a, self.now())
+        if r.is_err():
+            return r.err_value
+        t: Trip = r.ok_value
+        if a.length or "transfer-encoding" in a.headers:
+            got = yield Body(t.end, self.echo.state.items.limits.body_bytes)
+            if got.is_err():
+                status, place, text = got.err_value
+                return own(status, NOT_RUN, place, text, 1.0 if status == 408 else None, close=True)
+            if a.length is not None and len(got.ok_value) != a.length:
+                return own(400, NOT_RUN, "body", "shorter than its length", close=True)
+            t.body = got.ok_value
+        t.lines = self._lines(a, t.body)
+        while True:
+            got = yield from self._send(t)
+            if isinstance(got, Reply):
+                return got
+
+    def _begin(self, a: Ask, now: float) -> Result[Trip, Reply]:
+        state = self.echo.state
+        if state is None or not state.items.revision or not (self.params.serve_on or self.echo.admits(now)):
+            return Err(own(503, NOT_RUN, "proxy", "has no settings yet, or they may be out of date", 0.3 + self._jitter()))
+        if not a.target.startswith("/") or "#" in a.target:
+            return Err(own(400, NOT_RUN, "path", "must begin with /"))
+        host, path = bare(a.headers.get("host", "")), a.target.partition("?")[0]
+        route = state.items.find(host, path)
+        if route is None:
+            return Err(self._no_route(now))
+        limit = route.limit_ms
+        text = a.headers.get(self._limit) if self._limit else None
+        if text is not None:
+            if not text.isascii() or not text.isdigit() or len(text) > 12:
+                return Err(own(400, NOT_RUN, self.params.terms.limit, "want whole milliseconds"))
+            limit = min(limit, float(text))
+        mark = a.headers.get(self._ask, "") if self._ask else ""
+        return Ok(Trip(a, host, path, route, self._service(route), now, now + limit / 1000, mark))
+
+    def _send(self, t: Trip) -> Generator[Step, object, Reply | None]:
+        """Finds a place, judges everything once more, and sends in the same breath; None: to be sent again."""
+        place = yield from self._place(t)
+        if isinstance(place, Reply):
+            return place
+        try:
+            now = self.now()
+            if t.sent:
+                if not self.hosts.budget(t.service).again(now):
+                    place.back(keep=True)
+                    self.counts.add("budget_spent")
+                    return self._end(t, "the budget of repeats is spent")
+            else:
+                self.hosts.budget(t.service).first(now)
+            t.sent += 1
+            t.tried.add(place.spot.up.instance)
+            self.hosts.sending(place.spot, now)
+            r = yield Exchange(place.session, t.ask.method, self._wire(t, place, now), self._until(t, now), t.mark)
+            return self._took(t, place, r, now)
+        except BaseException:
+            place.back(keep=False)
+            raise
+
+    def _place(self, t: Trip) -> Generator[Step, object, Place | Reply]:
+        held = t.at + HELD * min(t.route.aim_ms or t.route.limit_ms, t.route.limit_ms) / 1000
+        while True:
+            now = self.now()
+            no = self._judge(t, now)
+            if no is not None:
+                return no
+            spot, any_ = self._pick(t, now)
+            if spot is None:
+                if not any_ or t.sent or now >= held or not (yield from self._queue(t, min(held, now + LOOK))):
+                    return self._end(t, "the upstreams are busy" if any_ else "no upstream may take it just now")
+                continue
+            place = Place(self.hosts, spot)
+            place.session = self.hosts.links.take(spot.up, now)
+            if place.session is not None:
+                return place
+            try:
+                r = yield Open(spot.up, "", min(t.end, now + OPEN))
+            except BaseException:
+                place.back(keep=False)
+                raise
+            now = self.now()
+            if r.is_err():
+                self.counts.add("upstream_open_failed")
+                self.hosts.failed(spot, now)
+                place.back(keep=False)
+                t.opens += 1
+                if t.opens >= OPENS:
+                    return self._end(t, "no connection to the upstreams tried")
+                continue
+            place.session = r.ok_value
+            no = self._judge(t, now)
+            if no is None and self.hosts.fits(spot, t.service, t.route.homes, now):
+                return place
+            place.back(keep=True)
+            if no is not None:
+                return no
+
+    def _judge(self, t: Trip, now: float) -> Reply | None:
+        """All that was decided from an older picture is decided again: it may have changed since the request came."""
+        state = self.echo.state
+        if not self.params.serve_on and not self.echo.admits(now):
+            return self._end(t, "its settings may be out of date")
+        if now >= t.end or t.sent and t.end - now < LEAST:
+            return self._end(t, "the limit is over")
+        route = state.items.find(t.host, t.path)
+        if route is None:
+            return self._end(t, "its route was dropped meanwhile") if t.sent else self._no_route(now)
+        if route is t.route:
+            return None
+        if t.ran and route.kind != t.route.kind:
+            return self._end(t, "its route changed its kind meanwhile")
+        t.route = route
+        t.end = min(t.end, t.at + route.limit_ms / 1000)
+        if now >= t.end:
+            return self._end(t, "the limit is over")
+        if t.service != route.service and not any(p.service == t.service and p.weight > 0 for p in route.split):
+            t.service = self._service(route)
+        return None
+
+    def _pick(self, t: Trip, now: float):
+        got = self.hosts.pick(t.service, t.route.homes, t.tried, now)
+        if got[1] or t.sent or not t.route.split:
+            return got
+        for p in t.route.split:
+            if p.weight > 0 and p.service != t.service:
+                other = self.hosts.pick(p.service, t.route.homes, t.tried, now)
+                if other[1]:
+                    t.service = p.service
+                    return other
+        return got
+
+    def _queue(self, t: Trip, end: float) -> Generator[Step, object, bool]:
+        s, w = t.service, self.hosts.waiting
+        if w.get(s, 0) >= WAITING:
+            return False
+        w[s] = w.get(s, 0) + 1
+        try:
+            yield Room(s, end)
+        finally:
+            w[s] -= 1
+            if not w[s]:
+                del w[s]
+        return True
+
+    def _took(self, t: Trip, place: Place, r: Result[Answer, str], sent_at: float) -> Reply | None:
+        now, spot = self.now(), place.spot
+        if r.is_err():
+            place.back(keep=False)
+            if r.err_value.startswith("unsent"):
+                self.hosts.failed(spot, now)
+                return self._again(t, "the connection broke before anything was sent")
+            t.ran = True
+            if r.err_value != "limit":
+                self.hosts.failed(spot, now)
+            self.counts.add(f"upstream_{r.err_value.partition(':')[0]}")
+            return self._again(t, r.err_value)
+        a: Answer = r.ok_value
+        self.hosts.heard(spot, a, now - sent_at, now)
+        if a.status == 421 or self._not_run and self._not_run in a.said:
+            self.counts.add("upstream_turned_away")
+            self.hosts.turned_away(spot, a.status, now)
+            place.back(keep=a.keep and a.status != 421)
+            return self._again(t, "the upstream turned it away")
+        t.ran = True
+        if 200 <= a.status < 300 and self._seal and self._seal not in a.said:
+            place.back(keep=False)
+            self.hosts.failed(spot, now)
+            return self._again(t, "garbage: a success without a seal")
+        if a.status >= 500 and t.route.kind == "read" and t.sent < t.route.tries and t.end - now > LEAST:
+            place.back(keep=a.keep)
+            return None
+        if a.status in PROMISE:
+            place.back(keep=a.keep)
+            return self._end(t, f"the upstream answered {a.status}, and it may have run")
+        self.counts.add("answers")
+        if a.rest is None:
+            place.back(keep=a.keep)
+        else:
+            place.streams = True
+        return Reply(a.status, answer=a, lease=place)
+
+    def _again(self, t: Trip, why: str) -> Reply | None:
+        if t.sent >= t.route.tries or t.ran and t.route.kind != "read":
+            return self._end(t, why)
+        return None
+
+    def _end(self, t: Trip, why: str) -> Reply:
+        """The one place that may promise that nothing ran."""
+        if not t.ran:
+            self.counts.add("bounced_not-run")
+            return own(503, NOT_RUN, f"routes.{t.route.name}", why, 0.1 + self._jitter())
+        self.counts.add("bounced_unknown")
+        return own(504 if self.now() >= t.end - LEAST else 502, UNKNOWN, f"routes.{t.route.name}", why)
+
+    def _no_route(self, now: float) -> Reply:
+        if not self.echo.fresh(now):
+            return own(503, NOT_RUN, "path", "no route known here takes this, but newer settings may", 0.3 + self._jitter())
+        return own(404, NOT_RUN, "path", "no route takes this request")
+
+    def _until(self, t: Trip, now: float) -> float:
+        if t.route.kind != "read" or t.sent >= t.route.tries:
+            return t.end
+        return now + PART * (t.end - now)
+
+    def _service(self, route: HostRoute) -> str:
+        if route.service is not None or not route.split:
+            return route.service or ""
+        return self.rng.choices([p.service for p in route.split], [p.weight for p in route.split])[0]
+
+    def _jitter(self) -> float:
+        return 0.2 * self.rng.random()
+
+    def _lines(self, a: Ask, body: bytes) -> str:
+        drop = self._drop
+        if "connection" in a.headers:
+            drop = drop | {h.strip().lower() for h in a.headers["connection"].split(",")} - {"host", self._ask}
+        lines = [f"{a.method} {a.target} HTTP/1.1\r\n"]
+        lines += [f"{k}: {v}\r\n" for k, v in a.pairs or a.headers.items() if k.lower() not in drop]
+        if body or a.length is not None or "transfer-encoding" in a.headers:
+            lines.append(f"Content-Length: {len(body)}\r\n")
+        return "".join(lines)
+
+    def _wire(self, t: Trip, place: Place, now: float) -> bytes:
+        terms = self.params.terms
+        head = t.lines
+        if terms.limit:
+            head += f"{terms.limit}: {max(1, int((t.end - now) * 1000))}\r\n"
+        if terms.expect:
+            head += f"{terms.expect}: {place.spot.up.instance}\r\n"
+        return (head + "\r\n").encode("latin-1") + t.body
+
+
+def own(
+    status: int, outcome: str, place: str, text: str, after: float | None = None, close: bool = False
+) -> Reply:
+    return Reply(status, outcome, [Finding(place, text)], after, close)
+
+
+def bare(host: str) -> str:
+    return host.rpartition(":")[0].lower() if ":" in host else host.lower()
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import math
-import re
+from collections.abc import Callable
 
 import falcon
 import gevent
@@ -13,76 +13,129 @@
 from mallowvalve import finding
 from mallowvalve.count import Counts, change
 from mallowvalve.finding import Finding, Findings, parse_json
+from mallowvalve.head import Incoming, read_head
 from mallowvalve.kind import Address
+from mallowvalve.tree.items import Limits
 
 OUTCOME = "Mallow-Outcome"
 NOT_RUN, UNDECIDED, UNKNOWN = "not-run", "undecided", "unknown"
+WHOLE = 256 << 10
 
+HEADER_BYTES, HEADER_S = 65536, 30.0
+LINGER = 0.3
+SOON = 2.0
 
-TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-BAD_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
+class Handler(WSGIHandler):
+    """A client's session. Its bounds are the server's `limits`, asked anew for each request."""
 
-def check_headers(m) -> None:
-    if m.defects:
-        raise ValueError("malformed headers")
-    for name, value in m.items():
-        if not TOKEN.fullmatch(name) or BAD_VALUE.search(value):
-            raise ValueError("malformed header")
-    lengths, codings = m.get_all("content-length", []), m.get_all("transfer-encoding", [])
-    if len(lengths) + len(codings) > 1 or any(c.lower() != "chunked" for c in codings):
-        raise ValueError("ambiguous length")
-    if any(not (n.isascii() and n.isdigit()) for n in lengths):
-        raise ValueError("bad length")
+    linger = False
 
+    def __init__(self, sock, address, server, rfile=None):
+        super().__init__(sock, address, server, rfile or Incoming(sock))
 
-class Handler(WSGIHandler):
     def handle(self):
         self.server.sessions.add(self)
         self.busy = False
         try:
-            super().handle()
+            while (r := self.handle_one_request()) is True:
+                self.busy = False
+            if r is not None:
+                self.linger = True
+                self.socket.sendall(r[1])
+        except OSError:
+            pass
         finally:
             self.server.sessions.discard(self)
+            self._end()
 
-    def MessageClass(self, *args):
-        m = super().MessageClass(*args)
-        check_headers(m)
-        return m
-
-    def read_request(self, raw_requestline):
-        if len(raw_requestline.split()) != 3:
-            raise ValueError("request line")
-        return super().read_request(raw_requestline)
+    def handle_one_request(self):
+        limits = self.server.limits()
+        most, seconds, idle = HEADER_BYTES, HEADER_S, None
+        if limits is not None:
+            most, seconds, idle = limits.header_bytes, limits.header_ms / 1000, limits.idle_ms / 1000
+        self.idle = idle
+        try:
+            if not self.rfile.begun(idle):
+                return None
+            self.busy = True
+            head = self.rfile.head(most, seconds)
+        except TimeoutError:
+            return self._refuse(408, "Request Timeout", NOT_RUN, "its head took too long")
+        except OSError:
+            return None
+        if head is None:
+            return self._refuse(431, "Request Header Fields Too Large", NOT_RUN, f"a head of over {most} bytes")
+        if not head:
+            return None
+        try:
+            self.request = h = read_head(head)
+        except ValueError:
+            self.server.counts.add("web_bad_request")
+            return self._refuse(400, "Bad Request", UNDECIDED, "not understood as HTTP")
+        self.headers, self.command, self.path, self.request_version = h, h.method, h.target, h.version
+        self.requestline = h.method
+        self.content_length, self.close_connection = h.length, h.close
+        self.response_length = 0
+        self.environ = self.get_environ()
+        self.application = self.server.application
+        self.handle_one_response()
+        return None if self.close_connection else True
 
     def get_environ(self):
         env = super().get_environ()
         env["mallow.target"] = self.path
+        env["mallow.head"] = self.request
         return env
 
-    def handle_one_response(self):
-        self.busy = True
-        try:
-            return super().handle_one_response()
-        finally:
-            self.busy = False
-
     def finalize_headers(self):
-        if self.server.draining:
+        self.provided_date = self.provided_date or ""
+        if self.server.draining or self.close_connection:
             self.close_connection = True
             self.response_headers = [h for h in self.response_headers if h[0].lower() != b"connection"]
             self.response_headers.append((b"Connection", b"close"))
+        elif self.idle is not None:
+            self.response_headers.append((b"Keep-Alive", b"timeout=%d" % max(1, int(self.idle - SOON))))
         super().finalize_headers()
 
-    def handle_one_request(self):
-        r = super().handle_one_request()
-        if isinstance(r, tuple):
-            status, _ = r
-            body = encode({"findings": [Finding("request", "not understood as HTTP")]})
-            head = f"HTTP/1.1 {status} Bad Request\r\nContent-Type: application/json\r\n{OUTCOME}: {UNDECIDED}\r\n"
-            self.server.counts.add("web_bad_request")
-            return status, f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
-        return r
+    def _write_with_headers(self, data):
+        """Head and a small body leave in one call."""
+        self.headers_sent = True
+        self.finalize_headers()
+        head = b"".join((b"HTTP/1.1 ", self.status, b"\r\n", *(b"%s: %s\r\n" % h for h in self.response_headers), b"\r\n"))
+        if self.response_use_chunked or len(data) > WHOLE:
+            self._sendall(head)
+            return self._write(data)
+        self._sendall(head + data)
+
+    def _headers(self):
+        for k, v in self.headers.said.items():
+            if "_" not in k and k not in ("content-type", "content-length"):
+                yield "HTTP_" + k.replace("-", "_").upper(), v
+
+    def _refuse(self, status: int, reason: str, outcome: str, text: str):
+        body = encode({"findings": [Finding("request", text)]})
+        head = f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{OUTCOME}: {outcome}\r\n"
+        return status, f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+    def _end(self) -> None:
+        """After a refusal what still comes is dropped for a moment, so that a reset does not swallow the answer."""
+        sock, self.socket = self.socket, None
+        try:
+            if self.linger or self.wsgi_input is not None and self.rfile.unread():
+                sock.shutdown(socket.SHUT_WR)
+                with gevent.Timeout(LINGER, False):
+                    while sock.recv(65536):
+                        pass
+        except OSError:
+            pass
+        sock.close()
+        self.__dict__.pop("socket", None)
+        self.__dict__.pop("rfile", None)
+        self.__dict__.pop("wsgi_input", None)
+
+    def log_request(self):
+        pass
 
     def log_error(self, msg, *args):
         self.server.counts.add("web_client_error")
@@ -96,6 +149,7 @@
         self.counts = counts
         self.sessions: set[Handler] = set()
         self.draining = False
+        self.limits: Callable[[], Limits | None] = lambda: None
 
     def __enter__(self) -> Server:
         self.start()
