--- a/sim/capacity.py
+++ b/sim/capacity.py
@@ -16,14 +16,15 @@
 from falcon.testing import create_environ
 
 from mallowvalve import web
-from mallowvalve.beat.board import Beat, Board
 from mallowvalve.beat.hear import Hear, Heard
-from mallowvalve.beat.roll import Roll, Rolled, Upstream
+from mallowvalve.beat.roll import Roll, Rolled
 from mallowvalve.bond.detector import Bond
-from mallowvalve.bond.wire import VERSION, Head, Tell
+from mallowvalve.bond.share import batches
+from mallowvalve.bond.wire import VERSION, Head, Ping, Tell
 from mallowvalve.bond.wire import decode as bond_decode
 from mallowvalve.bond.wire import encode as bond_encode
 from mallowvalve.count import Counts
+from mallowvalve.flow.host import Hosts
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
 from mallowvalve.law.beathttp import Beats
@@ -33,11 +34,13 @@
 from mallowvalve.law.state import Change, Enrol, Evacuate, Seat, State, encode
 from mallowvalve.law.wire import Fed, Want
 from mallowvalve.mesh.frame import Frame, seal
+from mallowvalve.params import check
 from mallowvalve.tree.build import build
-from mallowvalve.tree.items import Amend, HostRoute, Items
+from mallowvalve.tree.items import Amend, ServiceItem
 from mallowvalve.vote.wire import COMMAND, Entry, Voters
 from sim.target import (
-    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, beat, doc, item, record, rolled, sizes, upstream, voters,
+    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, board, bond, doc, item, items, record, roll, rolled,
+    sizes, upstream, voters,
 )
 
 
@@ -64,49 +67,6 @@
     return best
 
 
-def decoded(kind, x):
-    """As it comes off the wire: no text shared with its neighbours."""
-    return msgspec.msgpack.decode(encode(x), type=kind)
-
-
-def roll(n: int) -> Roll:
-    """Laid in row by row: what `apply` takes for each is measured apart."""
-    r = Roll()
-    for i in range(n):
-        u = decoded(Upstream, upstream(i))
-        r.rows[u.instance] = u
-    return r
-
-
-def items(n: int) -> Items:
-    x = Items()
-    for lo in range(0, n, 500):
-        c = decoded(Amend, Amend([item(i) for i in range(lo, min(n, lo + 500))]))
-        try:
-            x.apply(c)
-        except NotImplementedError:
-            for it in c.items:
-                x.rows[it.kind, it.name] = it
-                r = msgspec.json.decode(it.doc, type=HostRoute)
-                x.hosts.setdefault(r.host, []).append(r)
-    return x
-
-
-def bond(n: int) -> Bond:
-    b = Bond(record(0), "mallowvalve", [addr(1)], random.Random(1), 1.7178, 30, 0.5)
-    head = Head(VERSION, "mallowvalve", addr(1), BOOT + 1, 3)
-    for i in range(1, n):
-        b.receive(decoded(Tell, Tell(head, [record(i)])), 0.0)
-    return b
-
-
-def board(n: int) -> Board:
-    b = Board()
-    for i in range(n):
-        b.hear(decoded(Beat, beat(i)), 0.0)
-    return b
-
-
 def memory(part: float) -> None:
     """Bytes kept a thing, in the node's own structures."""
     for what, make, n in (
@@ -264,30 +224,41 @@
 
 
 def members(part: float) -> None:
-    """A period of the detector, nobody failed: one node's turn, its neighbour's answer, and taking both in."""
+    """The detector, nobody failed: a period's ping; one difference found and mended; a joiner's first full view; own news."""
     for n in sorted({15, 82, 500, int(NODES * part)}):
         a, b = bond(n), bond(n)
-        b.me = b.view.pop(addr(1))
-        b.view[a.me.addr] = a.me
-        a.tick(0.0)
-        now, sent, count, t = 0.0, 0, 0, time.process_time()
-        for _ in range(4):
-            now += a.period
-            a._acked = True
-            out = a.tick(now)
-            back = [x for _, m in out for x in b.receive(decoded_tell(m), now)]
-            for _, m in back:
-                a.receive(decoded_tell(m), now)
-            sent += sum(len(bond_encode(m)) for _, m in out + back)
-            count += len(out) + len(back)
-        cpu, each = (time.process_time() - t) / 4, 4 * a.period
+        b.me = record(1)
+        for x, y in ((b, a), (a, b)):
+            for r in (x.me, y.me):
+                if r.addr in x.view:
+                    x._drop(r.addr)
+            x._digest.put(x.me)
+            x._accept(y.me, 0.0, "")
+        a._start, a._born, b._start = 0.0, 0.0, 0.0
+        rest = _exchange(a, b, 10 * a.period)
+        a._accept(msgspec.structs.replace(a.view[addr(7)], incarnation=4, ready=False), 20.0, "")
+        mend = _exchange(a, b, 20 * a.period)
+        same = a._digest.total == b._digest.total
+        full = [len(bond_encode(m)) for rs in batches([b.me, *b.view.values()]) for m in [Tell(b._head(), rs)]]
+        t = time.process_time()
+        bond(n)
+        cpu = time.process_time() - t
         news = [len(bond_encode(m)) for _, m in a.ready(False)]
-        click.echo(f"members {n:5} nodes: {count / each:7.1f} datagrams a second a node, {sent / each / 1e3:8.2f} KB/s sent, as much taken in, "
-                   f"{cpu / a.period * 100:.1f}% of a core; own news {len(news)} datagrams, {sum(news) / 1e6:.2f} MB")
+        click.echo(f"members {n:5} nodes: a period {rest[0]} datagrams, {rest[1]} B; a difference {mend[0] - rest[0]} more, {mend[1] - rest[1]} B"
+                   f"{'' if same else ' (not mended)'}; a full view {len(full)}, {sum(full) / 1e3:.1f} KB, taken in {cpu * 1e3:.0f} ms; "
+                   f"own news {len(news)}, {sum(news) / 1e3:.1f} KB")
 
 
-def decoded_tell(m):
-    return bond_decode(bond_encode(m))
+def _exchange(a: Bond, b: Bond, now: float) -> tuple[int, int]:
+    """One ping of `a`, as if it had drawn `b`, and all that follows from it: datagrams and bytes of both."""
+    a._start, a._target, a._acked, a._join_at, b._join_at = now, a.view[b.me.addr], False, None, None
+    way, to, back = [Ping(a._head(), a.me.addr, b.me.addr, a.pr, a._digest.total)], b, a
+    count, size = 0, 0
+    while way:
+        count, size = count + len(way), size + sum(len(bond_encode(m)) for m in way)
+        way = [x for m in way for at, x in to.receive(bond_decode(bond_encode(m)), now) if at == back.me.addr]
+        to, back = back, to
+    return count, size
 
 
 def hear(part: float) -> None:
@@ -330,11 +301,23 @@
 
 
 def pick(part: float) -> None:
-    """Candidates of one request, from the board and from the roll."""
-    for m in (60, 600, 6000, int(UPSTREAMS * part)):
-        b, r = board(m), roll(m)
-        s, t = spent(lambda: b.usable("service-0001", 1.0), 0.1), spent(lambda: r.ready("service-0001"), 0.1)
-        click.echo(f"pick    {m:6} upstreams: {s * 1e6:8.0f} us a choice from the board, {t * 1e6:8.0f} us from the roll")
+    """A proxy's choice for one request, and what a change of the roll and of the roster costs it."""
+    for p in (part / 100, part / 10, part):
+        n, m, k = int(UPSTREAMS * p), max(1, int(SERVICES * p)), int(NODES * p)
+        e, b = echo_of(n, 0), board(n)
+        e.state.params.roster = {str(addr(i)): Seat(BOOT + i, at(i)) for i in range(k)}
+        e.state.params.revision, e.state.clock = 1, 90_000_000
+        item = ServiceItem(name="service-0001", version=1, sessions=550, cold_s=3.0, cold_per_s=7.3)
+        e.state.items.services = {item.name: item}
+        settings = {"name": "x", "locality": str(at(9)), "mesh": "10.0.0.9:1", "web": "10.0.0.9:2"}
+        h = Hosts(e, check("flow", settings).unwrap(), random.Random(1), lambda: 1.0)
+        spot = h.pick("service-0001", [], set(), 1.0)[0]
+        one = spent(lambda: h.pick("service-0001", [], set(), 1.0), 0.1)
+        old = spent(lambda: b.usable("service-0001", 1.0), 0.1)
+        anew = spent(lambda: h._rebuild(e.state.roll, 0, 1.0), 0.1)
+        turns = spent(lambda: (setattr(spot, "cold_at", (-1, -1)), h._turns(spot, item)), 0.1)
+        click.echo(f"pick    {n:6} upstreams, {k} proxies: {one * 1e6:.0f} us a choice ({old * 1e6:.0f} from the board); "
+                   f"a roll change {anew * 1e3:.2f} ms; a roster change {turns * 1e3:.2f} ms for each cold upstream")
 
 
 def queue(_: float) -> None:
--- a/sim/target.py
+++ b/sim/target.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
-from mallowvalve.beat.board import Aged, Beat
-from mallowvalve.beat.roll import Rolled, Upstream
+from mallowvalve.beat.board import Aged, Beat, Board
+from mallowvalve.beat.roll import Roll, Rolled, Upstream
+from mallowvalve.bond.detector import Bond
 from mallowvalve.bond.wire import ALIVE, VERSION, Ack, Head, Ping, Record, Tell
 from mallowvalve.bond.wire import encode as bond_encode
 from mallowvalve.kind import Address, Locality
@@ -13,7 +16,7 @@
 from mallowvalve.law.state import Enrol, Evacuate, Strike, encode
 from mallowvalve.law.wire import Fed, Want
 from mallowvalve.mesh.frame import Frame, seal
-from mallowvalve.tree.items import Amend, HostRoute, Item, Part
+from mallowvalve.tree.items import Amend, HostRoute, Item, Items, Part
 from mallowvalve.vote.wire import COMMAND, Entry, Group, Voters
 
 REGIONS, ZONES = 16, 34
@@ -141,3 +144,46 @@
 def _doc_more(routes: int = 0, tenants: int = 0) -> int:
     few, many = doc(1000, 1000, 100), doc(1000 + routes, 1000 + tenants, 100)
     return (len(msgspec.json.encode(many)) - len(msgspec.json.encode(few))) // 1000
+
+
+def decoded(kind, x):
+    """As it comes off the wire: no text shared with its neighbours."""
+    return msgspec.msgpack.decode(encode(x), type=kind)
+
+
+def roll(n: int) -> Roll:
+    """Laid in row by row: what `apply` takes for each is measured apart."""
+    r = Roll()
+    for i in range(n):
+        u = decoded(Upstream, upstream(i))
+        r.rows[u.instance] = u
+    return r
+
+
+def items(n: int) -> Items:
+    x = Items()
+    for lo in range(0, n, 500):
+        c = decoded(Amend, Amend([item(i) for i in range(lo, min(n, lo + 500))]))
+        try:
+            x.apply(c)
+        except NotImplementedError:
+            for it in c.items:
+                x.rows[it.kind, it.name] = it
+                r = msgspec.json.decode(it.doc, type=HostRoute)
+                x.hosts.setdefault(r.host, []).append(r)
+    return x
+
+
+def bond(n: int) -> Bond:
+    b = Bond(record(0), "mallowvalve", [addr(1)], random.Random(1), 1.7178, 30, 0.5)
+    head = Head(VERSION, "mallowvalve", addr(1), BOOT + 1, 3)
+    for i in range(1, n):
+        b.receive(decoded(Tell, Tell(head, [record(i)])), 0.0)
+    return b
+
+
+def board(n: int) -> Board:
+    b = Board()
+    for i in range(n):
+        b.hear(decoded(Beat, beat(i)), 0.0)
+    return b
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,8 +3,8 @@
 import pytest
 
 from mallowvalve.bond.wire import encode as bond_encode
-from sim.capacity import Led, bond
-from sim.target import sizes
+from sim.capacity import Led
+from sim.target import bond, sizes
 
 MOST = {
     "roll row": 100, "route item": 320, "membership record": 110, "ping": 80, "ack": 80, "tell of one": 150,
