--- a/sim/capacity.py
+++ b/sim/capacity.py
@@ -23,8 +23,9 @@
 from mallowvalve.bond.wire import VERSION, Head, Ping, Tell
 from mallowvalve.bond.wire import decode as bond_decode
 from mallowvalve.bond.wire import encode as bond_encode
+from mallowvalve.claim.ledger import Claim
 from mallowvalve.count import Counts
-from mallowvalve.flow.host import Hosts
+from mallowvalve.flow.host import Hosts, Spot
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
 from mallowvalve.law.beathttp import Beats
@@ -35,11 +36,12 @@
 from mallowvalve.law.wire import Fed, Want
 from mallowvalve.mesh.frame import Frame, seal
 from mallowvalve.params import check
+from mallowvalve.tie.state import Lock
 from mallowvalve.tree.build import build
 from mallowvalve.tree.items import Amend, ServiceItem
 from mallowvalve.vote.wire import COMMAND, Entry, Voters
 from sim.target import (
-    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, board, bond, doc, item, items, record, roll, rolled,
+    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, board, bond, decoded, doc, item, items, record, roll, rolled,
     sizes, upstream, voters,
 )
 
@@ -68,9 +70,11 @@
 
 
 def memory(part: float) -> None:
-    """Bytes kept a thing, in the node's own structures."""
+    """Bytes kept a thing, in the node's own structures; spots are a proxy's own, beside the roll's rows."""
+    ups = list(roll(int(UPSTREAMS * part)).rows.values())
     for what, make, n in (
         ("route items", items, ROUTES), ("roll rows", roll, UPSTREAMS), ("membership", bond, NODES), ("board rows", board, UPSTREAMS),
+        ("spots", lambda m: [Spot(u) for u in ups[:m]], UPSTREAMS), ("seats", seats, NODES),
     ):
         for m in (int(n * part / 10), int(n * part)):
             _, b = kept(lambda: make(m))
@@ -81,6 +85,27 @@
         click.echo(f"memory  tree         {r:7} routes, {t} tenants: {b / max(r, t):.0f} B each, {b / 1e6:.1f} MB; document {len(d) / 1e6:.1f} MB")
 
 
+def seats(n: int) -> dict[str, Seat]:
+    return {str(addr(i)): decoded(Seat, Seat(BOOT + i, at(i))) for i in range(n)}
+
+
+def log(part: float) -> None:
+    """Commands through the log of a leader without disk or followers, a hundred a turn: processor time of one."""
+    led = Led(0, 512)
+    makes = {
+        "a claim": lambda i: Claim(f"tenant\0{i:032x}", f"{i:032x}", "10.0.0.9:7620#3141592653589793", f"{i:032x}"),
+        "a lock": lambda i: Lock(f"lock-{i % 1000}", f"holder-{i}", 5000, f"ask-{i}"),
+        "a seat": lambda i: Enrol(addr(i % 100), BOOT + i, at(i)),
+    }
+    for what, make in makes.items():
+        t, n = time.process_time(), int(5000 * part) + 100
+        for i in range(n):
+            led.c.propose(encode(make(i)), i, led.now + 60, led.now)
+            if i % 100 == 99:
+                led.step()
+        click.echo(f"log     {what}: {(time.process_time() - t) / n * 1e6:.0f} us")
+
+
 def echo_of(rows: int, routes: int) -> Echo:
     e = Echo(addr(9), BOOT, "flow", at(9), lambda r: None)
     s = State(GROUP.generation)
@@ -294,8 +319,10 @@
 
     def one() -> None:
         env = create_environ("/upstreams/up-000001", method="PUT", body=body)
-        if b"".join(app(env, lambda status, headers: None))[:1] != b"{":
-            raise SystemExit("a beat was not answered")
+        said: list[str] = []
+        answer = b"".join(app(env, lambda status, headers: said.append(status)))
+        if said != ["200 OK"]:
+            raise SystemExit(f"a beat was answered {said} {answer}")
 
     return one
 
@@ -343,14 +370,14 @@
     return sum(out) / n, out[int(n * 0.99)]
 
 
-PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, hear, members, pick, queue)}
+PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, log, hear, members, pick, queue)}
 
 
 @click.command()
 @click.argument("parts", nargs=-1)
 @click.option("--part", default=1.0, help="the target's sizes times this")
 def main(parts: tuple[str, ...], part: float) -> None:
-    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, hear, members, pick, queue."""
+    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, log, hear, members, pick, queue."""
     click.echo(f"python {sys.version.split()[0]}")
     click.echo(json.dumps(sizes(), indent=1))
     for name in parts or PARTS:
