--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -10,24 +10,30 @@
 from mallowvalve.count import Counts
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law import grow
-from mallowvalve.law.cut import cut, dump, load
+from mallowvalve.law.cut import cut, cut_settings, dump, load
 from mallowvalve.law.force import Echoes
-from mallowvalve.law.state import Change, Enrol, Evacuate, Outcome, State, Strike, Tick, command, encode
+from mallowvalve.law.state import (
+    SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, State, Strike, Tick, command, encode, tag_of, tags,
+)
 from mallowvalve.law.wire import Fed, Took, Want, Who
-from mallowvalve.vote.log import Log
+from mallowvalve.params import Acks
+from mallowvalve.vote.log import CHUNK, CHUNK_BYTES, Log
 from mallowvalve.vote.raft import Raft, Ready
 from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
 
-PARAMS = (Change, Evacuate, Enrol, Strike)
-HOLD = 0.5
+TOLD = tags((Change, Evacuate, Enrol, Strike))
+SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
+HOLD_MOST = 1.0
 
 
 class Pending(msgspec.Struct):
     token: Any
     term: int
     limit: float
-    params: bool
+    settings: bool
+    waits: str
     outcome: Outcome | None = None
+    need: int = 0
 
 
 class Parked(msgspec.Struct):
@@ -46,10 +52,10 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index",
+        "_grown", "_base_index", "_acks", "_news",
     )
 
-    def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random):
+    def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks()):
         self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
         self.raft: Raft | None = None
         self.state: State | None = None
@@ -67,6 +73,8 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._base_index = 0
+        self._acks = acks
+        self._news: deque[Entry] = deque()
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
@@ -76,6 +84,7 @@
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
+        self._news = deque()
         self._led = False
 
     def stop(self, new_id: str) -> None:
@@ -131,8 +140,9 @@
         if index is None:
             self.replies.append((token, Took("leader")))
             return
-        params = isinstance(command(data), PARAMS)
-        self._pending[index] = Pending(token, self.raft.term, limit, params)
+        tag = tag_of(data)
+        waits = self._acks.settings if tag in SETTINGS_TAGS else self._acks.ties if tag in TIES_TAGS else "held"
+        self._pending[index] = Pending(token, self.raft.term, limit, tag in SETTINGS_TAGS, waits)
 
     def read(self, token: Any, limit: float, now: float) -> None:
         if not self.leads:
@@ -155,7 +165,7 @@
 
     def saved(self, r: Ready, now: float) -> None:
         if r.install is not None:
-            self.state = self._loaded_for(r.install)
+            self.state, self._news = self._loaded_for(r.install), deque()
         self.raft.saved(r)
         self._apply()
         self._settle(now)
@@ -169,6 +179,13 @@
             return self.raft.log.picture, iter(self.raft.log.picture.state)
         return Picture(self.raft.group, i, self.raft.log.term(i), self.raft.log.voters_at(i), []), cut(self.state)
 
+    def settings(self) -> tuple[Picture, Iterator[bytes]] | None:
+        """The settings part of the state as it is now."""
+        if self.raft is None or self.state.index < self.raft.log.base:
+            return None
+        i = self.state.index
+        return Picture(self.raft.group, i, self.raft.log.term(i), self.raft.log.voters_at(i), []), cut_settings(self.state)
+
     def base(self) -> Picture | None:
         return self.raft.log.picture if self.raft is not None else None
 
@@ -186,6 +203,8 @@
 
     def compact(self, p: Picture) -> None:
         self.raft.log.compact(p)
+        while self._news and self._news[0].index <= p.index:
+            self._news.popleft()
 
     def _clock(self, now: float) -> int:
         return self._clock_base + int((now - self._clock_at) * 1000)
@@ -193,17 +212,18 @@
     def _apply(self) -> None:
         while self.state.index < self.raft.commit:
             e = self.raft.log.get(self.state.index + 1)
-            before = self.state.params.revision
             out = self.state.apply(e.index, e.at, e.data if e.kind == COMMAND else b"")
-            if self.state.params.revision != before:
-                self.decided.append((command(e.data), out))
+            if self.state.turned == e.index:
+                self._news.append(e)
+                if tag_of(e.data) in TOLD:
+                    self.decided.append((command(e.data), out))
             p = self._pending.pop(e.index, None)
             if p is None:
                 continue
             if p.term != e.term:
                 self.replies.append((p.token, Took("replaced")))
                 continue
-            p.outcome = out
+            p.outcome, p.need = out, self.state.turned if p.settings else e.index
             self._waiting.append((e.index, p))
 
     def _settle(self, now: float) -> None:
@@ -227,8 +247,7 @@
         keep: deque[tuple[int, Pending]] = deque()
         for index, p in self._waiting:
             o = p.outcome
-            held = self.echoes.held_elsewhere(index, now)
-            if held and (not p.params or self.echoes.in_force(o.revision, now)):
+            if self._acknowledged(p, now):
                 self.replies.append((p.token, Took(o.code, o.revision, o.body)))
             elif now >= p.limit:
                 self.replies.append((p.token, Took("undecided", o.revision)))
@@ -238,6 +257,13 @@
         for i in [i for i, p in self._pending.items() if now >= p.limit]:
             self.replies.append((self._pending.pop(i).token, Took("undecided")))
 
+    def _acknowledged(self, p: Pending, now: float) -> bool:
+        if p.waits == "commit" or p.outcome.code == "invalid":
+            return True
+        if not self.echoes.held_elsewhere(p.need, now, p.settings):
+            return False
+        return p.waits == "held" or self.echoes.in_force(p.outcome.revision, now)
+
     def _answer_reads(self, now: float) -> None:
         keep = []
         for r in self._reads:
@@ -251,21 +277,37 @@
 
     def _answer_wants(self, now: float) -> None:
         for a, p in list(self._parked.items()):
-            same = p.want.group == self.raft.group
-            if same and p.want.index >= self.state.index and now - p.at < HOLD:
+            w, part = p.want, p.want.parts == "settings"
+            same = w.group == self.raft.group
+            newest = self.state.turned if part else self.state.index
+            if same and w.index >= newest and now - p.at < min(w.hold, HOLD_MOST):
                 continue
             del self._parked[a]
             sure = self.echoes.sure(a, self.raft.confirmed)
             self.echoes.fed(a, now)
-            entries, lacking = [], not same or p.want.index < self.raft.log.base
-            if not lacking:
-                es = self.raft.log.since(p.want.index)
-                entries = [e for e in es if e.index <= self.state.index]
+            entries, upto = [], self.state.index
+            lacking = not same or w.index < self.raft.log.base and w.index < newest
+            if not lacking and part:
+                entries, upto = self._news_since(w.index)
+            elif not lacking:
+                entries = [e for e in self.raft.log.since(w.index) if e.index <= self.state.index]
             self.replies.append((p.token, Fed(
-                self.addr, self.raft.group, lacking, entries, self.state.index, self.state.params.revision, sure,
-                self.raft.log.voters_at(self.state.index),
+                self.addr, self.raft.group, lacking, entries, upto, self.state.params.revision, sure,
+                self.raft.log.voters_at(self.state.index), self.state.clock, self._clock(now),
             )))
 
+    def _news_since(self, index: int) -> tuple[list[Entry], int]:
+        """What changed the settings part after the index, and how far one is whole with it."""
+        out, size = [], 0
+        for e in self._news:
+            if e.index <= index:
+                continue
+            size += len(e.data)
+            if out and (size > CHUNK_BYTES or len(out) >= CHUNK):
+                return out, out[-1].index
+            out.append(e)
+        return out, self.state.index
+
     def _housekeep(self, now: float) -> None:
         if now - self._ticked > 1.0 and self.state.tie.restless():
             self._ticked = now
--- a/mallowvalve/law/cut.py
+++ b/mallowvalve/law/cut.py
@@ -10,8 +10,11 @@
 
 from mallowvalve.claim.asks import Asked
 from mallowvalve.claim.ledger import Row
+from mallowvalve.beat.roll import Upstream
 from mallowvalve.law.state import Params, State, encode
+from mallowvalve.tie import plain
 from mallowvalve.tie.state import Event, Held
+from mallowvalve.tree.items import Item
 
 PIECE = 1 << 20
 SLICE = 2000
@@ -25,25 +28,47 @@
     locks: dict[str, Held]
     numbers: dict[str, int]
     compacted: int
+    items_revision: int = 0
+    roll_revision: int = 0
 
 
-HEAD, ROWS, KEPT, ASKS, KEYS, EVENTS = range(6)
+HEAD, ROWS, KEPT, ASKS, KEYS, EVENTS, ITEMS, ROLL, PLAIN = range(9)
 _kind = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
 _part = {k: msgspec.msgpack.Decoder(t).decode for k, t in {
     HEAD: Head, ROWS: list[tuple[str, Row]], KEPT: list[str], ASKS: list[tuple[str, Asked]],
     KEYS: list[tuple[str, tuple[str, int]]], EVENTS: list[Event],
+    ITEMS: list[Item], ROLL: list[tuple[str, Upstream]], PLAIN: plain.PlainPicture,
 }.items()}
 
 
 def cut(s: State) -> Iterator[bytes]:
     """The state as it is now; pieces are made one at a time while it goes on, for only frozen rows are shared."""
-    head = Head(s.generation, s.index, s.clock, s.params, s.tie.locks, s.tie.numbers, s.tie.compacted)
+    head = Head(
+        s.generation, s.index, s.clock, s.params, s.tie.locks, s.tie.numbers, s.tie.compacted,
+        s.items.revision, s.roll.revision,
+    )
+    ties = s.plain.picture()
+    return chain(_begun(head, s), _rest(s), (encode((PLAIN, p)) for p in plain.parts(ties, SLICE, PIECE)))
+
+
+def cut_settings(s: State) -> Iterator[bytes]:
+    """The settings part alone: params, items and roll."""
+    head = Head(s.generation, s.index, s.clock, s.params, {}, {}, 0, s.items.revision, s.roll.revision)
+    return _begun(head, s)
+
+
+def _begun(head: Head, s: State) -> Iterator[bytes]:
     first = encode((HEAD, head))
+    parts = ((ITEMS, s.items.rows.copy().values()), (ROLL, s.roll.rows.copy().items()))
+    return chain([first], (encode((kind, part)) for kind, rows in parts for part in slices(rows)))
+
+
+def _rest(s: State) -> Iterator[bytes]:
     parts = (
         (ROWS, s.ledger.rows.copy().items()), (KEPT, s.ledger.kept.copy()), (ASKS, s.asks.rows.copy().items()),
         (KEYS, s.tie.keys.copy().items()), (EVENTS, s.tie.events.copy()),
     )
-    return chain([first], (encode((kind, part)) for kind, rows in parts for part in slices(rows)))
+    return (encode((kind, part)) for kind, rows in parts for part in slices(rows))
 
 
 def dump(s: State) -> list[bytes]:
@@ -72,7 +97,7 @@
 
 def _large(r) -> int:
     v = r[1] if isinstance(r, tuple) else r
-    body = v[0] if isinstance(v, tuple) else getattr(v, "body", None) or getattr(v, "value", None)
+    body = v[0] if isinstance(v, tuple) else next((b for f in ("body", "value", "doc") if (b := getattr(v, f, None))), None)
     return len(body) if body else 0
 
 
@@ -102,6 +127,12 @@
             s.tie.keys.update(part)
         elif kind == EVENTS:
             s.tie.events.extend(part)
+        elif kind == ITEMS:
+            s.items.adopt(part)
+        elif kind == ROLL:
+            s.roll.rows.update(part)
+        elif kind == PLAIN:
+            s.plain.adopt(part)
         elif not s.ledger.keep_again(part):
             return Err("a kept answer without its row")
         return Ok(None)
@@ -115,4 +146,5 @@
         s = self._state = State(h.generation if self._generation is None else self._generation)
         s.index, s.clock, s.params = h.index, h.clock, h.params
         s.tie.locks, s.tie.numbers, s.tie.compacted = h.locks, h.numbers, h.compacted
+        s.items.revision, s.roll.revision = h.items_revision, h.roll_revision
         return Ok(None)
--- a/mallowvalve/law/echo.py
+++ b/mallowvalve/law/echo.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterator
 
 import msgspec
-from result import Result
+from result import Ok, Result
 
 from mallowvalve.count import Counts
 from mallowvalve.kind import Address, Locality
-from mallowvalve.law.cut import cut
+from mallowvalve.law.cut import cut, cut_settings
 from mallowvalve.law.pieces import Label, label
 from mallowvalve.law.state import State
 from mallowvalve.law.wire import Fed, Round, Told, Want
@@ -16,16 +16,22 @@
 from mallowvalve.vote.wire import Group, Picture, Voters
 
 WINDOW = 2.0
-QUIET = 0.6
+HOLD = 0.5
+QUIET = 1.2
 
 
 class Echo:
     __slots__ = (
         "addr", "boot", "role", "locality", "group", "voters", "state", "leader", "counts", "lost_leader",
-        "tree", "understood", "_sure", "_answers", "_led", "_on_params",
+        "tree", "understood", "parts", "hold", "_sure", "_answers", "_led", "_on_params", "_doc", "_seen", "_time",
     )
 
-    def __init__(self, addr: Address, boot: int, role: str, locality: Locality, on_params: Callable[[Result], None]):
+    def __init__(
+        self, addr: Address, boot: int, role: str, locality: Locality, on_params: Callable[[Result], None],
+        parts: str = "all", hold: float = HOLD,
+    ):
+        """`parts` is all or settings; `hold` is for how long the leader may keep a want (s)."""
+        self.parts, self.hold = parts, hold
         self.addr, self.boot, self.role, self.locality = addr, boot, role, locality
         self.group: Group | None = None
         self.voters: Voters | None = None
@@ -38,6 +44,9 @@
         self._on_params = on_params
         self.tree: Tree = EMPTY
         self.understood = True
+        self._doc: bytes | None = None
+        self._seen: tuple = ()
+        self._time = (0, 0.0)
 
     @property
     def revision(self) -> int:
@@ -54,11 +63,19 @@
         return seat is not None and seat.boot == self.boot
 
     def quiet(self, now: float) -> bool:
-        return now - self._led > QUIET
+        return now - self._led > QUIET * self.hold
 
-    def want(self, now: float) -> Want:
+    def clock(self, now: float) -> int:
+        """What the fleet's clock (ms) shows, by the leader's last word; it stands or lags where none is heard."""
+        time, at = self._time
+        return max(self.state.clock if self.state else 0, time + int((now - at) * 1000) if time else 0)
+
+    def want(self, now: float, hold: float | None = None) -> Want:
         index = self.state.index if self.state else 0
-        return Want(self.addr, self.boot, self.role, self.locality, self.group, index, self.revision, now)
+        hold = self.hold if hold is None else hold
+        return Want(
+            self.addr, self.boot, self.role, self.locality, self.group, index, self.revision, now, self.parts, hold,
+        )
 
     def fed(self, f: Fed, now: float) -> None:
         if f.group is None:
@@ -68,6 +85,8 @@
             return
         self.leader, self._led = f.leader, now
         self.voters = f.voters
+        if f.time:
+            self._time = (f.time, now)
         self._apply(f)
         if self.revision >= f.revision and f.sure >= 0:
             self._sure = max(self._sure, f.sure)
@@ -117,10 +136,16 @@
 
     def picture(self) -> tuple[Picture, Iterator[bytes]] | None:
         """What is held; its pieces are made as they are asked for."""
-        if self.state is None:
+        if self.state is None or self.parts != "all":
             return None
         return Picture(self.group, self.state.index, 0, self.voters, []), cut(self.state)
 
+    def settings(self) -> tuple[Picture, Iterator[bytes]] | None:
+        """The settings part of what is held."""
+        if self.state is None:
+            return None
+        return Picture(self.group, self.state.index, 0, self.voters, []), cut_settings(self.state)
+
     def _newer(self, t: Told) -> bool:
         if t.group != self.group:
             return t.group.generation > self.group.generation
@@ -134,16 +159,27 @@
             self._sure = max(self._sure, stamp)
 
     def _apply(self, f: Fed) -> None:
-        before = self.revision
+        before, part = self.revision, self.parts == "settings"
         for e in f.entries:
-            if e.index == self.state.index + 1:
+            if e.index == self.state.index + 1 or part and e.index > self.state.index:
                 self.state.apply(e.index, e.at, e.data if e.kind == 1 else b"")
+        if part and not f.lacking:
+            self.state.index = max(self.state.index, f.index)
+            self.state.clock = max(self.state.clock, f.clock)
         if self.revision != before:
             self._renew()
 
     def _renew(self) -> None:
-        r = build(msgspec.json.decode(self.state.params.doc))
-        self.understood = r.is_ok()
-        if r.is_ok():
-            self.tree = r.ok_value
-        self._on_params(r)
+        p = self.state.params
+        new = p.doc != self._doc
+        if new:
+            self._doc = p.doc
+            r = build(msgspec.json.decode(p.doc))
+            self.understood = r.is_ok()
+            if r.is_ok():
+                self.tree = r.ok_value
+        seen = (p.doc_revision, self.state.items.revision, frozenset(p.evacuated.items()), frozenset(p.roster))
+        if new or seen != self._seen:
+            self._seen = seen
+            if new or self.understood:
+                self._on_params(r if new else Ok(self.tree))
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+from gevent.queue import Empty, Queue
 from result import Result
 
 from mallowvalve import clock
@@ -11,8 +12,9 @@
 from mallowvalve.finding import Findings
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
-from mallowvalve.law.echo import Echo
-from mallowvalve.law.pull import BASE, NOW, Puller
+from mallowvalve.law.echo import HOLD, Echo
+from mallowvalve.law.pull import BASE, NOW, SETTINGS, Puller
+from mallowvalve.law.pieces import Label
 from mallowvalve.law.state import Change, command
 from mallowvalve.node import Node
 from mallowvalve.tree.build import build
@@ -20,21 +22,31 @@
 from mallowvalve.vote.wire import COMMAND, Entry
 
 ROUND = 0.3
+ROUND_MOST = 3
+SEEK, SEEK_MOST = 0.8, 3
+OVER = 0.6
+SHUN = 1.0
+ANYWHERE = 1.0
+HOLD_ON = 1.0
 LARGE = 32768
 ATTEMPT = 0.8
 AGAIN = ("leader", "replaced", "undecided")
 
 
 class EchoTask:
-    __slots__ = ("node", "echo", "puller", "_jobs", "_rng", "_fetching")
+    __slots__ = ("node", "echo", "puller", "_jobs", "_rng", "_fetching", "_met", "_shunned", "_sought")
 
     def __init__(self, node: Node):
         self.node = node
         p = node.params
-        self.echo = Echo(p.mesh, node.boot, p.role, p.locality, self._params)
+        hold = HOLD_ON if p.serve_on else HOLD
+        self.echo = Echo(p.mesh, node.boot, p.role, p.locality, self._params, p.holds, hold)
         self._rng = random.Random()
         self._fetching = False
-        self.puller = Puller(node.mesh, self.echo.picture)
+        self.puller = Puller(node.mesh, self.echo.picture, settings=self.echo.settings)
+        self._met: Address | None = None
+        self._shunned: dict[Address, float] = {}
+        self._sought = -1e9
         on = node.mesh.on
         on("round", lambda s, b: wire.encode(self.echo.tell(wire.round_(b))), quick=True)
         on("who", lambda s, b: wire.encode(self._who()), quick=True)
@@ -60,8 +72,16 @@
     def law(self) -> Address | None:
         if self.echo.leader is not None:
             return self.echo.leader
-        laws = [r.addr for r in self.node.bond.alive("law")] or self.node.params.seeds
-        return self._rng.choice(laws) if laws else None
+        return next(iter(self._laws()), None)
+
+    def _laws(self) -> list[Address]:
+        """The laws to ask, those just found silent last; seeds too, for the membership may know nobody yet."""
+        alive = [r.addr for r in self.node.bond.alive("law")]
+        seeds = [a for a in self.node.params.seeds if a not in alive]
+        for some in (alive, seeds):
+            self._rng.shuffle(some)
+        now = clock.now()
+        return sorted([*alive, *seeds], key=lambda a: self._shunned.get(a, now) > now)
 
     def offer(self, command: bytes, limit: float) -> wire.Took:
         """Offers a command that may be given more than once, in short attempts: a dead leader's machine answers nothing."""
@@ -87,6 +107,8 @@
     def _forget(self, a: Address) -> None:
         if self.echo.leader == a:
             self.echo.leader = None
+        now = clock.now()
+        self._shunned = {x: t for x, t in self._shunned.items() if t > now} | {a: now + SHUN}
 
     def _params(self, built: Result[Tree, Findings]) -> None:
         if built.is_ok():
@@ -98,25 +120,78 @@
         p, e = self.node.params, self.echo
         return wire.Who(
             p.role, "", p.mesh, p.locality, p.seeds, e.state is None, e.group, e.state.index if e.state else 0,
-            e.voters, e.leader,
+            e.voters, e.leader, e.parts == "all",
         )
 
     def _follow(self) -> None:
         while True:
-            to = self.law()
+            to = self.echo.leader
             if to is None:
-                gevent.sleep(0.1)
+                self._seek()
                 continue
-            r = self.node.mesh.call(to, "want", wire.encode(self.echo.want(clock.now())), 1.5)
-            if r.is_err():
+            hold = self.echo.hold if to == self._met else 0.0
+            f = self._want(to, hold, hold + OVER)
+            if f is None:
                 self._forget(to)
-                gevent.sleep(0.1)
                 continue
-            f = wire.fed(r.ok_value)
-            warm(large_docs(f.entries))
-            self.echo.fed(f, clock.now())
-            if f.group is None or f.lacking and not self._fetch(to, BASE):
-                gevent.sleep(0.05)
+            self._take(to, f)
+            if f.group is None:
+                gevent.sleep(0.05 if f.leader in (None, to) else 0.01)
+
+    def _want(self, to: Address, hold: float, limit: float) -> wire.Fed | None:
+        r = self.node.mesh.call(to, "want", wire.encode(self.echo.want(clock.now(), hold)), limit)
+        return wire.fed(r.ok_value) if r.is_ok() else None
+
+    def _take(self, of: Address, f: wire.Fed) -> None:
+        warm(large_docs(f.entries))
+        self.echo.fed(f, clock.now())
+        if f.group is None:
+            return
+        self._met = of
+        if f.lacking and not self._fetch(of, SETTINGS if self.echo.parts == "settings" else BASE):
+            gevent.sleep(0.05)
+
+    def _seek(self) -> None:
+        """Asks a few laws at once who leads; the first that leads or names a leader that is not silent ends it."""
+        box: Queue = Queue()
+        asked = self._laws()[:SEEK_MOST]
+        for a in asked:
+            gevent.spawn(lambda a=a: box.put((a, self._want(a, 0.0, SEEK))))
+        for _ in asked:
+            try:
+                a, f = box.get(timeout=SEEK + 0.1)
+            except Empty:
+                break
+            if f is None:
+                self._forget(a)
+            elif f.group is not None:
+                return self._take(a, f)
+            elif f.leader is not None and self._shunned.get(f.leader, -1e9) < clock.now():
+                self.echo.leader = f.leader
+                return
+        if self.node.params.serve_on:
+            self._fetch_anywhere()
+        gevent.sleep(0.1)
+
+    def _fetch_anywhere(self) -> None:
+        """The newest settings that a law or a neighbour holds, while nobody leads; never older ones than are held."""
+        now = clock.now()
+        if now - self._sought < ANYWHERE:
+            return
+        self._sought = now
+        flows = [r.addr for r in self.node.bond.alive("flow") if r.addr != self.echo.addr]
+        to = [*self._laws()[: 2 * SEEK_MOST], *self._rng.sample(flows, min(len(flows), SEEK_MOST))]
+        jobs = [gevent.spawn(self.node.mesh.call, a, "who", b"", 0.5) for a in to]
+        gevent.joinall(jobs)
+        known = [wire.who(j.value.ok_value) for j in jobs if j.value is not None and j.value.is_ok()]
+        known = [w for w in known if w.group is not None and w.voters is not None]
+        for w in sorted(known, key=lambda w: (w.group.generation, w.index), reverse=True):
+            if self.echo.lacks(Label(w.group, w.index, 0, w.voters, 0)) and self._fetch(w.addr, self._now):
+                return
+
+    @property
+    def _now(self) -> bytes:
+        return SETTINGS if self.echo.parts == "settings" else NOW
 
     def _fetch(self, a: Address, what: bytes) -> bool:
         r = self.puller.pull(a, what, self.echo.lacks)
@@ -137,9 +212,11 @@
             if m is None:
                 continue
             body = wire.encode(m)
-            for a in self.echo.roster():
-                if a != self.echo.addr:
-                    gevent.spawn(self._ask, a, body)
+            others = [a for a in self.echo.roster() if a != self.echo.addr]
+            if self.node.params.serve_on:
+                others = self._rng.sample(others, min(len(others), ROUND_MOST))
+            for a in others:
+                gevent.spawn(self._ask, a, body)
 
     def _ask(self, a: Address, body: bytes) -> None:
         r = self.node.mesh.call(a, "round", body, 1.0)
@@ -149,7 +226,7 @@
             return
         self._fetching = True
         try:
-            self._fetch(a, NOW)
+            self._fetch(a, self._now)
         finally:
             self._fetching = False
 
--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -26,6 +26,9 @@
     def holds(self, group: Group | None, index: int) -> bool:
         return self.want.group == group and self.want.index >= index
 
+    def counts(self, settings: bool) -> bool:
+        return settings or self.want.parts == "all"
+
     def prompt(self, now: float) -> bool:
         return now - self.at < REACHED and (self.fed_at is None or now - self.fed_at < PROMPT)
 
@@ -64,11 +67,12 @@
         h = self.heard_of.get(a)
         return max((s for n, s in h.asks if n <= confirmed), default=-1.0) if h else -1.0
 
-    def held_elsewhere(self, index: int, now: float) -> bool:
-        lacking = [h for h in self.heard_of.values() if not h.holds(self._group, index)]
-        if any(h.prompt(now) for h in lacking):
+    def held_elsewhere(self, index: int, now: float, settings: bool = False) -> bool:
+        """Whether the echoes in touch hold it; of what is not settings, only those that hold all are asked."""
+        those = [h for h in self.heard_of.values() if h.counts(settings)]
+        if any(h.prompt(now) for h in those if not h.holds(self._group, index)):
             return False
-        near = [h for h in self.heard_of.values() if now - h.at < REACHED and h.want.locality != self.locality]
+        near = [h for h in those if now - h.at < REACHED and h.want.locality != self.locality]
         return sum(h.holds(self._group, index) for h in near) >= min(COPIES, len(near))
 
     def watch(self, s: Params, now: float) -> None:
--- a/mallowvalve/law/found.py
+++ b/mallowvalve/law/found.py
@@ -12,9 +12,12 @@
 
 
 class Found(msgspec.Struct, frozen=True):
+    """`base` holds all if anybody does; `further` the settings part, where that went on beyond it."""
+
     generation: int
     voters: Voters
     base: Who | None
+    further: Who | None = None
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -62,8 +65,8 @@
         strangers = [w for w in known if w.group.generation == me.group.generation and w.group != me.group]
         if strangers and unborn and any(w.role == "law" and w.leader for w in strangers):
             return Wipe()
-        return Wait("member") if me.id in best.voters.voters else _renew(me, answers, best)
-    return _join(me, known, best) or (_renew(me, answers, best) if me.blank else Wait("behind"))
+        return Wait("member") if me.id in best.voters.voters else _renew(me, answers, known, best)
+    return _join(me, known, best) or (_renew(me, answers, known, best) if me.blank else Wait("behind"))
 
 
 def _first(me: Who, answers: list[Who], generation: int) -> Decision:
@@ -98,7 +101,7 @@
     return None
 
 
-def _renew(me: Who, answers: list[Who], best: Who) -> Decision:
+def _renew(me: Who, answers: list[Who], known: list[Who], best: Who) -> Decision:
     law = [w for w in [*answers, me] if w.role == "law"]
     alive, at = {w.id for w in law}, {w.addr: w for w in law}
     last = best.voters.voters
@@ -109,7 +112,13 @@
     if founder != me.addr:
         return Wait(f"{founder} founds anew")
     voters = {(lost[i].id if i in lost else i): a for i, a in last.items()}
-    return Found(best.group.generation + 1, Voters(voters), best)
+    return Found(best.group.generation + 1, Voters(voters), *sources(known, best))
+
+
+def sources(known: list[Who], best: Who) -> tuple[Who, Who | None]:
+    """Whose whole state to go on from, and who knows the settings part further than that."""
+    whole = max((w for w in known if w.whole and w.group == best.group), key=lambda w: w.index, default=best)
+    return whole, best if best.index > whole.index else None
 
 
 def heard_enough(base: State, answers: list[Who]) -> bool:
--- a/mallowvalve/law/foundtask.py
+++ b/mallowvalve/law/foundtask.py
@@ -12,8 +12,8 @@
 from mallowvalve.kind import Address
 from mallowvalve.law import store, wire
 from mallowvalve.law.core import founding
-from mallowvalve.law.found import Decision, Found, Judge, Start, Wipe, decide, heard_enough
-from mallowvalve.law.pull import BASE, NOW
+from mallowvalve.law.found import Decision, Found, Judge, Start, Wipe, decide, heard_enough, sources
+from mallowvalve.law.pull import BASE, NOW, SETTINGS
 from mallowvalve.law.state import State
 from mallowvalve.vote.wire import Group, Hard, Picture, Voters
 
@@ -72,12 +72,13 @@
 
     def _act(self, v: Decision | None, answers: list[wire.Who]) -> None:
         if isinstance(v, Found):
-            base = self._fetch_held(v.base)
+            base = self._fetch_state(v)
             if v.base is not None and (base is None or not heard_enough(base, answers)):
                 return
             group = Group(v.generation, uuid.uuid4().hex)
             change("founding", generation=v.generation, voters=[str(a) for a in v.voters.voters.values()],
-                   base=str(v.base.addr) if v.base else None)
+                   base=str(v.base.addr) if v.base else None, whole=v.base.whole if v.base else None,
+                   settings=str(v.further.addr) if v.further else None)
             self._begin(founding(group, v.voters, base), None)
         elif isinstance(v, Start):
             r = self.law.puller.pull(v.source.addr, BASE)
@@ -95,19 +96,27 @@
         if not known:
             return Err("nobody who answers holds a state")
         best = max(known, key=lambda w: (w.group.generation, w.index))
-        base = self._fetch_held(best)
+        v = Found(best.group.generation + 1, Voters({self.law.core.id: self.law.node.params.mesh}), *sources(known, best))
+        base = self._fetch_state(v)
         if base is None:
-            return Err(f"{best.addr} did not hand over its state")
-        v = Found(best.group.generation + 1, Voters({self.law.core.id: self.law.node.params.mesh}), best)
+            return Err(f"{v.base.addr} did not hand over its state")
         group = Group(v.generation, uuid.uuid4().hex)
-        change("founding_by_operator", generation=v.generation, base=str(best.addr), index=best.index)
+        change("founding_by_operator", generation=v.generation, base=str(v.base.addr), index=base.index)
         self._begin(founding(group, v.voters, base), None)
         return Ok(v)
 
+    def _fetch_state(self, v: Found) -> State | None:
+        base, further = self._fetch_held(v.base), self._fetch_held(v.further)
+        if v.further is None or base is None or further is None:
+            return base if v.further is None else None
+        base.graft(further)
+        return base
+
     def _fetch_held(self, w: wire.Who | None) -> State | None:
         if w is None:
             return None
-        r = self.law.puller.pull(w.addr, NOW, lambda l: (l.group, l.index) >= (w.group, w.index))
+        what = NOW if w.whole else SETTINGS
+        r = self.law.puller.pull(w.addr, what, lambda l: (l.group, l.index) >= (w.group, w.index))
         return r.ok_value[1] if r.is_ok() else None
 
     def _begin(self, p: Picture, s: State | None) -> None:
--- a/mallowvalve/law/http.py
+++ b/mallowvalve/law/http.py
@@ -11,7 +11,7 @@
 from mallowvalve.aim.plan import Seen, plan
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.kind import Address
-from mallowvalve.law import tiehttp
+from mallowvalve.law import itemhttp, tiehttp
 from mallowvalve.law.api import Api
 from mallowvalve.law.state import Change, Evacuate, Params, Strike, encode, key_of
 from mallowvalve.law.task import LawTask
@@ -185,4 +185,5 @@
     app.add_route("/leader", Leader(task))
     app.add_route("/strikes", Strikes(task))
     app.add_route("/found-anew", FoundAnew(task))
+    itemhttp.add_routes(app, task)
     tiehttp.add_routes(app, task)
--- /dev/null
+++ b/mallowvalve/law/itemhttp.py
@@ -0,0 +1,78 @@
+"""Settings as items, and evacuations of single zones: no keys, every call may be said again, to any node."""
+
+from __future__ import annotations
+
+import msgspec
+
+from mallowvalve import web
+from mallowvalve.finding import Finding, Findings
+from mallowvalve.law.api import ATTEMPT, LIMIT, Api
+from mallowvalve.law.state import Evacuate, encode
+from mallowvalve.tree.itemcall import read
+from mallowvalve.tree.items import Amend
+
+CALL_BYTES = 8 << 20
+_findings = msgspec.msgpack.Decoder(Findings).decode
+
+
+class ItemApi(Api):
+    def offer(self, req, resp, c: Amend | Evacuate) -> None:
+        t = self.task.offer(encode(c), LIMIT, ATTEMPT)
+        if t.code == "invalid":
+            return web.turn_away(req, resp, 400, _findings(t.body))
+        if t.code != "ok":
+            return self.bounce(req, resp, t)
+        web.say(resp, {"revision": t.revision})
+
+
+class ItemsView(ItemApi):
+    def on_get(self, req, resp) -> None:
+        if self.confirm(req, resp) is None:
+            return
+        items = self.task.core.state.items
+        limits = items.standing("limits")
+        web.say(resp, {
+            "routes": items.standing("routes"), "services": items.standing("services"), "limits": limits[0] if limits else {},
+        })
+
+    def on_patch(self, req, resp) -> None:
+        """What this node finds wrong may only be news it has not heard yet; the leader's state has the last word."""
+        body = web.body_of(req, CALL_BYTES)
+        if body is None:
+            return web.turn_away(req, resp, 413, [Finding("body", f"larger than {CALL_BYTES} bytes")])
+        r = read(body)
+        if r.is_err():
+            return web.turn_away(req, resp, 400, r.err_value)
+        c, s = r.ok_value, self.task.core.state
+        if s is not None and s.items.check(c):
+            if self.confirm(req, resp) is None:
+                return
+            found = self.task.core.state.items.check(c)
+            if found:
+                return web.turn_away(req, resp, 400, found)
+        elif s is not None and not s.items.news(c):
+            c = Amend([])
+        self.offer(req, resp, c)
+
+
+class EvacuatedZone(ItemApi):
+    def on_post(self, req, resp, zone: str) -> None:
+        self.turn(req, resp, zone, True)
+
+    def on_delete(self, req, resp, zone: str) -> None:
+        self.turn(req, resp, zone, False)
+
+    def turn(self, req, resp, zone: str, on: bool) -> None:
+        if zone not in self.task.node.params.zones:
+            s = self.confirm(req, resp)
+            if s is None:
+                return
+            known = {z for r in self.task.tree().doc.regions.values() for z in r.zones}
+            if zone not in known and zone not in s.evacuated:
+                return web.turn_away(req, resp, 404, [Finding("zone", f"no zone {zone[:200]!r}")])
+        self.offer(req, resp, Evacuate(zone, on))
+
+
+def add_routes(app, task) -> None:
+    app.add_route("/items", ItemsView(task))
+    app.add_route("/evacuations/{zone}", EvacuatedZone(task))
--- a/mallowvalve/law/pieces.py
+++ b/mallowvalve/law/pieces.py
@@ -22,12 +22,14 @@
     term: int
     voters: Voters
     count: int
+    settings: bool = False
 
 
 class Want(msgspec.Struct, array_like=True, frozen=True):
     group: Group
     index: int
     n: int
+    settings: bool = False
 
 
 class Piece(msgspec.Struct, array_like=True, frozen=True):
@@ -36,10 +38,11 @@
     n: int
     crc: int
     data: bytes
+    settings: bool = False
 
 
-def label(p: Picture) -> Label:
-    return Label(p.group, p.index, p.term, p.voters, len(p.state))
+def label(p: Picture, settings: bool = False) -> Label:
+    return Label(p.group, p.index, p.term, p.voters, len(p.state), settings)
 
 
 class Shelf:
@@ -48,27 +51,28 @@
     __slots__ = ("_kept",)
 
     def __init__(self):
-        self._kept: dict[tuple[Group, int], tuple[Picture, float]] = {}
+        self._kept: dict[tuple[Group, int, bool], tuple[Picture, float]] = {}
 
-    def put(self, p: Picture, now: float) -> Label:
+    def put(self, p: Picture, now: float, settings: bool = False) -> Label:
         self.forget(now)
-        self._kept.pop((p.group, p.index), None)
+        self._kept.pop((p.group, p.index, settings), None)
         while len(self._kept) >= KEPT:
             del self._kept[next(iter(self._kept))]
-        self._kept[p.group, p.index] = (p, now)
-        return label(p)
+        self._kept[p.group, p.index, settings] = (p, now)
+        return label(p, settings)
 
-    def newest(self, group: Group, index: int) -> Picture | None:
+    def newest(self, group: Group, index: int, settings: bool = False) -> Picture | None:
         """One cut from this group no further back than the index."""
-        return next((p for p, _ in reversed(self._kept.values()) if p.group == group and p.index >= index), None)
+        kept = reversed(self._kept.items())
+        return next((p for (g, i, part), (p, _) in kept if g == group and i >= index and part == settings), None)
 
     def cut(self, w: Want, now: float) -> Piece | None:
-        kept = self._kept.get((w.group, w.index))
+        kept = self._kept.get((w.group, w.index, w.settings))
         if kept is None or not 0 <= w.n < len(kept[0].state):
             return None
-        self._kept[w.group, w.index] = (kept[0], now)
+        self._kept[w.group, w.index, w.settings] = (kept[0], now)
         data = kept[0].state[w.n]
-        return Piece(w.group, w.index, w.n, zlib.crc32(data), data)
+        return Piece(w.group, w.index, w.n, zlib.crc32(data), data, w.settings)
 
     def forget(self, now: float) -> None:
         for k in [k for k, (_, at) in self._kept.items() if now - at > IDLE]:
@@ -88,7 +92,7 @@
 
     def want(self) -> Want | None:
         l = self.label
-        return Want(l.group, l.index, len(self.pieces)) if len(self.pieces) < l.count else None
+        return Want(l.group, l.index, len(self.pieces), l.settings) if len(self.pieces) < l.count else None
 
     def lost(self) -> bool:
         """One more answer did not come; true once it is time to give up."""
@@ -97,7 +101,7 @@
 
     def take(self, p: Piece) -> Result[None, str]:
         l = self.label
-        if (p.group, p.index) != (l.group, l.index):
+        if (p.group, p.index, p.settings) != (l.group, l.index, l.settings):
             return Err(f"piece of {p.group.generation}/{p.index}, want {l.group.generation}/{l.index}")
         if p.n != len(self.pieces):
             return Err(f"piece {p.n}, want {len(self.pieces)}")
--- a/mallowvalve/law/pull.py
+++ b/mallowvalve/law/pull.py
@@ -14,8 +14,9 @@
 from mallowvalve.mesh.task import Mesh
 from mallowvalve.vote.wire import Picture
 
-BASE, NOW = b"base", b"now"
+BASE, NOW, SETTINGS = b"base", b"now", b"settings"
 LABEL_LIMIT, PIECE_LIMIT = 10.0, 2.0
+QUICK_LABEL, QUICK_PIECE, QUICK_TRIES = 2.0, 0.8, 2
 Made = tuple[Picture, Iterator[bytes]]
 
 
@@ -31,10 +32,13 @@
 class Puller:
     """Hands out this node's pictures by pieces, and fetches others'."""
 
-    __slots__ = ("mesh", "_base", "_now", "_shelf", "_lock")
+    __slots__ = ("mesh", "_base", "_now", "_settings", "_shelf", "_lock")
 
-    def __init__(self, mesh: Mesh, now: Callable[[], Made | None], base: Callable[[], Picture | None] = lambda: None):
-        self.mesh, self._now, self._base = mesh, now, base
+    def __init__(
+        self, mesh: Mesh, now: Callable[[], Made | None], base: Callable[[], Picture | None] = lambda: None,
+        settings: Callable[[], Made | None] = lambda: None,
+    ):
+        self.mesh, self._now, self._base, self._settings = mesh, now, base, settings
         self._shelf, self._lock = Shelf(), RLock()
         mesh.on("label", lambda s, b: encode(self._label(b)))
         mesh.on("piece", lambda s, b: encode(self._shelf.cut(read_want(b), clock.now())), quick=True)
@@ -42,22 +46,25 @@
     def pull(
         self, to: Address, what: bytes, wanted: Callable[[Label], bool] = lambda l: True,
     ) -> Result[tuple[Picture, State], str]:
-        r = self.mesh.call(to, "label", what, LABEL_LIMIT)
+        """A settings part is small, and whoever wants it has others to ask: a silent one is soon given up."""
+        quick = what == SETTINGS
+        r = self.mesh.call(to, "label", what, QUICK_LABEL if quick else LABEL_LIMIT)
         l = read_label(r.ok_value) if r.is_ok() else None
         if l is None or not wanted(l):
             return Err("has none that is wanted")
-        g = Gather(l)
+        g, failed = Gather(l), 0
         while (w := g.want()) is not None:
-            why = self._piece(to, g, encode(w))
+            why = self._piece(to, g, encode(w), QUICK_PIECE if quick else PIECE_LIMIT)
             if why is None:
                 continue
             self.mesh.counts.add("piece_refused")
-            if g.lost():
+            failed += 1
+            if g.lost() or quick and failed >= QUICK_TRIES:
                 return Err(why)
         return g.done()
 
-    def _piece(self, to: Address, g: Gather, want: bytes) -> str | None:
-        r = self.mesh.call(to, "piece", want, PIECE_LIMIT)
+    def _piece(self, to: Address, g: Gather, want: bytes, limit: float) -> str | None:
+        r = self.mesh.call(to, "piece", want, limit)
         if r.is_err():
             gevent.sleep(0.1)
             return r.err_value
@@ -66,12 +73,13 @@
 
     def _label(self, what: bytes) -> Label | None:
         with self._lock:
-            p = self._base() if what == BASE else self._made()
-            return self._shelf.put(p, clock.now()) if p is not None else None
+            part = what == SETTINGS
+            p = self._base() if what == BASE else self._made(part)
+            return self._shelf.put(p, clock.now(), part) if p is not None else None
 
-    def _made(self) -> Picture | None:
-        made = self._now()
+    def _made(self, part: bool) -> Picture | None:
+        made = self._settings() if part else self._now()
         if made is None:
             return None
         p, pieces = made
-        return self._shelf.newest(p.group, p.index) or fill(p, pieces)
+        return self._shelf.newest(p.group, p.index, part) or fill(p, pieces)
--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -46,10 +46,21 @@
 Tied = Lock | Renew | Unlock | Next | Put
 Plainly = Take | Extend | Free | Count | Write
 Command = Change | Evacuate | Enrol | Strike | Tick | Ledgered | Tied | Plainly | Amend | Rolled
+SETTINGS = (Change, Evacuate, Enrol, Strike, Amend, Rolled)
+TIES = (Lock, Renew, Unlock, Next, Put, Take, Extend, Free, Count, Write)
 encode = msgspec.msgpack.Encoder().encode
 command = msgspec.msgpack.Decoder(Command).decode
 
 
+def tag_of(data: bytes) -> bytes:
+    """The tag of an encoded command, read off its first bytes."""
+    return data[2 : 2 + (data[1] & 0x1F)] if len(data) > 1 else b""
+
+
+def tags(kinds: tuple[type, ...]) -> frozenset[bytes]:
+    return frozenset(k.__struct_config__.tag.encode() for k in kinds)
+
+
 class Outcome(msgspec.Struct, array_like=True, frozen=True):
     code: str
     revision: int
@@ -88,18 +99,27 @@
 
 
 class State:
-    __slots__ = ("generation", "index", "clock", "params", "ledger", "tie", "asks", "items", "roll", "plain", "turned")
+    __slots__ = ("generation", "index", "clock", "params", "ledger", "tie", "asks", "items", "roll", "plain")
 
     def __init__(self, generation: int):
         self.generation, self.index, self.clock = generation, 0, 0
         self.params, self.ledger, self.tie, self.asks = Params(), Ledger(), Tie(), Asks()
         self.items, self.roll, self.plain = Items(), Roll(), Plain()
-        self.turned = 0
 
     @property
     def revision(self) -> int:
         return int(Revision.make(self.generation, self.index))
 
+    @property
+    def turned(self) -> int:
+        """The index of the last entry that changed the settings part: params, items or roll."""
+        return Revision(self.params.revision).index
+
+    def graft(self, other: State) -> None:
+        """Takes over the settings part of a state that went on further."""
+        self.params, self.items, self.roll = other.params, other.items, other.roll
+        self.index, self.clock = max(self.index, other.index), max(self.clock, other.clock)
+
     def apply(self, index: int, at: int, data: bytes) -> Outcome:
         self.index = index
         self.clock = max(self.clock, at)
@@ -134,10 +154,10 @@
             case Strike():
                 return self._strike(c)
             case Amend():
-                return Outcome("ok", self.revision, encode(self.items.apply(c)))
+                return self._amend(c)
             case Rolled():
                 self.roll.apply(c, self.clock)
-                return Outcome("ok", self.revision)
+                return self._set(lambda s: None)
             case Take() | Extend() | Free() | Count() | Write():
                 return Outcome("ok", self.revision, encode(self.plain.apply(c, self.clock)))
             case Tick():
@@ -159,6 +179,14 @@
         s.doc, s.doc_revision, s.revision = c.doc, self.revision, self.revision
         return Outcome("ok", self.revision)
 
+    def _amend(self, c: Amend) -> Outcome:
+        found = self.items.apply(c, self.revision)
+        if found:
+            return Outcome("invalid", self.params.revision, encode(found))
+        if self.items.revision == self.revision:
+            self.params.revision = self.revision
+        return Outcome("ok", self.params.revision)
+
     def _evacuate(self, c: Evacuate) -> Outcome:
         s = self.params
         if c.on == (c.zone in s.evacuated):
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -38,14 +38,14 @@
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
         self.node, self.tale = node, tale
         p = node.params
-        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot))
+        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks)
         if loaded.picture is not None:
             self.core.start(loaded.picture, loaded.hard, loaded.entries, clock.now())
         self._box: Queue = Queue()
         self.stalled = False
         self._role_said = ""
         self._tree: tuple[int, Tree] = (0, EMPTY)
-        self.puller = Puller(node.mesh, self.core.picture, self.core.base)
+        self.puller = Puller(node.mesh, self.core.picture, self.core.base, self.core.settings)
         self._saving = self._pulling = False
         self._stored: dict[tuple[Group, int], str] = {}
         self.disk = RLock()
--- a/mallowvalve/law/wire.py
+++ b/mallowvalve/law/wire.py
@@ -17,9 +17,12 @@
     index: int
     voters: Voters | None
     leader: Address | None
+    whole: bool = True
 
 
 class Want(msgspec.Struct, array_like=True, frozen=True):
+    """`parts` is all or settings; with nothing new, the leader may keep it for `hold` seconds."""
+
     addr: Address
     boot: int
     role: str
@@ -28,9 +31,16 @@
     index: int
     revision: int
     stamp: float
+    parts: str = "all"
+    hold: float = 0.5
 
 
 class Fed(msgspec.Struct, array_like=True, frozen=True):
+    """Entries after the want's index; with them a holder of the settings part is whole up to `index`.
+
+    `clock` is the state's (ms) at `index`, `time` what the leader's clock shows as it answers.
+    """
+
     leader: Address | None
     group: Group | None = None
     lacking: bool = False
@@ -39,6 +49,8 @@
     revision: int = 0
     sure: float = -1.0
     voters: Voters | None = None
+    clock: int = 0
+    time: int = 0
 
 
 class Round(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/mallowvalve/tree/itemcall.py
@@ -0,0 +1,159 @@
+"""A call that sets and drops items, read whole, with every finding's place."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from mallowvalve import finding
+from mallowvalve.finding import Finding, Findings
+from mallowvalve.tree.items import (
+    DOCS, KINDS, LIMITS, PARTS, Amend, Doc, HostRoute, Item, Limits, Part, ServiceItem, decode, plain_host,
+)
+
+AIM_OVER_MS = 60_000.0
+NAME_BYTES = 1024
+
+
+class Gone(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    version: int
+
+
+class GoneLimits(msgspec.Struct, frozen=True, kw_only=True):
+    version: int
+
+
+class SetDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    routes: list[msgspec.Raw] = []
+    services: list[msgspec.Raw] = []
+    limits: msgspec.Raw | None = None
+
+
+class DropDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    routes: list[Gone] = []
+    services: list[Gone] = []
+    limits: GoneLimits | None = None
+
+
+class CallDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    set: SetDoc = SetDoc()
+    drop: DropDoc = DropDoc()
+
+
+_call = msgspec.json.Decoder(CallDoc).decode
+
+
+def read(body: bytes) -> Result[Amend, Findings]:
+    """A whole call, every finding with its place; what it must stand with is left to `Items.check`."""
+    try:
+        body.decode()
+        call = _call(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as e:
+        text, _, place = str(e).partition(" - at `$.")
+        return Err([Finding(place.removesuffix("`") or "body", text)])
+    found: Findings = []
+    items: list[Item] = []
+    for kind in PARTS:
+        for n, raw in enumerate(getattr(call.set, kind)):
+            doc = _read(kind, bytes(raw), f"set.{kind}[{n}]", found)
+            if doc is not None:
+                items.append(Item(kind, doc.name, doc.version, bytes(raw)))
+    if call.set.limits is not None:
+        doc = _read(LIMITS, bytes(call.set.limits), "set.limits", found)
+        if doc is not None:
+            items.append(Item(LIMITS, "", doc.version, bytes(call.set.limits)))
+    for kind in PARTS:
+        for n, g in enumerate(getattr(call.drop, kind)):
+            _name(g.name, f"drop.{kind}[{n}].name", found)
+            items.append(Item(kind, g.name, g.version, None))
+    if call.drop.limits is not None:
+        items.append(Item(LIMITS, "", call.drop.limits.version, None))
+    found += _twice(items)
+    return Err(found) if found else Ok(Amend(items))
+
+
+def _twice(items: list[Item]) -> Findings:
+    """Routes of one call that could not stand beside each other, whatever else stands."""
+    found: Findings = []
+    newest: dict[str, HostRoute] = {}
+    for i in items:
+        if i.kind == "routes" and i.doc is not None:
+            r = decode(i).ok_value
+            if r.name not in newest or r.version > newest[r.name].version:
+                newest[r.name] = r
+    owner: dict[tuple[str, str], str] = {}
+    for r in newest.values():
+        had = owner.setdefault((plain_host(r.host), r.prefix), r.name)
+        if had != r.name:
+            found.append(Finding(f"set.routes.{r.name}.prefix", f"{had!r} has this host and prefix already"))
+    return found
+
+
+def _read(kind: str, raw: bytes, place: str, found: Findings) -> Doc | None:
+    before = len(found)
+    try:
+        doc = DOCS[kind](raw)
+    except (msgspec.DecodeError, RecursionError) as e:
+        data = finding.parse_json(raw, place)
+        if data.is_ok():
+            finding.read_into(found, KINDS[kind], _known(KINDS[kind], data.ok_value), place)
+        if len(found) == before:
+            found.append(Finding(place, f"not understood: {e}"))
+        return None
+    if kind != LIMITS:
+        _name(doc.name, f"{place}.name", found)
+    _checks[kind](doc, place, found)
+    return doc if len(found) == before else None
+
+
+def _known(kind: type, data: object) -> object:
+    """Without the fields that the product does not know: those are passed over."""
+    if not isinstance(data, dict):
+        return data
+    data = {f: data[f] for f in kind.__struct_fields__ if f in data}
+    if kind is HostRoute and isinstance(data.get("split"), list):
+        data["split"] = [_known(Part, p) for p in data["split"]]
+    return data
+
+
+def _name(name: str, place: str, found: Findings) -> None:
+    if not 0 < len(name) <= NAME_BYTES:
+        found.append(Finding(place, f"want 1 to {NAME_BYTES} characters"))
+
+
+def _route_found(r: HostRoute, place: str, found: Findings) -> None:
+    if not r.host:
+        found.append(Finding(f"{place}.host", "must not be empty"))
+    if not r.prefix.startswith("/") or not r.prefix.endswith("/"):
+        found.append(Finding(f"{place}.prefix", "must begin and end with /"))
+    if r.limit_ms <= 0:
+        found.append(Finding(f"{place}.limit_ms", "must be above 0"))
+    if r.aim_ms < 0:
+        found.append(Finding(f"{place}.aim_ms", "must not be negative"))
+    if r.aim_ms >= r.limit_ms + AIM_OVER_MS:
+        found.append(Finding(f"{place}.aim_ms", "a minute or more above limit_ms"))
+    if (r.service is None) != bool(r.split):
+        found.append(Finding(f"{place}.service", "want either service or split"))
+    for n, p in enumerate(r.split):
+        if p.weight < 0:
+            found.append(Finding(f"{place}.split[{n}].weight", "must not be negative"))
+    if r.split and sum(p.weight for p in r.split) <= 0:
+        found.append(Finding(f"{place}.split", "the weights add up to 0"))
+
+
+def _service_found(s: ServiceItem, place: str, found: Findings) -> None:
+    if not s.status.startswith("/"):
+        found.append(Finding(f"{place}.status", "must begin with /"))
+    _not_negative(s, ("sessions", "cold_s", "cold_per_s"), place, found)
+
+
+def _limits_found(l: Limits, place: str, found: Findings) -> None:
+    _not_negative(l, ("header_bytes", "body_bytes", "header_ms", "idle_ms"), place, found)
+
+
+def _not_negative(doc: Doc, names: tuple[str, ...], place: str, found: Findings) -> None:
+    found += [Finding(f"{place}.{n}", "must not be negative") for n in names if getattr(doc, n) < 0]
+
+
+_checks = {"routes": _route_found, "services": _service_found, LIMITS: _limits_found}
--- a/mallowvalve/tree/items.py
+++ b/mallowvalve/tree/items.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import Literal
 
 import msgspec
-from result import Result
+from result import Err, Ok, Result
 
-from mallowvalve.finding import Findings
+from mallowvalve.finding import Finding, Findings
 
 
 class Part(msgspec.Struct, frozen=True):
@@ -68,26 +69,182 @@
     ask: str = ""
 
 
+PARTS = ("routes", "services")
+LIMITS = "limits"
+
+
 class Items:
-    """What is in force, and the versions of what was dropped. Replicated: only `apply` changes it."""
+    """What is in force, and the versions of what was dropped. Replicated: only `apply` changes it.
+
+    `hosts` gives each host's routes by prefix. Tombstones are kept for good: an old change may come at any time.
+    """
 
-    __slots__ = ("rows", "revision", "hosts", "services", "limits")
+    __slots__ = ("rows", "revision", "hosts", "routes", "services", "limits", "_deep")
 
     def __init__(self):
         self.rows: dict[tuple[str, str], Item] = {}
         self.revision = 0
-        self.hosts: dict[str, list[HostRoute]] = {}
+        self.hosts: dict[str, dict[str, HostRoute]] = {}
+        self.routes: dict[str, HostRoute] = {}
         self.services: dict[str, ServiceItem] = {}
         self.limits = Limits(version=0)
+        self._deep: dict[str, int] = {}
+
+    def apply(self, c: Amend, revision: int) -> Findings:
+        """Takes in what is newer than what was known, all of it, or nothing if there is a finding.
+
+        `revision` becomes the items' own where anything changes.
+        """
+        turn = self._turn(c)
+        if turn.found:
+            return turn.found
+        for i in turn.items:
+            self._put(i, turn.docs.get((i.kind, i.name)))
+            self.revision = revision
+        return []
+
+    def check(self, c: Amend) -> Findings:
+        """What would keep the call from being taken as things stand; nothing is changed."""
+        return self._turn(c).found
 
-    def apply(self, c: Amend) -> Findings:
-        raise NotImplementedError
+    def news(self, c: Amend) -> bool:
+        """Whether the call holds anything newer than what is known."""
+        return any((had := self.rows.get((i.kind, i.name))) is None or i.version > had.version for i in c.items)
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """The route of the host whose prefix begins the path and is the longest."""
-        raise NotImplementedError
+        by = self.hosts.get(host)
+        if by is None:
+            host = plain_host(host)
+            by = self.hosts.get(host)
+            if by is None:
+                return None
+        end = path.rfind("/", 0, self._deep[host])
+        while end >= 0:
+            r = by.get(path[: end + 1])
+            if r is not None:
+                return r
+            end = path.rfind("/", 0, end)
+        return None
+
+    def standing(self, kind: str) -> list[msgspec.Raw]:
+        """The items of a kind as they were sent, by name."""
+        return [msgspec.Raw(i.doc) for k, i in sorted(self.rows.items()) if k[0] == kind and i.doc is not None]
+
+    def adopt(self, rows: list[Item]) -> None:
+        """Takes in rows of a picture as they are."""
+        for i in rows:
+            self._put(i, decode(i).ok() if i.doc is not None else None)
+
+    def _put(self, i: Item, doc: Doc | None) -> None:
+        self.rows[i.kind, i.name] = i
+        if i.kind == "services":
+            if doc is None:
+                self.services.pop(i.name, None)
+            else:
+                self.services[i.name] = doc
+        elif i.kind == LIMITS:
+            self.limits = doc or Limits(version=i.version)
+        else:
+            self._route(i.name, doc)
+
+    def _route(self, name: str, r: HostRoute | None) -> None:
+        old = self.routes.pop(name, None)
+        if old is not None:
+            host = plain_host(old.host)
+            by = self.hosts[host]
+            if by.get(old.prefix) is old:
+                del by[old.prefix]
+            if not by:
+                del self.hosts[host], self._deep[host]
+        if r is None:
+            return
+        host = plain_host(r.host)
+        self.routes[name] = r
+        self.hosts.setdefault(host, {})[r.prefix] = r
+        self._deep[host] = max(self._deep.get(host, 0), len(r.prefix))
+
+    def _turn(self, c: Amend) -> Turn:
+        found: Findings = []
+        docs: dict[tuple[str, str], Doc] = {}
+        newest: dict[tuple[str, str], Item] = {}
+        given = {i.name for i in c.items if i.kind == "services"}
+        for i in c.items:
+            key = i.kind, i.name
+            had = newest.get(key) or self.rows.get(key)
+            if had is None or i.version > had.version:
+                newest[key] = i
+                docs.pop(key, None)
+            elif i.kind != "routes" or i.doc is None:
+                continue
+            if i.doc is None:
+                continue
+            doc = decode(i)
+            if doc.is_err():
+                found += doc.err_value
+            elif newest.get(key) is i:
+                docs[key] = doc.ok_value
+            else:
+                found += self._strange(doc.ok_value, given)
+        if not found:
+            found = self._whole(newest, docs)
+        return Turn(list(newest.values()), docs, found)
+
+    def _strange(self, r: HostRoute, given: set[str]) -> Findings:
+        """An overtaken route changes nothing, but one whose service never was could not have stood at any time."""
+        return [
+            Finding(f"routes.{r.name}.service", f"no service {s!r}")
+            for s in services_of(r) if s not in given and ("services", s) not in self.rows
+        ]
+
+    def _whole(self, newest: dict[tuple[str, str], Item], docs: dict[tuple[str, str], Doc]) -> Findings:
+        """Judges what would stand after the call."""
+        found: Findings = []
+        gone = {n for (k, n), i in newest.items() if k == "services" and i.doc is None and n in self.services}
+        given = {n for k, n in docs if k == "services"}
+        moved = {n for k, n in newest if k == "routes"}
+        places: dict[tuple[str, str], str] = {}
+        for (k, n), r in docs.items():
+            if k != "routes":
+                continue
+            for s in services_of(r):
+                if s in gone or s not in given and s not in self.services:
+                    found.append(Finding(f"routes.{n}.service", f"no service {s!r}"))
+            at = plain_host(r.host), r.prefix
+            other = self.hosts.get(at[0], {}).get(r.prefix)
+            if at in places or other is not None and other.name not in moved:
+                found.append(Finding(f"routes.{n}.prefix", f"{places.get(at) or other.name!r} has this host and prefix already"))
+            places[at] = repr(n)
+        for n, r in self.routes.items() if gone else ():
+            if n not in moved:
+                found += [Finding(f"services.{s}", f"{n!r} still names it") for s in services_of(r) if s in gone]
+        return sorted(set(found))
+
+
+class Turn(msgspec.Struct):
+    items: list[Item]
+    docs: dict[tuple[str, str], HostRoute | ServiceItem | Limits]
+    found: Findings
+
+
+Doc = HostRoute | ServiceItem | Limits
+KINDS = {"routes": HostRoute, "services": ServiceItem, LIMITS: Limits}
+DOCS = {k: msgspec.json.Decoder(t).decode for k, t in KINDS.items()}
+
+
+def decode(i: Item) -> Result[Doc, Findings]:
+    try:
+        return Ok(DOCS[i.kind](i.doc))
+    except (msgspec.DecodeError, RecursionError, KeyError) as e:
+        return Err([Finding(f"{i.kind}.{i.name}", f"not understood: {e}")])
+
+
+@lru_cache(4096)
+def plain_host(host: str) -> str:
+    """A host as it is compared: lower case, without a port and a last dot."""
+    name, sep, port = host.rpartition(":")
+    return (name if sep and port.isdigit() else host).rstrip(".").lower()
 
 
-def read(body: bytes) -> Result[Amend, Findings]:
-    """A whole call, every finding with its place."""
-    raise NotImplementedError
+def services_of(r: HostRoute) -> list[str]:
+    return [p.service for p in r.split] if r.split else [r.service]
