--- /dev/null
+++ b/tests/test_itemhttp.py
@@ -0,0 +1,126 @@
+import json
+from types import SimpleNamespace
+
+import pytest
+from falcon import testing
+
+from mallowvalve import web
+from mallowvalve.law import http, itemhttp
+from mallowvalve.law.state import State, command, encode
+from mallowvalve.law.wire import Took
+from mallowvalve.tree.build import EMPTY
+from mallowvalve.tree.itemcall import read
+from mallowvalve.tree.items import Amend
+from tests.test_items import call, route, service
+
+
+class Task:
+    """A law whose leader's state is its own, unless `lags` gives it an older one until it asks."""
+
+    def __init__(self):
+        self.node = SimpleNamespace(bond=SimpleNamespace(view=lambda: []), params=SimpleNamespace(zones={"z1": "eu"}))
+        self.leader = self.state = State(3)
+        self.core, self.says, self.confirms = self, None, Took("ok")
+        self.offered = []
+
+    def read(self, limit):
+        if self.confirms.code == "ok":
+            self.state = self.leader
+        return self.confirms
+
+    def tree(self):
+        return EMPTY
+
+    def offer(self, data, limit, *_):
+        self.offered.append(command(data))
+        if self.says is not None:
+            return self.says
+        o = self.leader.apply(self.leader.index + 1, 0, data)
+        return Took(o.code, o.revision, o.body)
+
+
+@pytest.fixture
+def law():
+    t = Task()
+    app = web.make_app()
+    http.add_routes(app, t)
+    return t, testing.TestClient(app)
+
+
+FIRST = call([route("r", 7, extra=[1.0]), route("q", 7)], [service("s", 7)], {"version": 7, "idle_ms": 15000})
+
+
+def test_items_come_back_as_they_were_sent_and_dropped_ones_do_not(law):
+    t, c = law
+    assert c.simulate_get("/items").json == {"routes": [], "services": [], "limits": {}}
+    r = c.simulate_patch("/items", body=FIRST)
+    assert r.status_code == 200 and r.json == {"revision": t.state.revision}
+    sent = json.loads(FIRST)["set"]
+    got = c.simulate_get("/items").json
+    assert sorted(got["routes"], key=str) == sorted(sent["routes"], key=str)
+    assert (got["services"], got["limits"]) == (sent["services"], sent["limits"])
+    assert c.simulate_patch("/items", body=call(drop={"routes": [{"name": "r", "version": 9}]})).status_code == 200
+    assert [x["name"] for x in c.simulate_get("/items").json["routes"]] == ["q"]
+
+
+def test_a_repeat_is_acknowledged_by_a_small_command_and_changes_nothing(law):
+    t, c = law
+    first = c.simulate_patch("/items", body=FIRST).json
+    assert c.simulate_patch("/items", body=FIRST).json == first
+    assert t.offered[1] == Amend([]) and len(t.offered[0].items) == 4
+    assert c.simulate_patch("/items", body=b"{}").status_code == 200
+
+
+def test_an_invalid_call_is_refused_whole_before_it_is_offered(law):
+    t, c = law
+    c.simulate_patch("/items", body=FIRST)
+    for body, place in (
+        (b"{", "body"), (call([route("n"), route("m", limit_ms=0)]), "set.routes[1].limit_ms"),
+        (call([route("n"), route("m", service="nobody")]), "routes.m.service"), (call([route("n", prefix="/q/")]), "routes.n.prefix"),
+        (call(drop={"services": [{"name": "s", "version": 8}]}), "services.s"),
+    ):
+        r = c.simulate_patch("/items", body=body)
+        assert r.status_code == 400 and r.json["findings"][0]["place"] == place, r.text
+    assert len(t.offered) == 1 and t.state.index == 1
+
+
+def test_a_node_that_lags_asks_before_it_refuses(law):
+    t, c = law
+    t.leader = State(3)
+    t.leader.apply(1, 0, encode(read(FIRST).unwrap()))
+    assert c.simulate_patch("/items", body=call([route("n")])).status_code == 200 and t.state is t.leader
+    t.state, t.confirms = State(3), Took("leader")
+    assert c.simulate_patch("/items", body=call([route("m")])).status_code == 503
+
+
+def test_what_the_state_machine_finds_is_a_refusal_too(law):
+    t, c = law
+    c.simulate_patch("/items", body=FIRST)
+    t.state = t.leader
+    t.leader = State(3)
+    r = c.simulate_patch("/items", body=call([route("n")]))
+    assert r.status_code == 400 and r.json["findings"][0]["place"] == "routes.n.service" and not t.leader.items.rows
+
+
+def test_a_call_that_is_too_large_not_offered_or_undecided_says_so(law, monkeypatch):
+    t, c = law
+    t.says = Took("leader")
+    r = c.simulate_patch("/items", body=FIRST)
+    assert (r.status_code, r.headers["retry-after"]) == (503, "1")
+    t.says = Took("undecided")
+    assert c.simulate_patch("/items", body=FIRST).status_code == 504
+    monkeypatch.setattr(itemhttp, "CALL_BYTES", 100)
+    assert c.simulate_patch("/items", body=FIRST).status_code == 413
+    t.confirms = Took("undecided")
+    assert c.simulate_get("/items").status_code == 504
+
+
+def test_a_zone_is_evacuated_and_taken_back_as_often_as_one_likes(law):
+    t, c = law
+    for _ in range(2):
+        assert c.simulate_post("/evacuations/z1").json == {"revision": t.state.params.revision} and t.state.params.evacuated.keys() == {"z1"}
+    for _ in range(2):
+        assert c.simulate_delete("/evacuations/z1").status_code == 200 and not t.state.params.evacuated
+    assert len(t.offered) == 4 and t.state.turned == 3
+    r = c.simulate_post("/evacuations/z9")
+    assert r.status_code == 404 and r.json["findings"][0]["place"] == "zone" and len(t.offered) == 4
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,334 @@
+import random
+
+import msgspec
+import pytest
+
+from mallowvalve.claim.ledger import Claim, Done
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law.core import Core, founding
+from mallowvalve.law.cut import cut, cut_settings, dump, load
+from mallowvalve.law.echo import Echo
+from mallowvalve.law.found import Found, decide
+from mallowvalve.law.pieces import Gather, Shelf, label
+from mallowvalve.law.state import SETTINGS, TIES, Change, Evacuate, State, Tick, encode, tag_of, tags
+from mallowvalve.law.wire import Fed, Who
+from mallowvalve.params import Acks
+from mallowvalve.tie.plain import Count, Take, Write
+from mallowvalve.tie.state import Lock, Next, Put
+from mallowvalve.tree.items import Amend, Item
+from mallowvalve.vote.wire import Group, Picture, Voters
+
+A = Address("10.0.0.1", 1)
+EU, US = Locality("eu", "a"), Locality("us", "a")
+G = Group(3, "g")
+GONE = 1e9
+
+
+def service(name, version, sessions=1):
+    doc = {"name": name, "version": version, "sessions": sessions}
+    return Amend([Item("services", name, version, msgspec.json.encode(doc))])
+
+
+def leading(**acks) -> Core:
+    c = Core("a", A, EU, random.Random(1), Acks(**acks))
+    c.start(founding(G, Voters({"a": A}), None), None, [], 0.0)
+    for n in range(31):
+        step(c, 5.0 + n / 10)
+    assert c.leads
+    c.echoes._calm = 0.0
+    return c
+
+
+def step(c: Core, now: float) -> dict:
+    c.tick(now)
+    c.saved(c.ready(now), now)
+    out, c.replies = c.replies, []
+    return dict(out)
+
+
+def echo(n=1, parts="settings", **more) -> Echo:
+    return Echo(Address("10.0.1.1", n), n, "flow", US, lambda built: None, parts, **more)
+
+
+def follow(e: Echo, c: Core, now: float) -> dict:
+    """One want, its answer, and a picture where it says so; what else was answered is given back."""
+    c.want(e.want(now, 0.0), e, now)
+    out = step(c, now)
+    f = out.pop(e, None)
+    if f is not None:
+        e.fed(f, now)
+        if f.lacking:
+            made = c.settings() if e.parts == "settings" else c.picture()
+            whole = msgspec.structs.replace(made[0], state=list(made[1]))
+            e.adopt(whole, load(whole.state))
+    return out
+
+
+def settings(s: State):
+    i = s.items
+    return s.params, i.rows, i.revision, i.services, i.routes, s.roll.rows, s.index, s.clock, s.turned
+
+
+def propose(c: Core, now: float, *commands) -> None:
+    for n, x in enumerate(commands):
+        c.propose(encode(x), f"{type(x).__name__}{n}", GONE, now)
+
+
+OTHERS = (Claim("k", "d", "p", "n"), Done("k", "n", 200, "t", b"x"), Next("n"), Put("k", "v"), Count("c"), Tick())
+
+
+def test_a_tag_is_read_off_without_decoding():
+    for c in (*OTHERS, service("s", 1), Evacuate("z", True), Change(None, b"{}", "k"), Lock("l", "h", 9, "a"), Write("x" * 300, "y")):
+        assert tag_of(encode(c)).decode() == type(c).__struct_config__.tag
+    assert tag_of(b"") == b"" and not tags(SETTINGS) & tags(TIES)
+
+
+def test_echoes_of_both_kinds_follow_the_same_core_and_hold_what_they_hold():
+    c, rng, now = leading(settings="commit"), random.Random(3), 8.0
+    whole, part = echo(1, "all"), echo(2)
+    for n in range(200):
+        some = rng.choices([
+            service(f"s{rng.randrange(5)}", rng.randrange(50), n), Evacuate(rng.choice("xyz"), rng.random() < 0.5), *OTHERS,
+            Change(None, msgspec.json.encode({"services": {f"t{n}": {}}}), f"key{n % 9}"), Put(f"k{n}", "v", None, f"a{n % 7}"),
+        ], k=3)
+        propose(c, now, *some)
+        for e in rng.sample([whole, part], rng.randrange(3)):
+            before = e.state.index if e.state else 0
+            follow(e, c, now)
+            assert e.state.index >= before
+        now += 0.2
+    for _ in range(3):
+        now += 1.1
+        follow(whole, c, now), follow(part, c, now)
+    assert settings(part.state) == settings(whole.state) == settings(c.state)
+    assert whole.state.ledger.rows == c.state.ledger.rows and whole.state.tie.keys == c.state.tie.keys
+    assert not part.state.ledger.rows and not part.state.tie.keys and not part.state.tie.numbers
+    assert part.tree.doc == whole.tree.doc and part.tree.doc.services
+
+
+def test_a_keyed_change_repeated_after_an_echo_joined_does_not_run_again_there():
+    c, now = leading(settings="commit"), 8.0
+    first, second = (Change(None, msgspec.json.encode({"services": {n: {}}}), n) for n in "ab")
+    propose(c, now, first, second)
+    step(c, now)
+    e = echo()
+    follow(e, c, now)
+    propose(c, now, first, service("s", 1))
+    for t in range(3):
+        follow(e, c, now + 1.2 * t)
+    assert list(e.tree.doc.services) == ["b"] and settings(e.state) == settings(c.state)
+
+
+def test_a_settings_echo_is_fed_only_what_changed_the_settings_and_is_left_alone_meanwhile():
+    c, e = leading(settings="commit"), echo(hold=1.0)
+    now = seated(c, e)
+    propose(c, now, *OTHERS, service("s", 2), service("s", 1))
+    c.want(e.want(now), "w", now)
+    f = step(c, now)["w"]
+    assert [tag_of(x.data) for x in f.entries] == [b"amend"] and f.index == c.state.index and not f.lacking
+    e.fed(f, now)
+    assert (e.state.index, e.state.clock) == (c.state.index, c.state.clock)
+    propose(c, now, *OTHERS)
+    c.want(e.want(now), "w", now)
+    assert "w" not in step(c, now) and "w" not in step(c, now + 0.9)
+    f = step(c, now + 1.01)["w"]
+    assert f.entries == [] and f.index == c.state.index
+    c.want(e.want(now + 1.1, hold=0.0), "w", now + 1.1)
+    assert "w" in step(c, now + 1.1)
+
+
+def test_entries_far_behind_are_fed_in_parts_and_after_a_compaction_as_a_picture(monkeypatch):
+    from mallowvalve.law import core
+
+    monkeypatch.setattr(core, "CHUNK", 10)
+    c, e = leading(settings="commit"), echo()
+    follow(e, c, 8.0)
+    propose(c, 8.0, *[x for n in range(25) for x in (service("s", n + 1), Tick())])
+    step(c, 8.0)
+    indexes = []
+    for t in range(3):
+        c.want(e.want(8.1), t, 8.1)
+        e.fed(step(c, 8.1)[t], 8.1)
+        indexes.append(e.state.index)
+    assert indexes[0] < indexes[1] < indexes[2] == c.state.index and settings(e.state) == settings(c.state)
+    late, p = echo(2), c.picture()
+    follow(late, c, 8.2)
+    propose(c, 8.2, Tick(), Tick())
+    step(c, 8.2)
+    p = c.picture()
+    c.compact(msgspec.structs.replace(p[0], state=list(p[1])))
+    assert not c._news
+    c.want(late.want(8.3), "quiet", 8.3)
+    assert "quiet" not in step(c, 8.3)
+    propose(c, 8.4, service("s", 99))
+    assert not step(c, 8.4)["quiet"].lacking
+    step(c, 8.5)
+    c.want(late.want(8.5), "still", 8.5)
+    assert [e.index for e in step(c, 8.5)["still"].entries] == [c.state.turned]
+    p = c.picture()
+    c.compact(msgspec.structs.replace(p[0], state=list(p[1])))
+    c.want(late.want(8.6), "behind", 8.6)
+    assert step(c, 8.6)["behind"].lacking
+    follow(late, c, 8.7)
+    assert settings(late.state) == settings(c.state)
+
+
+def test_an_answer_of_another_group_or_one_that_lacks_moves_nothing():
+    c, e = leading(settings="commit"), echo()
+    follow(e, c, 8.0)
+    at = e.state.index
+    e.fed(Fed(A, G, True, [], at + 50, 0, -1.0, None), 8.1)
+    e.fed(Fed(A, Group(4, "x"), False, [], at + 50, 0, -1.0, None), 8.1)
+    e.fed(Fed(A, G, False, [], at - 1, 0, -1.0, None), 8.1)
+    assert e.state.index == at
+
+
+def test_the_fleets_clock_goes_on_at_an_echo_between_answers():
+    c, e = leading(settings="commit"), echo()
+    for t in range(3):
+        follow(e, c, 8.0 + 1.2 * t)
+    last = e.clock(10.4)
+    assert abs(last - c._clock(10.4)) <= 1 and e.clock(11.4) == last + 1000
+
+
+def seated(c: Core, *echoes: Echo) -> float:
+    now = 8.0
+    for n in range(40):
+        now += 0.1
+        for e in echoes:
+            follow(e, c, now)
+    return now
+
+
+@pytest.mark.parametrize("mode", ["commit", "held", "force"])
+def test_settings_wait_for_what_the_params_say(mode):
+    c, e = leading(settings=mode), echo()
+    now = seated(c, e)
+    c.want(e.want(now), "w", now)
+    propose(c, now, service("s", 1))
+    out = step(c, now)
+    assert ("Amend0" in out) == (mode == "commit")
+    e.fed(out["w"], now)
+    c.want(e.want(now + 0.1), "w", now + 0.1)
+    out = step(c, now + 0.1)
+    assert ("Amend0" in out) == (mode != "commit")
+
+
+def test_force_waits_out_a_seat_that_does_not_hold_it_and_held_only_the_prompt():
+    for mode, want in (("force", False), ("held", True)):
+        c, e, f = leading(settings=mode), echo(1), echo(2)
+        now = seated(c, e, f)
+        c.want(e.want(now), "e", now)
+        propose(c, now, service("s", 1))
+        e.fed(step(c, now)["e"], now)
+        for n in range(18):
+            now += 0.1
+            out = follow(e, c, now)
+            if "Amend0" in out:
+                break
+        assert ("Amend0" in out) == want
+
+
+def test_a_repeat_waits_for_the_change_that_it_repeats_and_not_for_itself():
+    c, e = leading(settings="held"), echo()
+    now = seated(c, e)
+    c.want(e.want(now), "w", now)
+    propose(c, now, service("s", 1))
+    f = step(c, now)["w"]
+    propose(c, now, service("s", 1), Amend([]), Tick())
+    assert not {"Amend0", "Amend1"} & step(c, now).keys()
+    e.fed(f, now)
+    c.want(e.want(now + 0.1), "w", now + 0.1)
+    out = step(c, now + 0.1)
+    assert {"Amend0", "Amend1"} <= out.keys() and out["Amend1"].code == "ok"
+    propose(c, now + 0.1, service("s", 1))
+    assert "Amend0" in step(c, now + 0.1)
+
+
+def test_a_call_that_cannot_stand_is_told_so_at_once():
+    c = leading(settings="force")
+    doc = {"name": "r", "version": 1, "host": "h", "prefix": "/", "kind": "read", "limit_ms": 9, "service": "s"}
+    propose(c, 8.0, service("x", 1), Amend([Item("routes", "r", 1, msgspec.json.encode(doc))]))
+    out = step(c, 8.0)
+    assert out["Amend1"].code == "invalid" and msgspec.msgpack.decode(out["Amend1"].body)[0]["place"] == "routes.r.service"
+    assert not c.state.items.routes and c.state.items.services
+
+
+@pytest.mark.parametrize("mode", ["held", "commit"])
+def test_ties_wait_for_what_the_params_say_and_never_for_echoes_without_them(mode):
+    c, part, whole = leading(ties=mode), echo(1), echo(2, "all")
+    now = seated(c, part)
+    propose(c, now, Take("l", "h", 900.0), Put("k", "v", None, "x"), Claim("k", "d", "p", "n"))
+    out = step(c, now)
+    assert {"Take0", "Put1", "Claim2"} <= out.keys()
+    now = seated(c, part, whole)
+    c.want(whole.want(now), "w", now)
+    propose(c, now, Take("l", "h", 900.0), Put("k", "v", None, "y"), Claim("q", "d", "p", "n"))
+    out = step(c, now)
+    assert ("Take0" in out) == ("Put1" in out) == (mode == "commit") and "Claim2" not in out
+    whole.fed(out["w"], now)
+    c.want(whole.want(now), "w", now + 0.1)
+    assert "Claim2" in step(c, now + 0.1)
+
+
+def filled() -> State:
+    s = State(3)
+    for n, c in enumerate((*OTHERS, service("s", 2), Evacuate("z", True), Take("l", "h", 900.0), Write("g.k", "v"), Put("k", "w", None, "x"))):
+        s.apply(n + 1, 10 * n, encode(c))
+    return s
+
+
+def test_pictures_hold_items_and_plain_ties_and_those_of_the_settings_part_nothing_else():
+    s = filled()
+    t, part = load(dump(s)), load(list(cut_settings(s)))
+    assert settings(t) == settings(part) == settings(s)
+    assert t.plain.picture() == s.plain.picture() and t.ledger.rows == s.ledger.rows and t.asks.rows == s.asks.rows
+    assert part.plain.picture() == State(3).plain.picture()
+    assert not (part.ledger.rows or part.tie.keys or part.tie.numbers or part.asks.rows or part.tie.events)
+
+
+def test_a_shelf_keeps_pictures_of_both_kinds_apart():
+    s, shelf = filled(), Shelf()
+    labels = [
+        shelf.put(Picture(G, s.index, 1, Voters({}), list(pieces)), 0.0, part)
+        for pieces, part in ((cut(s), False), (cut_settings(s), True))
+    ]
+    assert shelf.newest(G, s.index, True) is not shelf.newest(G, s.index)
+    for l, whole in zip(labels, (True, False)):
+        g = Gather(l)
+        while (w := g.want()) is not None:
+            assert g.take(shelf.cut(w, 0.0)).is_ok()
+        assert bool(g.done().unwrap()[1].ledger.rows) == whole
+    other = Gather(labels[0])
+    assert other.take(shelf.cut(Gather(labels[1]).want(), 0.0)).is_err()
+
+
+def test_an_echo_without_all_hands_out_no_whole_picture_and_none_older_is_taken():
+    e, s = echo(), filled()
+    p = Picture(G, s.index, 1, Voters({}), [])
+    e.adopt(p, s)
+    assert e.picture() is None and load(list(e.settings()[1])).items.rows == s.items.rows
+    for old in (Picture(G, s.index - 1, 1, Voters({}), []), Picture(Group(2, "z"), 99, 1, Voters({}), [])):
+        assert not e.lacks(label(old))
+        e.adopt(old, State(2))
+        assert e.state is s
+
+
+def who(id, addr, index, whole=True, role="law", group=G, blank=False):
+    voters = None if blank else Voters({i: Address("10.0.0.1", n + 1) for n, i in enumerate("abc")})
+    return Who(role, id, addr, EU, [], blank, None if blank else group, index, voters, None, whole)
+
+
+def test_a_core_renewed_goes_on_from_a_whole_state_with_the_newest_settings():
+    a, b, c = (Address("10.0.0.1", n) for n in (1, 2, 3))
+    e = who("", Address("10.0.1.1", 1), 90, False, "flow")
+    v = decide(who("x", a, 0, blank=True), [who("y", b, 0, blank=True), who("c", c, 70), e], 1, False)
+    assert isinstance(v, Found) and (v.base.id, v.base.index, v.further) == ("c", 70, e)
+    v = decide(who("x", a, 0, blank=True), [who("y", b, 0, blank=True), who("z", c, 0, blank=True), e], 1, False)
+    assert (v.base, v.further) == (e, None)
+    v = decide(who("x", a, 0, blank=True), [who("y", b, 0, blank=True), who("c", c, 95), e], 1, False)
+    assert (v.base.index, v.further) == (95, None)
+    s, t = filled(), filled()
+    t.apply(t.index + 1, 500, encode(service("s", 9)))
+    s.graft(load(list(cut_settings(t))))
+    assert settings(s) == settings(t) and s.ledger.rows == t.ledger.rows
