--- a/mallowvalve/flow/host.py
+++ b/mallowvalve/flow/host.py
@@ -196,7 +196,13 @@
         if cold.isdigit() and int(cold) > 0:
             self._chill(s, now + int(cold[:6]) / 1000, now)
 
+    def late(self, s: Spot, sent_at: float, now: float) -> None:
+        """No answer within the limit: its fault when it has answered nothing at all since."""
+        if s.mute is not None and s.mute <= sent_at:
+            self.failed(s, now)
+
     def failed(self, s: Spot, now: float) -> None:
+        s.mute = now if s.busy else None
         if now >= s.broken_until:
             s.broken_until, s.pause = now + s.pause, min(BREAK_MOST, s.pause * 2)
         s.since = max(0, s.since - 1)
--- a/mallowvalve/flow/tries.py
+++ b/mallowvalve/flow/tries.py
@@ -154,8 +154,8 @@
             now = self.now()
             if r.is_err():
                 self.counts.add("upstream_open_failed")
-                self.hosts.failed(spot, now)
                 place.back(keep=False)
+                self.hosts.failed(spot, now)
                 t.opens += 1
                 if t.opens >= OPENS:
                     return self._end(t, "no connection to the upstreams tried")
@@ -223,7 +223,9 @@
                 self.hosts.failed(spot, now)
                 return self._again(t, "the connection broke before anything was sent")
             t.ran = True
-            if r.err_value != "limit":
+            if r.err_value == "limit":
+                self.hosts.late(spot, sent_at, now)
+            else:
                 self.hosts.failed(spot, now)
             self.counts.add(f"upstream_{r.err_value.partition(':')[0]}")
             return self._again(t, r.err_value)
--- /dev/null
+++ b/tests/test_tries.py
@@ -0,0 +1,415 @@
+import random
+from collections import Counter
+
+import pytest
+from result import Err
+
+from mallowvalve.flow.budget import Sliding
+from mallowvalve.flow.steps import Exchange, Open, Room
+from tests.tryout import FAR, HERE, NEXT, NOT_RUN, Bench, Kept, Played, answer, ask, read, split
+
+READ, TRY = ask("/r/1"), ask("/o/1", "POST", length=0)
+
+
+def test_a_request_goes_unchanged_with_what_is_left_and_whom_it_is_for():
+    p = Played()
+    r = p.run(ask("/r/a%2f..//b?x=%20", "GET", mallow_limit="800", accept="*/*", connection="close, x-own", x_own="1"))
+    text = p.sent()[0].request.decode()
+    head = text.split("\r\n")
+    assert r.status == 200 and head[0] == "GET /r/a%2f..//b?x=%20 HTTP/1.1"
+    assert "host: h.example:80" in head and "mallow-ask: a1" in head and "accept: */*" in head
+    assert f"Mallow-Expect: {p.to()[0]}" in head and "Mallow-Limit: 800" in head
+    assert "x-own" not in text and "connection" not in text.lower() and p.sent()[0].ask == "a1"
+
+
+@pytest.mark.parametrize("a,status", [
+    (ask("/none/1"), 404), (ask("/r"), 404), (ask("*"), 400), (ask(mallow_limit="x"), 400), (ask(mallow_limit="-1"), 400),
+])
+def test_what_no_route_takes(a, status):
+    p = Played()
+    assert p.run(a).status == status and not p.steps
+
+
+def test_no_settings_yet_is_said_as_a_promise():
+    p = Played()
+    p.b.state.items.revision = 0
+    r = p.run(READ)
+    assert (r.status, r.outcome) == (503, "not-run") and r.retry_after
+    p.b.echo.state = None
+    assert p.run(TRY).status == 503
+
+
+def test_an_unknown_route_may_be_newer_than_a_proxy_that_is_out_of_touch():
+    p = Played()
+    p.t = 60.0
+    assert p.run(ask("/none/1")).status == 503 and p.run(READ).status == 200
+
+
+@pytest.mark.parametrize("why", ["broken: reset", "limit", "garbage: x", "broken: ended early"])
+def test_a_try_is_never_sent_again_without_proof(why):
+    p = Played([Err(why)])
+    r = p.run(TRY)
+    assert len(p.sent()) == 1 and r.status in (502, 504) and r.outcome == "unknown" and r.retry_after is None
+
+
+@pytest.mark.parametrize("first", [answer(503, **NOT_RUN), answer(421), answer(429, **NOT_RUN), Err("unsent: gone")])
+def test_a_try_goes_to_another_upstream_on_proof(first):
+    p = Played([first])
+    r = p.run(TRY)
+    assert r.status == 200 and len(set(p.to())) == 2
+
+
+@pytest.mark.parametrize("first", [answer(503, **NOT_RUN), answer(421), Err("unsent: gone")])
+def test_proof_at_every_upstream_is_a_promise_at_once(first):
+    p = Played([first, first, first])
+    r = p.run(TRY)
+    assert (r.status, r.outcome, len(p.sent())) == (503, "not-run", 2) and 0 < r.retry_after <= 0.3 and p.t < 0.1
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_an_upstreams_promise_without_its_word_is_none(status):
+    r = Played([answer(status)]).run(TRY)
+    assert (r.status, r.outcome) == (502, "unknown")
+    p = Played([answer(503, **NOT_RUN), Err("broken: x")])
+    assert p.run(TRY).status == 502
+
+
+def test_a_try_that_may_have_run_and_is_late_is_a_504():
+    p = Played([Err("limit")])
+    p.acts["exchange"] = lambda p: setattr(p, "t", 1.0)
+    assert p.run(TRY).status == 504
+
+
+def test_an_upstreams_own_failure_goes_back_as_it_is():
+    r = Played([answer(500, body=b"no", x_own="1")]).run(TRY)
+    assert (r.status, r.answer.body) == (500, b"no")
+
+
+@pytest.mark.parametrize("first", [
+    Err("broken: reset"), Err("garbage: x"), answer(500), answer(503), Err("limit"), answer(200, x_seal="")
+])
+def test_a_read_is_sent_to_another_upstream(first):
+    if not isinstance(first, Err) and first.status == 200:
+        del first.said["x-seal"]
+    p = Played([first])
+    r = p.run(READ)
+    assert r.status == 200 and len(set(p.to())) == 2 and r.answer.said["x-seal"]
+    p = Played([first, first, first])
+    r = p.run(READ)
+    assert len(p.sent()) == 2 and r.status in (500, 502)
+
+
+def test_a_success_without_a_seal_is_no_success_for_a_try():
+    a = answer(200)
+    a.said.clear()
+    r = Played([a]).run(TRY)
+    assert (r.status, r.outcome) == (502, "unknown")
+
+
+def test_no_connection_is_no_send():
+    p = Played()
+    p.opens = [Err("unreachable")]
+    assert p.run(TRY).status == 200 and len(p.sent()) == 1
+    p = Played()
+    p.opens = [Err("unreachable")] * 9
+    r = p.run(TRY)
+    assert (r.status, r.outcome, len(p.sent())) == (503, "not-run", 0) and sum(isinstance(s, Open) for s in p.steps) == 3
+
+
+def test_a_broken_upstream_is_left_alone_for_a_while():
+    p = Played([Err("broken: reset")])
+    p.run(TRY)
+    first = p.to()[0]
+    for _ in range(20):
+        p.run(TRY)
+    assert first not in p.to()[1:]
+    p.t += 1.0
+    for _ in range(20):
+        p.run(TRY)
+    assert first in p.to()[1:]
+
+
+CHANGES = {
+    "route dropped": (lambda p: (p.b.drop("o"), p.b.drop("r")), 404),
+    "route to another service": (lambda p: (
+        p.b.service("other"), p.b.route("o", "/o/", "try", service="other"), p.b.route("r", "/r/", "read", service="other"),
+    ), 503),
+    "homes elsewhere": (lambda p: (
+        p.b.route("o", "/o/", "try", service="s", homes=["us"]), p.b.route("r", "/r/", "read", service="s", homes=["us"]),
+    ), 503),
+    "zone evacuated": (lambda p: p.b.evacuate("eu-a"), 503),
+    "upstreams leaving": (lambda p: [p.b.upstream(f"u{i}", port=100 + i, state="leaving") for i in range(2)], 503),
+    "upstreams gone": (lambda p: (p.b.state.roll.rows.clear(), setattr(p.b.state.roll, "revision", 99)), 503),
+    "address of another now": (lambda p: [p.b.upstream(f"u{i}", "other", port=100 + i) for i in range(2)], 503),
+    "limit over": (lambda p: setattr(p, "t", 1.0), 503),
+    "a shorter limit": (lambda p: (
+        setattr(p, "t", 0.3), p.b.route("o", "/o/", "try", service="s", limit_ms=200.0), p.b.route("r", "/r/", "read", service="s", limit_ms=200.0),
+    ), 503),
+}
+
+
+@pytest.mark.parametrize("a", [READ, TRY], ids=["read", "try"])
+@pytest.mark.parametrize("change", CHANGES)
+def test_nothing_is_sent_by_what_was_decided_before_a_change(change, a):
+    act, status = CHANGES[change]
+    p = Played()
+    p.acts["open"] = act
+    r = p.run(a)
+    assert not p.sent() and (r.status, r.outcome) == (status, "not-run")
+
+
+@pytest.mark.parametrize("change", [c for c in CHANGES if c != "limit over"])
+def test_a_second_send_is_judged_too(change):
+    p = Played([answer(503, **NOT_RUN)])
+    p.acts["exchange"] = CHANGES[change][0]
+    r = p.run(TRY)
+    assert len(p.sent()) == 1 and r.outcome == "not-run"
+
+
+def test_a_read_that_may_have_run_promises_nothing_when_its_route_goes():
+    p = Played([Err("broken: x")])
+    p.acts["exchange"] = CHANGES["route dropped"][0]
+    assert p.run(READ).status == 502
+
+
+def test_homes_and_evacuated_zones():
+    p = Played()
+    assert p.run(ask("/h/1", "POST")).status == 503 and not p.sent()
+    p.b.upstream("far", at=FAR)
+    assert p.run(ask("/h/1", "POST")).status == 200 and p.to() == ["far"]
+    p.b.evacuate("eu-a")
+    assert p.run(READ).status == 200 and p.to()[-1] == "far"
+
+
+def test_a_full_service_bounces_within_a_quarter_of_the_aim():
+    p = Played(upstreams=1)
+    p.b.hosts.sync(0.0)
+    spot = p.b.hosts.spots["u0"]
+    spot.busy = 8
+    gen, got = p.b.tries.carry(READ), None
+    try:
+        while True:
+            s = gen.send(got)
+            assert isinstance(s, Room)
+            p.t, got = s.end, False
+    except StopIteration as e:
+        r = e.value
+    assert (r.status, r.outcome) == (503, "not-run") and 0.02 < p.t <= 0.1 and 0.1 <= r.retry_after <= 0.3
+    assert p.b.hosts.waiting == {}
+
+
+def test_a_place_that_becomes_free_is_taken():
+    p = Played(upstreams=1)
+    p.b.hosts.sync(0.0)
+    p.b.hosts.spots["u0"].busy = 8
+    gen = p.b.tries.carry(READ)
+    assert isinstance(gen.send(None), Room)
+    p.b.hosts.spots["u0"].busy = 2
+    assert isinstance(gen.send(True), Open) and isinstance(gen.send(p.reply(Open(p.b.hosts.spots["u0"].up, "", 1.0))), Exchange)
+    gen.close()
+    assert p.b.hosts.spots["u0"].busy == 2
+
+
+def test_usage_tells_what_others_send_too():
+    p = Played([answer(200, mallow_usage="12,9,6")], upstreams=1)
+    assert p.run(READ).status == 200
+    assert p.run(READ).status == 503 and len(p.sent()) == 1
+    p.t += 0.4
+    assert p.run(READ).status == 200
+
+
+def test_an_upstream_that_is_full_is_passed_over_for_a_while():
+    p = Played([answer(503, **NOT_RUN)])
+    p.run(TRY)
+    first = p.to()[0]
+    for _ in range(10):
+        p.run(TRY)
+    assert first not in p.to()[1:]
+
+
+def test_near_ones_first_and_farther_ones_when_these_are_loaded():
+    p = Played(upstreams=1)
+    p.b.upstream("next", at=NEXT, port=200)
+    p.b.upstream("far", at=FAR, port=300)
+    for _ in range(20):
+        p.run(READ)
+    assert set(p.to()) == {"u0"}
+    p.b.hosts.spots["u0"].busy = 6
+    got, _ = p.b.hosts.pick("s", [], set(), p.t)
+    assert got.up.instance == "next"
+    p.b.hosts.spots["next"].busy = 6
+    got, _ = p.b.hosts.pick("s", [], set(), p.t)
+    assert got.up.instance == "far"
+
+
+def test_a_silent_upstream_is_avoided_while_it_owes_an_answer():
+    p = Played()
+    p.b.hosts.sync(0.0)
+    s = p.b.hosts.spots["u0"]
+    s.busy, s.mute = 1, 0.0
+    p.t = 2.0
+    assert {p.b.hosts.pick("s", [], set(), p.t)[0].up.instance for _ in range(20)} == {"u1"}
+
+
+def test_split_weights():
+    p = Played()
+    for s in ("x", "y", "z"):
+        p.b.service(s)
+        p.b.upstream(f"u{s}", s, port=hash(s) % 1000)
+    p.b.route("r", "/r/", "read", split=[split("x", 80), split("y", 20), split("z", 0)])
+    for _ in range(1000):
+        p.run(READ)
+    c = Counter(p.to())
+    assert 740 < c["ux"] < 860 and c["uy"] == 1000 - c["ux"]
+    del p.b.state.roll.rows["ux"]
+    p.b.state.roll.revision += 1
+    assert p.run(READ).status == 200 and p.to()[-1] == "uy"
+
+
+def test_repeats_stay_within_the_budget_in_any_window():
+    rng, t, b = random.Random(3), 0.0, Sliding(0.7 * 0.2, 10.0, 2.0)
+    firsts, again = [], []
+    for _ in range(20000):
+        t += rng.expovariate(3.0 if 200 < t < 400 or t > 900 else 60.0)
+        firsts.append(t)
+        b.first(t)
+        if b.again(t):
+            again.append(t)
+    for i in range(0, len(again), 7):
+        a = again[i]
+        n = sum(a <= x < a + 10 for x in again)
+        most = max(sum(a - d <= x < a + 10 - d for x in firsts) for d in (0, 5, 10))
+        assert n <= 0.2 * most + 4.0
+
+
+def test_a_spent_budget_ends_a_request_at_once():
+    p = Played([answer(503, **NOT_RUN)] * 99, upstreams=20, budget={"ratio": 0.0, "slack": 4.0})
+    rs = [p.run(TRY) for _ in range(6)]
+    assert len(p.sent()) == 6 + 2 and all(r.status == 503 for r in rs)
+    p = Played([Err("broken: x")] * 99, upstreams=9, budget={"ratio": 0.0, "slack": 0.0})
+    assert p.run(READ).status == 502 and len(p.sent()) == 1
+
+
+@pytest.mark.parametrize("proxies,rate", [(1, 11.0), (9, 11.0), (40, 11.0), (9, 2.5), (3, 1.0)])
+def test_cold_upstreams_get_their_rate_in_any_second(proxies, rate):
+    t = 0.0
+    benches = [Bench(lambda: t, proxies) for _ in range(proxies)]
+    for i, b in enumerate(benches):
+        b.echo.addr = type(b.echo.addr)("10.0.0.1", 1 + i)
+        b.hosts.rng.seed(i)
+        b.service("s", cold_s=6.0, cold_per_s=rate)
+        b.upstream("u0", cold=6000, slots=1000)
+    rng, sent = random.Random(5), []
+    while t < 6.0:
+        t += rng.expovariate(400.0)
+        b = rng.choice(benches)
+        spot, _ = b.hosts.pick("s", [], set(), t)
+        if spot is not None:
+            b.hosts.sending(spot, t)
+            sent.append(t)
+    sent = [x for x in sent if x < 6.0]
+    worst = max(sum(a <= x < a + 1.0 for x in sent) for a in sent)
+    assert worst <= rate * 1.5 + 5.0 and len(sent) <= 0.9 * rate * 6 + proxies
+    assert len(sent) >= 0.5 * rate * 6
+
+
+def test_a_cold_upstream_warms_up_and_may_become_cold_again():
+    p = Played(upstreams=0)
+    p.b.service("s", cold_s=3.0, cold_per_s=1.0)
+    p.b.upstream("u0", cold=2000, slots=100)
+    n = [p.run(READ).status for _ in range(10)].count(200)
+    assert n <= 1
+    p.t = 2.1
+    assert [p.run(READ).status for _ in range(10)].count(200) == 10
+    p.b.state.clock = 5000
+    p.b.upstream("u0", cold=9000, slots=100)
+    assert [p.run(READ).status for _ in range(10)].count(200) <= 1
+
+
+def test_a_zone_that_is_taken_back_is_held_to_be_cold_until_beats_tell():
+    p = Played(upstreams=1)
+    p.b.service("s", cold_s=3.0, cold_per_s=1.0)
+    p.b.hosts.sync(0.0)
+    p.b.evacuate("eu-a")
+    p.b.hosts.sync(0.0)
+    p.b.evacuate()
+    assert [p.run(READ).status for _ in range(10)].count(200) <= 1
+
+
+def test_an_idle_session_is_used_last_first_and_not_beyond_its_time():
+    p = Played(upstreams=1)
+    p.run(READ)
+    p.run(READ)
+    assert sum(isinstance(s, Open) for s in p.steps) == 1
+    p.t += 4.5
+    p.run(READ)
+    assert sum(isinstance(s, Open) for s in p.steps) == 2
+    old, new = Kept(p.b.hosts.spots["u0"].up), Kept(p.b.hosts.spots["u0"].up)
+    p.b.hosts.links.give(old, p.t)
+    p.b.hosts.links.give(new, p.t)
+    assert p.b.hosts.links.take(new.beat, p.t) is new
+    p.b.hosts.links.tidy(set(), p.t)
+    assert old.closed
+
+
+def test_a_421_forgets_the_upstream_for_a_while():
+    p = Played([answer(421)])
+    p.run(READ)
+    first = p.to()[0]
+    for _ in range(10):
+        p.run(READ)
+    assert first not in p.to()[1:]
+
+
+def test_a_413_for_a_body_over_the_bound_promises_that_nothing_ran():
+    p = Played()
+    gen = p.b.tries.carry(ask("/o/1", "POST", length=9))
+    s = gen.send(None)
+    assert s.most == 1 << 20
+    with pytest.raises(StopIteration) as e:
+        gen.send(Err((413, "body", "x")))
+    assert e.value.value.status == 413 and e.value.value.close
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nMallow-Ask: %s\r\nX-Seal: 1\r\nContent-Length: 2\r\n\r\n"
+
+
+def test_an_extra_answer_is_passed_over_whole():
+    r = read(HEAD % b"a0" + b"no" + HEAD % b"a1" + b"ok")
+    assert r.done and bytes(r.body) == b"ok" and r.others == 1 and not r.why
+    r = read(HEAD % b"a0" + b"n", b"o")
+    assert not r.done and not r.why
+    r.take(HEAD % b"a1")
+    r.take(b"ok")
+    assert r.done and bytes(r.body) == b"ok"
+
+
+@pytest.mark.parametrize("more", [b"!!", b"garbage\r\n\r\n", HEAD % b"a0" + b"no", HEAD % b"a1" + b"no"])
+def test_bytes_after_a_whole_answer_spoil_only_the_session(more):
+    r = read(HEAD % b"a1" + b"ok" + more)
+    assert r.done and bytes(r.body) == b"ok" and r.extra and not r.why
+
+
+@pytest.mark.parametrize("parts,why", [
+    ([HEAD % b"a1" + b"o", b""], "broken"), ([b""], "broken"), ([b"\x00\x01nonsense"], "garbage"),
+    ([b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 2\r\n\r\nok"], "garbage"),
+    ([b"HTTP/1.1 200 OK\r\nMallow-Ask: a1\r\n\r\nok", b""], "garbage"),
+    ([b"HTTP/1.1 200 OK\r\nMallow-Ask: a1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"], "garbage"),
+    ([b"HTTP/1.1 200 OK\r\nMallow-Ask: a1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b""], "broken"),
+    ([HEAD % b"a0" + b"no", b""], "broken"),
+])
+def test_what_is_no_whole_answer(parts, why):
+    r = read(*parts)
+    assert not r.done and r.why.startswith(why)
+
+
+def test_an_answer_in_single_bytes_and_one_after_an_interim_one():
+    data = b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD % b"a1" + b"ok"
+    r = read(*[data[i:i + 1] for i in range(len(data))])
+    assert r.done and bytes(r.body) == b"ok" and r.headers[1] == ("X-Seal", "1") and r.keep
+    r = read(HEAD % b"a1", method="HEAD")
+    assert r.done and r.length() == 2 and not r.body
+
+
+def test_here_is_the_nearest():
+    assert HERE.distance(NEXT) == 1 and HERE.distance(FAR) == 2
--- /dev/null
+++ b/tests/tryout.py
@@ -0,0 +1,168 @@
+from __future__ import annotations
+
+import random
+
+import msgspec
+from result import Err, Ok
+
+from mallowvalve import params
+from mallowvalve.beat.roll import Upstream
+from mallowvalve.count import Counts
+from mallowvalve.flow.host import Hosts
+from mallowvalve.flow.reader import Reader
+from mallowvalve.flow.steps import Answer, Ask, Body, Exchange, Open, Room
+from mallowvalve.flow.tries import Tries
+from mallowvalve.kind import Address, Locality
+from mallowvalve.law.echo import Echo
+from mallowvalve.law.state import Seat, State
+from mallowvalve.tree.items import HostRoute, Limits, Part, ServiceItem
+from mallowvalve.vote.wire import Group
+
+HERE, NEXT, FAR = Locality("eu", "eu-a"), Locality("eu", "eu-b"), Locality("us", "us-a")
+ME = Address("10.0.0.1", 1)
+RAW = {
+    "name": "f", "locality": "eu/eu-a", "mesh": str(ME), "web": "10.0.0.1:2", "serve_on": True,
+    "terms": {"seal": "X-Seal"}, "budget": {"ratio": 0.2, "span": 10.0, "slack": 20.0}, "cold": {"over": 1.5, "slack": 5.0},
+}
+
+
+class FakeItems:
+    def __init__(self):
+        self.revision, self.hosts, self.services, self.limits = 1, {}, {}, Limits(version=1)
+
+    def find(self, host: str, path: str) -> HostRoute | None:
+        fit = [r for r in self.hosts.get(host, []) if path.startswith(r.prefix)]
+        return max(fit, key=lambda r: len(r.prefix), default=None)
+
+
+class FakeRoll:
+    def __init__(self):
+        self.rows, self.revision = {}, 0
+
+
+class Bench:
+    """One proxy's tries over fake items and roll, with a hand on its clock."""
+
+    def __init__(self, now=lambda: 0.0, proxies: int = 1, **raw):
+        p = params.check("flow", RAW | raw).ok_value
+        self.now = now
+        self.echo = Echo(ME, 7, "flow", HERE, lambda r: None)
+        self.echo.group, self.echo.state = Group(1, "g"), State(1)
+        s = self.state = self.echo.state
+        s.items, s.roll = FakeItems(), FakeRoll()
+        s.params.roster = {str(Address("10.0.0.1", 1 + i)): Seat(7, HERE) for i in range(proxies)}
+        self.echo._sure = now()
+        self.hosts = Hosts(self.echo, p, random.Random(1), now)
+        self.tries = Tries(self.echo, self.hosts, p, Counts(), now, random.Random(2))
+        self.route("r", "/r/", "read", service="s", tries=2)
+        self.route("o", "/o/", "try", service="s", tries=2)
+        self.route("h", "/h/", "try", service="s", tries=2, homes=["us"])
+        self.service("s")
+
+    def route(self, name: str, prefix: str, kind: str, **more) -> None:
+        hosts = self.state.items.hosts
+        r = HostRoute(**{"limit_ms": 1000.0, "aim_ms": 400.0, **more}, name=name, version=1, host="h.example", prefix=prefix, kind=kind)
+        hosts["h.example"] = [x for x in hosts.get("h.example", []) if x.name != name] + [r]
+
+    def drop(self, name: str) -> None:
+        hosts = self.state.items.hosts
+        hosts["h.example"] = [x for x in hosts["h.example"] if x.name != name]
+
+    def service(self, name: str, **more) -> None:
+        self.state.items.services[name] = ServiceItem(name=name, version=1, **more)
+
+    def upstream(self, name: str = "u0", service: str = "s", at: Locality = HERE, port: int = 100, slots: int = 6, state: str = "ready", cold: int = 0):
+        u = Upstream(name, service, Address("127.0.0.1", port), at, slots, state, 0, 0, cold)
+        self.state.roll.rows[name] = u
+        self.state.roll.revision += 1
+        return u
+
+    def evacuate(self, *zones: str) -> None:
+        p = self.state.params
+        p.evacuated = dict.fromkeys(zones, 1)
+        p.revision += 1
+
+
+class Kept:
+    def __init__(self, up):
+        self.beat, self.since, self.life, self.closed = up, 0.0, 4.0, False
+
+    def close(self):
+        self.closed = True
+
+    def stale(self):
+        return False
+
+
+def ask(target: str = "/r/1", method: str = "GET", mark: str = "a1", length: int | None = None, **more: str) -> Ask:
+    headers = {"host": "h.example:80", "mallow-ask": mark, **{k.replace("_", "-"): v for k, v in more.items()}}
+    return Ask(method, target, headers, "c", length, list(headers.items()))
+
+
+def answer(status: int = 200, keep: bool = True, body: bytes = b"ok", **said: str) -> Answer:
+    said = {k.replace("_", "-"): v for k, v in said.items()}
+    if status == 200:
+        said.setdefault("x-seal", "1")
+    return Answer(status, list(said.items()), body, len(body), None, keep, said)
+
+
+NOT_RUN = {"mallow_not_run": "1"}
+
+
+class Played:
+    """Plays a request's steps; `say` answers exchanges in turn, an act may happen at a step's end."""
+
+    def __init__(self, say=(), upstreams=2, **raw):
+        self.t = 0.0
+        self.b = Bench(lambda: self.t, **raw)
+        for i in range(upstreams):
+            self.b.upstream(f"u{i}", port=100 + i)
+        self.say, self.acts, self.steps, self.opens = list(say), {}, [], []
+
+    def run(self, a):
+        gen, got = self.b.tries.carry(a), None
+        try:
+            while True:
+                s = gen.send(got)
+                self.steps.append(s)
+                got = self.reply(s)
+                act = self.acts.pop(type(s).__name__.lower(), None)
+                if act is not None:
+                    act(self)
+        except StopIteration as e:
+            assert all(s.busy == 0 for s in self.b.hosts.spots.values()) and self.b.hosts.waiting == {}
+            return e.value
+
+    def reply(self, s):
+        match s:
+            case Body():
+                return Ok(b"")
+            case Open():
+                return self.opens.pop(0) if self.opens else Ok(Kept(s.beat))
+            case Exchange():
+                self.t += 0.001
+                got = self.say.pop(0) if self.say else answer()
+                return got if isinstance(got, Err) else Ok(got)
+            case Room():
+                self.t = s.end
+                return False
+
+    def sent(self) -> list[Exchange]:
+        return [s for s in self.steps if isinstance(s, Exchange)]
+
+    def to(self) -> list[str]:
+        return [s.session.beat.instance for s in self.sent()]
+
+
+def read(*parts: bytes, ask: str = "a1", method: str = "GET") -> Reader:
+    r = Reader(method, "mallow-ask", ask)
+    for p in parts:
+        r.take(p)
+    return r
+
+
+def split(name: str, weight: float) -> Part:
+    return Part(name, weight)
+
+
+replace = msgspec.structs.replace
