--- a/mallowvalve/tie/plain.py
+++ b/mallowvalve/tie/plain.py
@@ -151,9 +151,7 @@
         for n in [n for n, h in self.locks.items() if h.until <= clock]:
             del self.locks[n]
         self._trim(clock)
-        while self._kept and (self._kept[0].at + HISTORY_MS < clock or len(self._kept) > HISTORY_MOST):
-            k = self._kept.popleft()
-            self._said.pop((k.name, k.mark), None)
+        self._forget(clock)
 
     def restless(self) -> bool:
         return bool(self.locks)
@@ -200,6 +198,7 @@
         return Word("ok", c.token)
 
     def _write(self, c: Write, clock: int) -> Word:
+        self._forget(clock)
         value, revision = self.cells.get(c.name, (None, 0))
         if value == c.value:
             return Word("ok", revision)
@@ -224,6 +223,11 @@
         self._said[key] = revision
         self._kept.append(Kept(*key, clock, revision))
 
+    def _forget(self, clock: int) -> None:
+        while self._kept and (self._kept[0].at + HISTORY_MS < clock or len(self._kept) > HISTORY_MOST):
+            k = self._kept.popleft()
+            del self._said[k.name, k.mark]
+
     def _record(self, g: Group, p: Put) -> None:
         self.writes += 1
         g.events.append(p)
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -146,6 +146,19 @@
     assert not s.plain.restless()
 
 
+@pytest.mark.parametrize("gap", [HISTORY_MS - 1, HISTORY_MS, HISTORY_MS + 1, HISTORY_MS + 900])
+def test_replicas_that_swept_at_different_times_agree_on_every_put(gap):
+    """One swept just before, one was made from a picture, one had ticks all along."""
+    a, b, c = Plain(), Plain(), Plain()
+    lines = [(500, Write("g.a", "old")), (500, Write("g.a", "new")), (500 + gap - 200, Count("n")), (500 + gap, Write("g.a", "old"))]
+    for at, line in lines:
+        c.lapse(at)
+        b, was = Plain(), b
+        b.adopt(was.picture())
+        assert len({p.apply(line, at) for p in (a, b, c)}) == 1
+    assert a.cells == b.cells == c.cells and (a.revision("g.") == 3) is (gap > HISTORY_MS)
+
+
 def history(seed: int, n: int):
     r, at = random.Random(seed), 0
     for i in range(n):
