--- a/sim/capacity.py
+++ b/sim/capacity.py
@@ -14,6 +14,7 @@
 import click
 import msgspec
 from falcon.testing import create_environ
+from result import Ok
 
 from mallowvalve import web
 from mallowvalve.beat.hear import Hear, Heard
@@ -26,10 +27,13 @@
 from mallowvalve.claim.ledger import Claim
 from mallowvalve.count import Counts
 from mallowvalve.flow.host import Hosts, Spot
+from mallowvalve.flow.reader import Reader
+from mallowvalve.flow.steps import Answer, Ask, Exchange, Open
+from mallowvalve.flow.tries import Tries
+from mallowvalve.head import read_head
 from mallowvalve.kind import Address
 from mallowvalve.law import wire
 from mallowvalve.law.beathttp import Beats
-from mallowvalve.law.core import Core, founding
 from mallowvalve.law.cut import Loader, cut_settings, load
 from mallowvalve.law.echo import Echo
 from mallowvalve.law.state import Change, Enrol, Evacuate, Seat, State, encode
@@ -41,7 +45,7 @@
 from mallowvalve.tree.items import Amend
 from mallowvalve.vote.wire import COMMAND, Entry, Voters
 from sim.target import (
-    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, addr, at, board, bond, decoded, doc, item, items, record, roll, rolled,
+    BOOT, GROUP, NODES, ROUTES, SERVICES, TENANTS, UPSTREAMS, Led, addr, at, board, bond, decoded, doc, item, items, record, roll, rolled,
     sizes, upstream, voters,
 )
 
@@ -166,61 +170,10 @@
         w = Loader()
         steps = [spent(lambda: w.feed(x).unwrap(), 1e-9) for x in pieces]
         out, back = spent(lambda: list(cut_settings(e.state)), 0.01), spent(lambda: load(pieces), 0.01)
+        swept = spent(gc.collect, 0.01)
         click.echo(f"picture {int(ROUTES * p)} routes, {int(UPSTREAMS * p)} rows: {sum(map(len, pieces)) / 1e6:.1f} MB in {len(pieces)} pieces, "
-                   f"out {out * 1e3:.0f} ms, in {back * 1e3:.0f} ms, the longest piece {max(steps) * 1e3:.0f} ms")
-
-
-class Led:
-    """One leader that is its own quorum, fed wants by so many echoes; no sockets."""
-
-    def __init__(self, n: int, batch: int):
-        self.c = Core("a", addr(1), at(1), random.Random(1))
-        s = State(GROUP.generation)
-        s.params.roster = {str(addr(i)): Seat(BOOT + i, at(i)) for i in range(100, 100 + n)}
-        self.c.start(founding(GROUP, Voters({"a": addr(1)}), s), None, [], 0.0, s)
-        self.batch, self.now, self.sent, self.fed_entries = batch, 5.0, 0, 0
-        self.wants = {i: Want(addr(i), BOOT + i, "flow", at(i), GROUP, 0, 0, 0.0, "settings", 1.0) for i in range(100, 100 + n)}
-        for wait in (0.1, *[0.5] * 6):
-            self.step()
-            self.now += wait
-
-    def step(self) -> list:
-        self.c.tick(self.now)
-        r = self.c.ready(self.now)
-        self.c.saved(r, self.now)
-        out, self.c.replies = self.c.replies, []
-        return out
-
-    def ask(self, who: list[int]) -> list:
-        """These echoes ask, so many a turn of the leader's loop; what was answered."""
-        out = []
-        for lo in range(0, len(who), self.batch):
-            for i in who[lo : lo + self.batch]:
-                self.c.want(self.wants[i], i, self.now)
-            out += self.answer(self.step())
-        return out
-
-    def parked(self) -> int:
-        """Echoes whose question waits for news."""
-        return len(self.c._parked)
-
-    def change(self, i: int, limit: float) -> list:
-        """One change proposed and fed to all whose questions wait; what else was answered."""
-        data = encode(rolled(i))
-        self.c.propose(data, "change", limit, self.now)
-        return self.answer(self.step())
-
-    def answer(self, replies: list) -> list:
-        done = []
-        for token, f in replies:
-            if not isinstance(f, Fed):
-                done.append(token)
-                continue
-            self.fed_entries += len(f.entries)
-            self.sent += len(seal(Frame("want", 1, True, wire.encode(f))))
-            w = self.wants[token]
-            self.wants[token] = msgspec.structs.replace(w, index=f.index, revision=f.revision, stamp=self.now)
-        return done
+                   f"out {out * 1e3:.0f} ms, in {back * 1e3:.0f} ms, the longest piece {max(steps) * 1e3:.0f} ms; "
+                   f"the collector's full sweep over such a state {swept * 1e3:.0f} ms")
 
 
 def leader(part: float) -> None:
@@ -343,6 +296,54 @@
                    f"a roll change {anew * 1e3:.2f} ms; a roster change {turns * 1e3:.2f} ms for each cold upstream")
 
 
+HEAD = (b"GET /p1001/ HTTP/1.1\r\nHost: h00001.example\r\nUser-Agent: consumer/1.0\r\nAccept: */*\r\nMallow-Ask: 0123456789abcdef\r\n"
+        b"Mallow-Limit: 1500\r\nAccept-Encoding: gzip\r\n")
+ANSWER = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 400\r\nMallow-Ask: 0123456789abcdef\r\n"
+          b"Mallow-Instance: up-000001\r\nMallow-Usage: 1,0,6\r\n\r\n" + b"x" * 400)
+
+
+class Kept:
+    """A session that is open already."""
+
+    def __init__(self, up):
+        self.beat, self.since, self.life = up, 0.0, 60.0
+
+    def stale(self) -> bool:
+        return False
+
+
+def work(part: float) -> None:
+    """What a request takes between the sockets: reading its head, finding and judging its way, reading the answer."""
+    for p in (part / 100, part):
+        e = echo_of(int(UPSTREAMS * p) + SERVICES, int(ROUTES * p) + 4)
+        e.state.clock = 90_000_000
+        r = next(r for r in e.state.items.routes.values() if r.kind == "read")
+        head = HEAD.replace(b"/p1001/", r.prefix.encode()).replace(b"h00001.example", r.host.encode())
+        settings = {"name": "x", "locality": str(at(9)), "mesh": "10.0.0.9:1", "web": "10.0.0.9:2", "serve_on": True}
+        params = check("flow", settings).unwrap()
+        h = Hosts(e, params, random.Random(1), lambda: 1.0)
+        tries = Tries(e, h, params, Counts(), lambda: 1.0, random.Random(1))
+        one = spent(lambda: _request(tries, head), 0.5)
+        click.echo(f"work    {len(e.state.items.routes)} routes, {len(h.spots)} upstreams: {one * 1e6:.0f} us a request between the sockets")
+
+
+def _request(tries: Tries, head: bytes) -> None:
+    h = read_head(head)
+    steps, got = tries.carry(Ask(h.method, h.target, h.said, "", h.length, h.pairs)), None
+    try:
+        while True:
+            match steps.send(got):
+                case Open() as s:
+                    got = Ok(Kept(s.beat))
+                case Exchange() as s:
+                    r = Reader(s.method, "mallow-ask", s.ask)
+                    r.take(ANSWER)
+                    got = Ok(Answer(r.status, r.headers, bytes(r.body), len(r.body), None, r.keep, r.said))
+    except StopIteration as e:
+        if e.value.status != 200:
+            raise SystemExit(f"a request ended in {e.value}") from None
+
+
 def queue(_: float) -> None:
     """Time in a node at 236 requests a second (1.3 million over 5,500), Poisson, by work a request and processes."""
     for work_ms in (3.3, 1.6, 0.8, 0.5, 0.3):
@@ -366,14 +367,14 @@
     return sum(out) / n, out[int(n * 0.99)]
 
 
-PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, log, hear, members, pick, queue)}
+PARTS = {f.__name__: f for f in (memory, change, tree, picture, leader, log, hear, members, pick, work, queue)}
 
 
 @click.command()
 @click.argument("parts", nargs=-1)
 @click.option("--part", default=1.0, help="the target's sizes times this")
 def main(parts: tuple[str, ...], part: float) -> None:
-    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, log, hear, members, pick, queue."""
+    """Prints encoded sizes, then the PARTS named (all of them by default): memory, change, tree, picture, leader, log, hear, members, pick, work, queue."""
     click.echo(f"python {sys.version.split()[0]}")
     click.echo(json.dumps(sizes(), indent=1))
     for name in parts or PARTS:
--- a/sim/target.py
+++ b/sim/target.py
@@ -13,7 +13,8 @@
 from mallowvalve.bond.wire import encode as bond_encode
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law import wire
-from mallowvalve.law.state import Enrol, Evacuate, Strike, encode
+from mallowvalve.law.core import Core, founding
+from mallowvalve.law.state import Enrol, Evacuate, Seat, State, Strike, encode
 from mallowvalve.law.wire import Fed, Want
 from mallowvalve.mesh.frame import Frame, seal
 from mallowvalve.tree.items import Amend, HostRoute, Item, Items, Part, ServiceItem
@@ -189,3 +190,56 @@
     for i in range(n):
         b.hear(decoded(Beat, beat(i)), 0.0)
     return b
+
+
+class Led:
+    """One leader that is its own quorum, fed wants by so many echoes; no sockets."""
+
+    def __init__(self, n: int, batch: int):
+        self.c = Core("a", addr(1), at(1), random.Random(1))
+        s = State(GROUP.generation)
+        s.params.roster = {str(addr(i)): Seat(BOOT + i, at(i)) for i in range(100, 100 + n)}
+        self.c.start(founding(GROUP, Voters({"a": addr(1)}), s), None, [], 0.0, s)
+        self.batch, self.now, self.sent, self.fed_entries = batch, 5.0, 0, 0
+        self.wants = {i: Want(addr(i), BOOT + i, "flow", at(i), GROUP, 0, 0, 0.0, "settings", 1.0) for i in range(100, 100 + n)}
+        for wait in (0.1, *[0.5] * 6):
+            self.step()
+            self.now += wait
+
+    def step(self) -> list:
+        self.c.tick(self.now)
+        r = self.c.ready(self.now)
+        self.c.saved(r, self.now)
+        out, self.c.replies = self.c.replies, []
+        return out
+
+    def ask(self, who: list[int]) -> list:
+        """These echoes ask, so many a turn of the leader's loop; what was answered."""
+        out = []
+        for lo in range(0, len(who), self.batch):
+            for i in who[lo : lo + self.batch]:
+                self.c.want(self.wants[i], i, self.now)
+            out += self.answer(self.step())
+        return out
+
+    def parked(self) -> int:
+        """Echoes whose question waits for news."""
+        return len(self.c._parked)
+
+    def change(self, i: int, limit: float) -> list:
+        """One change proposed and fed to all whose questions wait; what else was answered."""
+        data = encode(rolled(i))
+        self.c.propose(data, "change", limit, self.now)
+        return self.answer(self.step())
+
+    def answer(self, replies: list) -> list:
+        done = []
+        for token, f in replies:
+            if not isinstance(f, Fed):
+                done.append(token)
+                continue
+            self.fed_entries += len(f.entries)
+            self.sent += len(seal(Frame("want", 1, True, wire.encode(f))))
+            w = self.wants[token]
+            self.wants[token] = msgspec.structs.replace(w, index=f.index, revision=f.revision, stamp=self.now)
+        return done
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,8 +3,7 @@
 import pytest
 
 from mallowvalve.bond.wire import encode as bond_encode
-from sim.capacity import Led
-from sim.target import bond, sizes
+from sim.target import Led, bond, sizes
 
 MOST = {
     "roll row": 100, "route item": 320, "membership record": 110, "ping": 80, "ack": 80, "tell of one": 150,
@@ -28,7 +27,7 @@
     assert sizes()["tell of twelve"] <= 1472
 
 
-def test_an_echo_at_rest_is_answered_once_a_second_is_answered_with_nothing_but_the_leaders_word():
+def test_an_echo_at_rest_is_answered_once_a_second_with_nothing_but_the_leaders_word():
     led = Led(20, 512)
     everyone = list(led.wants)
     led.ask(everyone)
