--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -25,6 +25,9 @@
 from mallowvalve.params import Params
 
 
+PAGES = 64
+
+
 class BeatDoc(msgspec.Struct):
     service: str
     instance: str
@@ -54,9 +57,16 @@
 
 
 class Node:
-    __slots__ = ("params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "stopping", "_stack", "_gauges", "_allowed")
+    __slots__ = (
+        "params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "pages", "stopping", "_stack", "_gauges",
+        "_allowed",
+    )
+
+    """What every daemon has: membership, mesh, upstreams' beats, and its pages; `front` answers beside the pages."""
 
-    def __init__(self, params: Params, remembered: list[Address] = (), faults: Faults | None = None):
+    def __init__(
+        self, params: Params, remembered: list[Address] = (), faults: Faults | None = None, front=None,
+    ):
         self.params = params
         self.boot = random.SystemRandom().getrandbits(62)
         self.counts = Counts()
@@ -71,7 +81,8 @@
         self.mesh = Mesh(params.mesh, params.fleet, self.counts, self.faults)
         self.beats = BeatTask(self.bond, self.mesh)
         self.app = web.make_app()
-        self.server = web.Server(params.web, self.app, self.counts, params.sessions)
+        self.server = web.Server(params.web, front or self.app, self.counts, params.sessions)
+        self.pages = web.Server(params.pages, self.app, self.counts, PAGES) if params.pages else contextlib.nullcontext()
         self.stopping = Event()
         self._gauges: dict[str, object] = {}
         self._allowed = lambda service: True
@@ -85,7 +96,8 @@
         self.app.add_route("/-/beats", Beats(self))
         self.app.add_route("/-/changes", Changes(self))
         with self._stack as s:
-            for part in (self.faults, self.mesh, self.bond, self.beats, self.server):
+            told = [self.beats] if self.params.beats == "told" else []
+            for part in (self.faults, self.mesh, self.bond, *told, self.pages, self.server):
                 s.enter_context(part)
             for sig in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(sig, self.stopping.set)
