--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -57,13 +57,13 @@
 
 
 class Node:
+    """What every daemon has: membership, mesh, upstreams' beats, and its pages; `front` answers beside the pages."""
+
     __slots__ = (
         "params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "pages", "stopping", "_stack", "_gauges",
         "_allowed",
     )
 
-    """What every daemon has: membership, mesh, upstreams' beats, and its pages; `front` answers beside the pages."""
-
     def __init__(
         self, params: Params, remembered: list[Address] = (), faults: Faults | None = None, front=None,
     ):
