A stopping law answers the requests in flight with their outcome

Cause: the law's task ends before its server; handlers then waited for a machine that no longer ran, the server killed them after 0.2 s, and gevent's pywsgi answered each kill with its own bare 500.

Now the task tells everyone who waits that nothing is decided (504) and takes nothing more (503; not-run only without a key). A handler killed all the same, or failing outside the application, is answered with an outcome: 504 undecided when the stop cut it, 500 unknown otherwise, and nothing more once the first byte is out. Weighed: throwing an own exception into busy handlers, which falcon would turn into the answer; more code in the server, and swallowed by broad excepts.

--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -32,7 +32,7 @@
 class LawTask:
     __slots__ = (
         "node", "core", "tale", "_box", "_jobs", "stalled", "_role_said", "_tree",
-        "puller", "_saving", "_pulling", "_stored", "disk", "founder",
+        "puller", "_saving", "_pulling", "_stored", "disk", "founder", "_waits", "_over",
     )
 
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
@@ -49,6 +49,8 @@
         self._saving = self._pulling = False
         self._stored: dict[tuple[Group, int], str] = {}
         self.disk = RLock()
+        self._waits: set[AsyncResult] = set()
+        self._over = False
         self.founder = FoundTask(self)
         on = node.mesh.on
         on("vote", self._vote, quick=True)
@@ -63,7 +65,11 @@
         return self
 
     def __exit__(self, *_) -> None:
+        """Whoever still waits for the machine hears that nothing is decided, before the server cuts it off."""
+        self._over = True
         gevent.killall(self._jobs)
+        for w in list(self._waits):
+            w.set(None)
 
     def tree(self) -> Tree:
         s = self.core.state
@@ -81,7 +87,7 @@
         """Offers a keyed command to whoever leads until the limit; what may have run never ends as refused."""
         end, maybe = clock.now() + limit, False
         t = wire.Took("leader")
-        while t.code in AGAIN and (left := end - clock.now()) > 0:
+        while t.code in AGAIN and (left := end - clock.now()) > 0 and not self._over:
             t = self._offer_once(command, min(left, attempt))
             if t.code in AGAIN:
                 maybe = maybe or t.code == "undecided"
@@ -112,12 +118,14 @@
             return wire.Took("undecided")
         t = wire.took(r.ok_value)
         while t.code == "ok" and (self.core.state is None or self.core.state.revision < t.revision):
-            if clock.now() > end:
+            if clock.now() > end or self._over:
                 return wire.Took("undecided")
             gevent.sleep(0.01)
         return t
 
     def _read(self, limit: float) -> wire.Took:
+        if self._over:
+            return wire.Took("leader")
         t = self._do(lambda t, now: self.core.read(t, now + limit, now), limit + 0.5)
         return t or wire.Took("undecided")
 
@@ -125,16 +133,21 @@
         self.put(lambda now: self.core.raft and self.core.raft.hand_over())
 
     def _offer(self, o: wire.Offer) -> wire.Took:
+        if self._over:
+            return wire.Took("leader")
         t = self._do(lambda t, now: self.core.propose(o.command, t, now + o.limit, now), o.limit + 0.5)
         return t or wire.Took("undecided")
 
     def _do(self, act, limit: float):
         w = AsyncResult()
+        self._waits.add(w)
         self.put(lambda now: act(w, now))
         try:
             return w.get(timeout=limit)
         except gevent.Timeout:
             return None
+        finally:
+            self._waits.discard(w)
 
     def put(self, act) -> None:
         self._box.put(act)
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -2,11 +2,12 @@
 
 import math
 import re
+import sys
 
 import falcon
 import gevent
 import msgspec
-from gevent import socket
+from gevent import GreenletExit, socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -84,6 +85,21 @@
             return status, f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
         return r
 
+    def _send_error_response_if_possible(self, error_code):
+        """What ends outside the application, or is cut by the stop, has an outcome too."""
+        self.close_connection = True
+        if self.response_length:
+            return
+        cut = isinstance(sys.exc_info()[1], GreenletExit)
+        status, outcome = (504, UNDECIDED) if cut else (error_code, UNKNOWN if error_code == 500 else UNDECIDED)
+        body = encode({"outcome": outcome, "findings": [Finding("request", "cut by a stop" if cut else "not served")]})
+        head = [("Content-Type", "application/json"), (OUTCOME, outcome), ("Content-Length", str(len(body)))]
+        try:
+            self.start_response(falcon.code_to_http_status(status), head)
+            self.write(body)
+        except OSError:
+            self.server.counts.add("web_client_error")
+
     def log_error(self, msg, *args):
         self.server.counts.add("web_client_error")
 
