Daemons load no tools and no grammars; the command line finds tools by name

Cause: every start of flow or law also loaded aim, play, whole, will and compiled two lark grammars.

The heap as loaded is frozen out of the collector's way. Settings know the file and the flags they came from.

--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
+import gc
 import sys
+from importlib import import_module
 
 import click
+import msgspec
 
 from mallowvalve import __version__, count, params
 from mallowvalve.finding import Findings
 
+TOOLS = ("aim", "play", "whole", "will")
+
 
 def fail(found: Findings) -> None:
     for f in found:
@@ -14,13 +19,25 @@
     sys.exit(2)
 
 
-@click.group()
+class Lazy(click.Group):
+    """Loads a tool only when it is named, so that a daemon pays for none of them."""
+
+    def list_commands(self, ctx) -> list[str]:
+        return sorted({*super().list_commands(ctx), *TOOLS})
+
+    def get_command(self, ctx, name: str) -> click.Command | None:
+        if name in TOOLS and name not in self.commands:
+            self.add_command(getattr(import_module(f"mallowvalve.{name}.main"), name))
+        return super().get_command(ctx, name)
+
+
+@click.group(cls=Lazy)
 @click.version_option(__version__)
 def main() -> None:
     """A global load balancer: directories, proxies and a replicated control plane."""
 
 
-def daemon(role: str, run):
+def daemon(role: str, about: str) -> None:
     @click.option("--params", "path", help="settings file (TOML)")
     @click.option("--name", help="this process's name")
     @click.option("--fleet", help="the fleet it belongs to")
@@ -35,7 +52,8 @@
     @click.option("--check", is_flag=True, help="check the settings and stop")
     def command(path, check, **flags):
         flags["seeds"] = list(flags["seeds"])
-        r = params.load(role, path, {k: v for k, v in flags.items() if v not in (None, [])})
+        flags = {k: v for k, v in flags.items() if v not in (None, [])}
+        r = params.load(role, path, flags)
         if r.is_err():
             fail(r.err_value)
         if check:
@@ -43,49 +61,20 @@
             return
         try:
             count.log_to(r.ok_value.log)
-            out = run()(r.ok_value)
+            run = import_module(f"mallowvalve.{role}.main").run
+            gc.freeze()
+            out = run(msgspec.structs.replace(r.ok_value, path=path, flags=flags))
         except OSError as e:
             fail([params.Finding("start", str(e))])
         if out is not None and out.is_err():
             fail(out.err_value)
 
-    return main.command(role)(command)
-
-
-def _way():
-    from mallowvalve.way.main import run
-
-    return run
-
-
-def _flow():
-    from mallowvalve.flow.main import run
-
-    return run
-
-
-def _law():
-    from mallowvalve.law.main import run
-
-    return run
-
-
-daemon("way", _way).help = "Directory: tells clients which proxies to use."
-daemon("flow", _flow).help = "Proxy: carries sessions to upstreams."
-daemon("law", _law).help = "Control plane: replicated settings, ledger and coordination."
-
-
-def _tools() -> None:
-    from mallowvalve.aim.main import aim
-    from mallowvalve.play.main import play
-    from mallowvalve.whole.main import whole
-    from mallowvalve.will.main import will
-
-    for c in (aim, play, whole, will):
-        main.add_command(c)
+    main.command(role, help=about)(command)
 
 
-_tools()
+daemon("way", "Directory: tells clients which proxies to use.")
+daemon("flow", "Proxy: carries sessions to upstreams.")
+daemon("law", "Control plane: replicated settings, ledger and coordination.")
 
 if __name__ == "__main__":
     main()
--- a/mallowvalve/params.py
+++ b/mallowvalve/params.py
@@ -119,6 +119,8 @@
     cold: ColdBounds = ColdBounds()
     acks: Acks = Acks()
     terms: Terms = Terms()
+    path: str | None = None
+    flags: dict = {}
 
 
 def load(role: str, path: str | None, flags: dict) -> Result[Params, Findings]:
