SIGHUP and a changed file: new seeds are taken in, the rest is said and waits

A daemon looks at its settings file every 2 s (one stat) and at SIGHUP. Only the seeds may change in flight; other fields, an unreadable file or one with findings change nothing and are logged once with their findings (settings_left, settings_refused). The first look reads the file, so that a change during the start is not missed; until the process listens for it a SIGHUP is passed over instead of ending it. Remembered neighbours stay asked beside the new seeds.

--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -23,6 +23,7 @@
 from mallowvalve.kind import Address, Locality
 from mallowvalve.mesh.task import Mesh
 from mallowvalve.params import Params
+from mallowvalve.reload import Reload
 
 
 class BeatDoc(msgspec.Struct):
@@ -85,7 +86,7 @@
         self.app.add_route("/-/beats", Beats(self))
         self.app.add_route("/-/changes", Changes(self))
         with self._stack as s:
-            for part in (self.faults, self.mesh, self.bond, self.beats, self.server):
+            for part in (self.faults, self.mesh, self.bond, self.beats, self.server, Reload(self.params, self.renew, self.counts)):
                 s.enter_context(part)
             for sig in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(sig, self.stopping.set)
@@ -97,6 +98,12 @@
         change("stopped", role=self.params.role, name=self.params.name)
         self._stack.__exit__(*a)
 
+    def renew(self, params: Params) -> None:
+        """Takes in new seeds; remembered neighbours stay asked."""
+        old, self.params = self.params, params
+        kept = [s for s in self.bond.bond.seeds if s not in old.seeds]
+        self.bond.bond.seeds = [s for s in [*params.seeds, *kept] if s != params.mesh]
+
     def gauge(self, name: str, read) -> None:
         self._gauges[name] = read
 
