--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -23,6 +23,7 @@
 from mallowvalve.kind import Address, Locality
 from mallowvalve.mesh.task import Mesh
 from mallowvalve.params import Params
+from mallowvalve.reload import Reload
 
 
 PAGES = 64
@@ -65,7 +66,7 @@
     )
 
     def __init__(
-        self, params: Params, remembered: list[Address] = (), faults: Faults | None = None, front=None,
+        self, params: Params, remembered: list[Address] = (), faults: Faults | None = None,
     ):
         self.params = params
         self.boot = random.SystemRandom().getrandbits(62)
@@ -81,7 +82,7 @@
         self.mesh = Mesh(params.mesh, params.fleet, self.counts, self.faults)
         self.beats = BeatTask(self.bond, self.mesh)
         self.app = web.make_app()
-        self.server = web.Server(params.web, front or self.app, self.counts, params.sessions)
+        self.server = web.Server(params.web, self.app, self.counts, params.sessions)
         self.pages = web.Server(params.pages, self.app, self.counts, PAGES) if params.pages else contextlib.nullcontext()
         self.stopping = Event()
         self._gauges: dict[str, object] = {}
@@ -96,8 +97,9 @@
         self.app.add_route("/-/beats", Beats(self))
         self.app.add_route("/-/changes", Changes(self))
         with self._stack as s:
+            reload = Reload(self.params, self.renew, self.counts)
             told = [self.beats] if self.params.beats == "told" else []
-            for part in (self.faults, self.mesh, self.bond, *told, self.pages, self.server):
+            for part in (self.faults, self.mesh, self.bond, *told, self.pages, self.server, reload):
                 s.enter_context(part)
             for sig in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(sig, self.stopping.set)
@@ -109,6 +111,21 @@
         change("stopped", role=self.params.role, name=self.params.name)
         self._stack.__exit__(*a)
 
+    def renew(self, params: Params) -> None:
+        """Takes in new seeds; remembered neighbours stay asked."""
+        old, self.params = self.params, params
+        kept = [s for s in self.bond.bond.seeds if s not in old.seeds]
+        self.bond.bond.seeds = [s for s in [*params.seeds, *kept] if s != params.mesh]
+
+    @property
+    def front(self):
+        return self.server.application
+
+    @front.setter
+    def front(self, answer) -> None:
+        """A WSGI callable that answers at the web address in place of the pages, which then have one of their own."""
+        self.server.application = answer
+
     def gauge(self, name: str, read) -> None:
         self._gauges[name] = read
 
