--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -52,7 +52,7 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard",
     )
 
     def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks()):
@@ -75,6 +75,7 @@
         self._base_index = 0
         self._acks = acks
         self._news: deque[Entry] = deque()
+        self._clock_heard = (0, 0.0)
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
@@ -86,6 +87,7 @@
         self._base_index = picture.index
         self._news = deque()
         self._led = False
+        self._clock_heard = (self.state.clock, now)
 
     def stop(self, new_id: str) -> None:
         self.raft = self.state = None
@@ -168,6 +170,8 @@
             self.state, self._news = self._loaded_for(r.install), deque()
         self.raft.saved(r)
         self._apply()
+        if self.state.clock > self._clock_since(now):
+            self._clock_heard = (self.state.clock, now)
         self._settle(now)
 
     def picture(self) -> tuple[Picture, Iterator[bytes]] | None:
@@ -209,6 +213,10 @@
     def _clock(self, now: float) -> int:
         return self._clock_base + int((now - self._clock_at) * 1000)
 
+    def _clock_since(self, now: float) -> int:
+        """The fleet's clock by what was heard of it: never ahead, since an entry is proposed before it is applied here."""
+        return self._clock_heard[0] + int((now - self._clock_heard[1]) * 1000)
+
     def _apply(self) -> None:
         while self.state.index < self.raft.commit:
             e = self.raft.log.get(self.state.index + 1)
@@ -233,7 +241,8 @@
             self._led = False
             return
         if self.raft.settled and not self._led:
-            self._led, self._clock_base, self._clock_at = True, self.state.clock, now
+            self._led, self._clock_at = True, now
+            self._clock_base = max(self.state.clock, self._clock_since(now))
             self.echoes.begin(now)
         if not self._led:
             return
