--- a/mallowvalve/law/echo.py
+++ b/mallowvalve/law/echo.py
@@ -118,6 +118,10 @@
             self._count(t.stamp)
         return False
 
+    def outgrown(self, g: Group) -> bool:
+        """Whether a newer generation than this group's is held."""
+        return self.group is not None and g.generation < self.group.generation
+
     def lacks(self, l: Label) -> bool:
         """Whether a picture under this label is worth fetching; never one of an older generation or index."""
         if self.group is None or l.group.generation != self.group.generation:
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -164,7 +164,7 @@
                 break
             if f is None:
                 self._forget(a)
-            elif f.group is not None:
+            elif f.group is not None and not self.echo.outgrown(f.group):
                 return self._take(a, f)
             elif f.leader is not None and self._shunned.get(f.leader, -1e9) < clock.now():
                 self.echo.leader = f.leader
--- a/mallowvalve/law/wire.py
+++ b/mallowvalve/law/wire.py
@@ -7,6 +7,8 @@
 
 
 class Who(msgspec.Struct, array_like=True, frozen=True):
+    """`index` counts for what is held: all, or without `whole` the settings part only."""
+
     role: str
     id: str
     addr: Address
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -307,6 +307,7 @@
     e, s = echo(), filled()
     p = Picture(G, s.index, 1, Voters({}), [])
     e.adopt(p, s)
+    assert e.outgrown(Group(2, "z")) and not e.outgrown(G) and not e.outgrown(Group(4, "z"))
     assert e.picture() is None and load(list(e.settings()[1])).items.rows == s.items.rows
     for old in (Picture(G, s.index - 1, 1, Voters({}), []), Picture(Group(2, "z"), 99, 1, Voters({}), [])):
         assert not e.lacks(label(old))
