A new leader calls settings held only once echoes found it, or had the time to

Right after an election no echo is in touch, so an acknowledgement waited for nobody: a core wiped a moment later came back from the proxies without it (1 run in 3 of tests/test_partfleet.py). Two copies elsewhere, or 1.5 s.

--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -34,7 +34,7 @@
 
 
 class Echoes:
-    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck")
+    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck", "_began")
 
     def __init__(self, locality: Locality):
         self.locality = locality
@@ -42,6 +42,7 @@
         self._params = Params()
         self._majority_at: dict[int, float] = {}
         self._calm = 0.0
+        self._began = -1e9
         self._group: Group | None = None
         self._struck: dict[str, float] = {}
 
@@ -49,6 +50,7 @@
         self.heard_of, self._majority_at = {}, {}
         self._struck = {}
         self._calm = now + WINDOW + SLACK
+        self._began = now
 
     def heard(self, w: Want, group: Group, need: int, now: float) -> None:
         self._group = group
@@ -68,12 +70,18 @@
         return max((s for n, s in h.asks if n <= confirmed), default=-1.0) if h else -1.0
 
     def held_elsewhere(self, index: int, now: float, settings: bool = False) -> bool:
-        """Whether the echoes in touch hold it; of what is not settings, only those that hold all are asked."""
+        """Whether the echoes in touch hold it; of what is not settings, only those that hold all are asked.
+
+        A new leader gives the echoes time to find it: settings it took before would be held nowhere else.
+        """
         those = [h for h in self.heard_of.values() if h.counts(settings)]
         if any(h.prompt(now) for h in those if not h.holds(self._group, index)):
             return False
         near = [h for h in those if now - h.at < REACHED and h.want.locality != self.locality]
-        return sum(h.holds(self._group, index) for h in near) >= min(COPIES, len(near))
+        copies = sum(h.holds(self._group, index) for h in near)
+        if settings and now < self._began + REACHED:
+            return copies >= COPIES
+        return copies >= min(COPIES, len(near))
 
     def watch(self, s: Params, now: float) -> None:
         if s.revision != self._params.revision:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -333,3 +333,17 @@
     t.apply(t.index + 1, 500, encode(service("s", 9)))
     s.graft(load(list(cut_settings(t))))
     assert settings(s) == settings(t) and s.ledger.rows == t.ledger.rows
+
+
+def test_a_new_leader_waits_for_echoes_to_find_it_before_it_calls_settings_held():
+    c = leading(settings="held", ties="commit")
+    c.echoes.begin(8.0)
+    propose(c, 8.0, service("s", 1), Take("l", "h", 900.0))
+    assert step(c, 8.0).keys() == {"Take1"}
+    e, f = echo(1), echo(2)
+    follow(e, c, 8.1), follow(f, c, 8.1)
+    assert "Amend0" not in follow(e, c, 8.2)
+    assert "Amend0" in follow(f, c, 8.2)
+    c.echoes.begin(9.0)
+    propose(c, 9.0, service("s", 2))
+    assert "Amend0" not in step(c, 10.4) and "Amend0" in step(c, 10.6)
