--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -156,8 +156,7 @@
             case Amend():
                 return self._amend(c)
             case Rolled():
-                self.roll.apply(c, self.clock)
-                return self._set(lambda s: None)
+                return self._rolled(c)
             case Take() | Extend() | Free() | Count() | Write():
                 return Outcome("ok", self.revision, encode(self.plain.apply(c, self.clock)))
             case Tick():
@@ -187,6 +186,13 @@
             self.params.revision = self.revision
         return Outcome("ok", self.params.revision)
 
+    def _rolled(self, c: Rolled) -> Outcome:
+        before = self.roll.revision
+        self.roll.apply(c, self.clock)
+        if self.roll.revision != before:
+            self.params.revision = self.revision
+        return Outcome("ok", self.params.revision)
+
     def _evacuate(self, c: Evacuate) -> Outcome:
         s = self.params
         if c.on == (c.zone in s.evacuated):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from mallowvalve.beat.roll import Rolled, Upstream
 from mallowvalve.claim.ledger import Claim, Done
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.core import Core, founding
@@ -29,6 +30,10 @@
     return Amend([Item("services", name, version, msgspec.json.encode(doc))])
 
 
+def rolled(n, sequence, state="ready"):
+    return Rolled([Upstream(f"i{n}-{sequence // 40}", "s", Address("10.0.2.1", n + 1), EU, 4, state, sequence)])
+
+
 def leading(**acks) -> Core:
     c = Core("a", A, EU, random.Random(1), Acks(**acks))
     c.start(founding(G, Voters({"a": A}), None), None, [], 0.0)
@@ -66,7 +71,7 @@
 
 def settings(s: State):
     i = s.items
-    return s.params, i.rows, i.revision, i.services, i.routes, s.roll.rows, s.index, s.clock, s.turned
+    return s.params, i.rows, i.revision, i.services, i.routes, s.roll.rows, s.roll.revision, s.index, s.clock, s.turned
 
 
 def propose(c: Core, now: float, *commands) -> None:
@@ -89,6 +94,7 @@
     for n in range(200):
         some = rng.choices([
             service(f"s{rng.randrange(5)}", rng.randrange(50), n), Evacuate(rng.choice("xyz"), rng.random() < 0.5), *OTHERS,
+            rolled(rng.randrange(6), n, rng.choice(("ready", "ready", "silent", "leaving", "gone"))), rolled(0, 0),
             Change(None, msgspec.json.encode({"services": {f"t{n}": {}}}), f"key{n % 9}"), Put(f"k{n}", "v", None, f"a{n % 7}"),
         ], k=3)
         propose(c, now, *some)
@@ -119,6 +125,13 @@
     assert list(e.tree.doc.services) == ["b"] and settings(e.state) == settings(c.state)
 
 
+def test_a_beat_that_changes_nothing_turns_nothing():
+    c = leading(settings="held")
+    propose(c, 8.0, rolled(1, 3), rolled(1, 3), rolled(1, 4))
+    step(c, 8.0)
+    assert c.state.turned == c.state.index - 2 and c.state.roll.rows
+
+
 def test_a_settings_echo_is_fed_only_what_changed_the_settings_and_is_left_alone_meanwhile():
     c, e = leading(settings="commit"), echo(hold=1.0)
     now = seated(c, e)
@@ -346,4 +359,5 @@
     assert "Amend0" in follow(f, c, 8.2)
     c.echoes.begin(9.0)
     propose(c, 9.0, service("s", 2))
-    assert "Amend0" not in step(c, 10.4) and "Amend0" in step(c, 10.6)
+    assert not any("Amend0" in step(c, 9.0 + n / 10) for n in range(15))
+    assert "Amend0" in step(c, 10.6)
