--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -52,7 +52,7 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news",
+        "_grown", "_base_index", "_acks", "_news", "_dropped", "_clock_heard",
     )
 
     def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks()):
@@ -75,6 +75,8 @@
         self._base_index = 0
         self._acks = acks
         self._news: deque[Entry] = deque()
+        self._dropped = 0
+        self._clock_heard = (0, 0.0)
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
@@ -84,8 +86,9 @@
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
-        self._news = deque()
+        self._news, self._dropped = deque(), self.state.turned
         self._led = False
+        self._clock_heard = (self.state.clock, now)
 
     def stop(self, new_id: str) -> None:
         self.raft = self.state = None
@@ -165,9 +168,12 @@
 
     def saved(self, r: Ready, now: float) -> None:
         if r.install is not None:
-            self.state, self._news = self._loaded_for(r.install), deque()
+            self.state = self._loaded_for(r.install)
+            self._news, self._dropped = deque(), self.state.turned
         self.raft.saved(r)
         self._apply()
+        if self.state.clock > self._clock_since(now):
+            self._clock_heard = (self.state.clock, now)
         self._settle(now)
 
     def picture(self) -> tuple[Picture, Iterator[bytes]] | None:
@@ -204,11 +210,15 @@
     def compact(self, p: Picture) -> None:
         self.raft.log.compact(p)
         while self._news and self._news[0].index <= p.index:
-            self._news.popleft()
+            self._dropped = self._news.popleft().index
 
     def _clock(self, now: float) -> int:
         return self._clock_base + int((now - self._clock_at) * 1000)
 
+    def _clock_since(self, now: float) -> int:
+        """The fleet's clock by what was heard of it: never ahead, since an entry is proposed before it is applied here."""
+        return self._clock_heard[0] + int((now - self._clock_heard[1]) * 1000)
+
     def _apply(self) -> None:
         while self.state.index < self.raft.commit:
             e = self.raft.log.get(self.state.index + 1)
@@ -233,7 +243,8 @@
             self._led = False
             return
         if self.raft.settled and not self._led:
-            self._led, self._clock_base, self._clock_at = True, self.state.clock, now
+            self._led, self._clock_at = True, now
+            self._clock_base = max(self.state.clock, self._clock_since(now))
             self.echoes.begin(now)
         if not self._led:
             return
@@ -286,7 +297,7 @@
             sure = self.echoes.sure(a, self.raft.confirmed)
             self.echoes.fed(a, now)
             entries, upto = [], self.state.index
-            lacking = not same or w.index < self.raft.log.base and w.index < newest
+            lacking = not same or w.index < (self._dropped if part else self.raft.log.base)
             if not lacking and part:
                 entries, upto = self._news_since(w.index)
             elif not lacking:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -23,6 +23,10 @@
 from mallowvalve.kind import Address, Locality
 from mallowvalve.mesh.task import Mesh
 from mallowvalve.params import Params
+from mallowvalve.reload import Reload
+
+
+PAGES = 64
 
 
 class BeatDoc(msgspec.Struct):
@@ -54,9 +58,16 @@
 
 
 class Node:
-    __slots__ = ("params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "stopping", "_stack", "_gauges", "_allowed")
+    """What every daemon has: membership, mesh, upstreams' beats, and its pages; `front` answers beside the pages."""
+
+    __slots__ = (
+        "params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "pages", "stopping", "_stack", "_gauges",
+        "_allowed",
+    )
 
-    def __init__(self, params: Params, remembered: list[Address] = (), faults: Faults | None = None):
+    def __init__(
+        self, params: Params, remembered: list[Address] = (), faults: Faults | None = None,
+    ):
         self.params = params
         self.boot = random.SystemRandom().getrandbits(62)
         self.counts = Counts()
@@ -72,6 +83,7 @@
         self.beats = BeatTask(self.bond, self.mesh)
         self.app = web.make_app()
         self.server = web.Server(params.web, self.app, self.counts, params.sessions)
+        self.pages = web.Server(params.pages, self.app, self.counts, PAGES) if params.pages else contextlib.nullcontext()
         self.stopping = Event()
         self._gauges: dict[str, object] = {}
         self._allowed = lambda service: True
@@ -85,7 +97,9 @@
         self.app.add_route("/-/beats", Beats(self))
         self.app.add_route("/-/changes", Changes(self))
         with self._stack as s:
-            for part in (self.faults, self.mesh, self.bond, self.beats, self.server):
+            reload = Reload(self.params, self.renew, self.counts)
+            told = [self.beats] if self.params.beats == "told" else []
+            for part in (self.faults, self.mesh, self.bond, *told, self.pages, self.server, reload):
                 s.enter_context(part)
             for sig in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(sig, self.stopping.set)
@@ -97,6 +111,21 @@
         change("stopped", role=self.params.role, name=self.params.name)
         self._stack.__exit__(*a)
 
+    def renew(self, params: Params) -> None:
+        """Takes in new seeds; remembered neighbours stay asked."""
+        old, self.params = self.params, params
+        kept = [s for s in self.bond.bond.seeds if s not in old.seeds]
+        self.bond.bond.seeds = [s for s in [*params.seeds, *kept] if s != params.mesh]
+
+    @property
+    def front(self):
+        return self.server.application
+
+    @front.setter
+    def front(self, answer) -> None:
+        """A WSGI callable that answers at the web address in place of the pages, which then have one of their own."""
+        self.server.application = answer
+
     def gauge(self, name: str, read) -> None:
         self._gauges[name] = read
 
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Callable
 
 import falcon
 import gevent
 import msgspec
-from gevent import socket
+from gevent import GreenletExit, socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -137,6 +138,21 @@
     def log_request(self):
         pass
 
+    def _send_error_response_if_possible(self, error_code):
+        """What ends outside the application, or is cut by the stop, has an outcome too."""
+        self.close_connection = True
+        if self.response_length:
+            return
+        cut = isinstance(sys.exc_info()[1], GreenletExit)
+        status, outcome = (504, UNDECIDED) if cut else (error_code, UNKNOWN if error_code == 500 else UNDECIDED)
+        body = encode({"outcome": outcome, "findings": [Finding("request", "cut by a stop" if cut else "not served")]})
+        head = [("Content-Type", "application/json"), (OUTCOME, outcome), ("Content-Length", str(len(body)))]
+        try:
+            self.start_response(falcon.code_to_http_status(status), head)
+            self.write(body)
+        except OSError:
+            self.server.counts.add("web_client_error")
+
     def log_error(self, msg, *args):
         self.server.counts.add("web_client_error")
 
