--- a/mallowvalve/flow/front.py
+++ b/mallowvalve/flow/front.py
@@ -59,8 +59,8 @@
     def __call__(self, env: dict, start: Callable):
         h = env["mallow.head"]
         if not self._takes(h.said, h.target):
-            return self.app(env, start)
-        a = Ask(h.method, h.target, h.said, env.get("REMOTE_ADDR", ""), h.length, h.pairs)
+            return self.app(env["mallow.handler"].full_environ(), start)
+        a = Ask(h.method, h.target, h.said, env["REMOTE_ADDR"], h.length, h.pairs)
         steps, got = self.tries.carry(a), None
         try:
             while True:
@@ -94,8 +94,8 @@
                 return self.rooms.wait(s.service, s.end - clock.now())
 
     def _body(self, env: dict, s: Body) -> Result[bytes, tuple[int, str, str]]:
-        length = env.get("CONTENT_LENGTH")
-        if length and int(length) > s.most:
+        length = env["mallow.head"].length
+        if length is not None and length > s.most:
             return Err((413, "body", f"larger than {s.most} bytes"))
         try:
             with gevent.Timeout(max(0.001, s.end - clock.now())):
--- a/mallowvalve/flow/link.py
+++ b/mallowvalve/flow/link.py
@@ -9,6 +9,7 @@
 from mallowvalve.beat.roll import Upstream
 from mallowvalve.flow.reader import Reader
 from mallowvalve.flow.steps import Answer
+from mallowvalve.head import until_bytes
 
 LIFE = 4.0
 CONNECT = 0.5
@@ -47,6 +48,8 @@
         try:
             if n < len(request):
                 sock.sendall(memoryview(request)[n:])
+            sock.settimeout(max(0.001, end - clock.now()))
+            until_bytes(sock)
             while not r.done:
                 if (left := end - clock.now()) <= 0:
                     return Err("limit")
--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -75,6 +75,7 @@
         node.front = front
     else:
         node.server.application = front
+    node.server.lean = True
     node.server.limits = lambda: _limits(tries)
 
 
--- a/mallowvalve/head.py
+++ b/mallowvalve/head.py
@@ -62,13 +62,18 @@
     return h
 
 
+def until_bytes(sock) -> None:
+    """Waits for something to read; a read that must wait first would be a call for nothing."""
+    sock._wait(sock._read_event)
+
+
 class Incoming:
     """What a client sends, with a buffer; stands where pywsgi has a file."""
 
-    __slots__ = ("sock", "buf", "closed")
+    __slots__ = ("sock", "buf", "closed", "used")
 
     def __init__(self, sock):
-        self.sock, self.buf, self.closed = sock, bytearray(), False
+        self.sock, self.buf, self.closed, self.used = sock, bytearray(), False, False
 
     def begun(self, idle: float | None) -> bool:
         """Whether a request begins within so many seconds; line ends before it are passed over."""
@@ -79,6 +84,8 @@
                 return True
             self.sock.settimeout(idle)
             try:
+                if self.used:
+                    until_bytes(self.sock)
                 data = self.sock.recv(16384)
             except TimeoutError:
                 return False
@@ -86,6 +93,7 @@
                 self.sock.settimeout(None)
             if not data:
                 return False
+            self.used = True
             self.buf += data
 
     def head(self, most: int, seconds: float) -> bytes | None:
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent import socket
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from mallowvalve import finding
 from mallowvalve.count import Counts, change
@@ -83,6 +83,19 @@
         return None if self.close_connection else True
 
     def get_environ(self):
+        """A server whose callable is lean is told little; what it passes on gets the whole from `mallow.handler`."""
+        if not self.server.lean:
+            return self.full_environ()
+        h = self.request
+        self.wsgi_input = Input(
+            self.rfile, h.length, self.socket if h.said.get("expect", "").lower() == "100-continue" else None, h.chunked,
+        )
+        return {
+            "REQUEST_METHOD": h.method, "SERVER_PROTOCOL": h.version, "REMOTE_ADDR": self.client_address[0],
+            "wsgi.input": self.wsgi_input, "mallow.target": h.target, "mallow.head": h, "mallow.handler": self,
+        }
+
+    def full_environ(self):
         env = super().get_environ()
         env["mallow.target"] = self.path
         env["mallow.head"] = self.request
@@ -108,6 +121,12 @@
             return self._write(data)
         self._sendall(head + data)
 
+    def _sendall(self, data):
+        n = self.socket.send(data)
+        if n < len(data):
+            self.socket.sendall(memoryview(data)[n:])
+        self.response_length += len(data)
+
     def _headers(self):
         for k, v in self.headers.said.items():
             if "_" not in k and k not in ("content-type", "content-length"):
@@ -149,6 +168,7 @@
         self.counts = counts
         self.sessions: set[Handler] = set()
         self.draining = False
+        self.lean = False
         self.limits: Callable[[], Limits | None] = lambda: None
 
     def __enter__(self) -> Server:
