--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -52,7 +52,7 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped",
     )
 
     def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks()):
@@ -76,6 +76,7 @@
         self._acks = acks
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
+        self._dropped = 0
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
@@ -85,7 +86,7 @@
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
-        self._news = deque()
+        self._news, self._dropped = deque(), self.state.turned
         self._led = False
         self._clock_heard = (self.state.clock, now)
 
@@ -167,7 +168,8 @@
 
     def saved(self, r: Ready, now: float) -> None:
         if r.install is not None:
-            self.state, self._news = self._loaded_for(r.install), deque()
+            self.state = self._loaded_for(r.install)
+            self._news, self._dropped = deque(), self.state.turned
         self.raft.saved(r)
         self._apply()
         if self.state.clock > self._clock_since(now):
@@ -208,7 +210,7 @@
     def compact(self, p: Picture) -> None:
         self.raft.log.compact(p)
         while self._news and self._news[0].index <= p.index:
-            self._news.popleft()
+            self._dropped = self._news.popleft().index
 
     def _clock(self, now: float) -> int:
         return self._clock_base + int((now - self._clock_at) * 1000)
@@ -295,7 +297,7 @@
             sure = self.echoes.sure(a, self.raft.confirmed)
             self.echoes.fed(a, now)
             entries, upto = [], self.state.index
-            lacking = not same or w.index < self.raft.log.base and w.index < newest
+            lacking = not same or w.index < (self._dropped if part else self.raft.log.base)
             if not lacking and part:
                 entries, upto = self._news_since(w.index)
             elif not lacking:
--- a/mallowvalve/tree/itemcall.py
+++ b/mallowvalve/tree/itemcall.py
@@ -13,6 +13,7 @@
 
 AIM_OVER_MS = 60_000.0
 NAME_BYTES = 1024
+ABSENT = msgspec.Raw(b"null")
 
 
 class Gone(msgspec.Struct, frozen=True, kw_only=True):
@@ -27,7 +28,7 @@
 class SetDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     routes: list[msgspec.Raw] = []
     services: list[msgspec.Raw] = []
-    limits: msgspec.Raw | None = None
+    limits: msgspec.Raw = ABSENT
 
 
 class DropDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -59,10 +60,11 @@
             doc = _read(kind, bytes(raw), f"set.{kind}[{n}]", found)
             if doc is not None:
                 items.append(Item(kind, doc.name, doc.version, bytes(raw)))
-    if call.set.limits is not None:
-        doc = _read(LIMITS, bytes(call.set.limits), "set.limits", found)
+    limits = bytes(call.set.limits)
+    if limits != bytes(ABSENT):
+        doc = _read(LIMITS, limits, "set.limits", found)
         if doc is not None:
-            items.append(Item(LIMITS, "", doc.version, bytes(call.set.limits)))
+            items.append(Item(LIMITS, "", doc.version, limits))
     for kind in PARTS:
         for n, g in enumerate(getattr(call.drop, kind)):
             _name(g.name, f"drop.{kind}[{n}].name", found)
