--- a/mallowvalve/law/plainhttp.py
+++ b/mallowvalve/law/plainhttp.py
@@ -40,7 +40,7 @@
 
 class WriteDoc(msgspec.Struct):
     value: str
-    base: int = 0
+    base: int | None = None
 
 
 def names(text: str) -> bool:
@@ -58,7 +58,7 @@
     if len(getattr(d, "value", "").encode()) > VALUE_MOST:
         found.append(Finding("value", f"want at most {VALUE_MOST} bytes"))
     for field in ("token", "base"):
-        if not 0 <= getattr(d, field, 0) < NUMBER_MOST:
+        if not 0 <= (getattr(d, field, 0) or 0) < NUMBER_MOST:
             found.append(Finding(field, "out of range"))
     return found
 
--- a/mallowvalve/tie/plain.py
+++ b/mallowvalve/tie/plain.py
@@ -44,7 +44,7 @@
 class Write(msgspec.Struct, frozen=True, array_like=True, tag="write"):
     name: str
     value: str
-    base: int = 0
+    base: int | None = None
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True):
@@ -206,7 +206,7 @@
         said = self._said.get(key)
         if said:
             return Word("ok", said)
-        if said == 0 or c.base not in (0, revision):
+        if said == 0 or c.base not in (None, revision):
             self._keep(key, clock, 0)
             return Word("conflict", revision)
         g = self.groups.setdefault(group_of(c.name), Group())
--- a/tests/plainplay.py
+++ b/tests/plainplay.py
@@ -173,7 +173,7 @@
     def put(self) -> None:
         key = self.rng.choice(KEYS)
         self.values += 1
-        c = Write(key, f"{self.name}-{self.values}", self.rng.choice((0, self.bases[key], self.bases[key])))
+        c = Write(key, f"{self.name}-{self.values}", self.rng.choice((None, self.bases[key], self.bases[key])))
         tries = [6]
 
         def again():
@@ -250,7 +250,7 @@
         group, key = group_of(t.c.name), (t.c.name, t.c.value)
         if shown.get(key) != t.number:
             broken.add("MIXED another revision")
-        if t.c.base and any(t.c.base < r < t.number for r in got[t.c.name]):
+        if t.c.base is not None and any(t.c.base < r < t.number for r in got[t.c.name]):
             broken.add("ORDER base")
         first = min(o.sent for o in w.told if isinstance(o.c, Write) and o.c.value == t.c.value)
         if any(group_of(o.c.name) == group and o.got < first and o.number >= t.number for o in done):
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -85,7 +85,13 @@
     assert p.apply(Write("g.a", "one", 7), 10 * HISTORY_MS) == Word(OK, 1)
 
 
-@pytest.mark.parametrize("base", [1, 3, 99])
+def test_a_put_on_revision_0_wants_no_cell_there(p):
+    assert p.apply(Write("g.a", "first", 0), 1) == Word("ok", 1)
+    assert p.apply(Write("g.a", "second", 0), 2) == Word("conflict", 1)
+    assert p.apply(Write("g.a", "third"), 3) == Word("ok", 2)
+
+
+@pytest.mark.parametrize("base", [0, 3, 99])
 def test_a_refused_put_stays_refused(p, base):
     p.apply(Write("g.a", "one"), 0)
     p.apply(Write("g.a", "two"), 1)
