--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -75,9 +75,7 @@
         self._base_index = 0
         self._acks = acks
         self._news: deque[Entry] = deque()
-        self._dropped = 0
         self._clock_heard = (0, 0.0)
-        self._dropped = 0
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
