--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -18,12 +18,13 @@
 from mallowvalve.law.wire import Fed, Took, Want, Who
 from mallowvalve.params import Acks
 from mallowvalve.vote.log import CHUNK, CHUNK_BYTES, Log
-from mallowvalve.vote.raft import Raft, Ready
+from mallowvalve.vote.raft import Raft, Ready, Times
 from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
 
 TOLD = tags((Change, Evacuate, Enrol, Strike))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
+CURRENT = 0.5
 
 
 class Pending(msgspec.Struct):
@@ -52,10 +53,13 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times",
     )
 
-    def __init__(self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks()):
+    def __init__(
+        self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks(), pace: float = 0.0,
+    ):
+        """`pace` is the least time between two rounds to the voters (s)."""
         self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
         self.raft: Raft | None = None
         self.state: State | None = None
@@ -73,7 +77,7 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._base_index = 0
-        self._acks = acks
+        self._acks, self._times = acks, Times(pace=pace)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
 
@@ -81,7 +85,7 @@
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
     ) -> None:
         hard = hard if hard is not None and hard.group == picture.group else Hard(picture.group, 0, "")
-        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now)
+        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now, self._times)
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
@@ -152,6 +156,10 @@
             return
         self._reads.append(Read(token, self.raft.ask_quorum(), limit))
 
+    def current(self, now: float) -> bool:
+        """Whether the state here lags what was acknowledged by no more than moments."""
+        return self.raft is not None and self.state.index >= self.raft.commit and self.raft.in_touch(now, CURRENT)
+
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
             self.replies.append((token, Fed(self.leader())))
@@ -303,9 +311,14 @@
                 entries = [e for e in self.raft.log.since(w.index) if e.index <= self.state.index]
             self.replies.append((p.token, Fed(
                 self.addr, self.raft.group, lacking, entries, upto, self.state.params.revision, sure,
-                self.raft.log.voters_at(self.state.index), self.state.clock, self._clock(now),
+                self._voters_since(w, lacking), self.state.clock, self._clock(now),
             )))
 
+    def _voters_since(self, w: Want, lacking: bool) -> Voters | None:
+        """The voters, where the echo may not know them yet."""
+        told = w.hold > 0 and not lacking and w.index >= self.raft.log.voters_index
+        return None if told else self.raft.log.voters_at(self.state.index)
+
     def _news_since(self, index: int) -> tuple[list[Entry], int]:
         """What changed the settings part after the index, and how far one is whole with it."""
         out, size = [], 0
--- a/mallowvalve/law/echo.py
+++ b/mallowvalve/law/echo.py
@@ -84,7 +84,7 @@
         if f.group != self.group:
             return
         self.leader, self._led = f.leader, now
-        self.voters = f.voters
+        self.voters = f.voters or self.voters
         if f.time:
             self._time = (f.time, now)
         self._apply(f)
--- a/mallowvalve/law/foundtask.py
+++ b/mallowvalve/law/foundtask.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import itertools
 import time
 import uuid
 
 import gevent
+import msgspec
 from gevent.event import AsyncResult
 from result import Err, Ok, Result
 
@@ -19,6 +21,8 @@
 
 FOUND_EVERY = 0.5
 HERE = 1.0
+CALM = 5
+ID = 12
 HELD = 10.0
 EPOCH, TICK = 1_790_000_000, 4
 
@@ -38,7 +42,11 @@
         self._holders: dict[Address, float] = {}
 
     def run(self) -> None:
-        while True:
+        for turn in itertools.count():
+            if self.law.core.leader() is not None and turn % CALM:
+                self._say_here()
+                gevent.sleep(HERE)
+                continue
             answers = self._ask_all()
             v = decide(self.law.who(), answers, first_generation(), self.law.core.unborn)
             self._act(self._judge.hear(v, clock.now()), answers)
@@ -75,7 +83,7 @@
             base = self._fetch_state(v)
             if v.base is not None and (base is None or not heard_enough(base, answers)):
                 return
-            group = Group(v.generation, uuid.uuid4().hex)
+            group = Group(v.generation, uuid.uuid4().hex[:ID])
             change("founding", generation=v.generation, voters=[str(a) for a in v.voters.voters.values()],
                    base=str(v.base.addr) if v.base else None, whole=v.base.whole if v.base else None,
                    settings=str(v.further.addr) if v.further else None)
@@ -100,7 +108,7 @@
         base = self._fetch_state(v)
         if base is None:
             return Err(f"{v.base.addr} did not hand over its state")
-        group = Group(v.generation, uuid.uuid4().hex)
+        group = Group(v.generation, uuid.uuid4().hex[:ID])
         change("founding_by_operator", generation=v.generation, base=str(v.base.addr), index=base.index)
         self._begin(founding(group, v.voters, base), None)
         return Ok(v)
@@ -139,7 +147,7 @@
         done = AsyncResult()
 
         def act(now: float) -> None:
-            new = uuid.uuid4().hex
+            new = uuid.uuid4().hex[:ID]
             with self.law.disk:
                 self.law.persist(lambda: self.law.tale.wipe(new))
             self.law.core.stop(new)
@@ -150,7 +158,9 @@
         change("wiped_to_rejoin")
 
     def _say_here(self) -> None:
-        body = wire.encode(self.law.who())
-        for r in self.law.node.bond.alive("law"):
-            self.law.node.mesh.cast(r.addr, "here", body)
+        body = wire.encode(msgspec.structs.replace(self.law.who(), seeds=[], voters=None))
+        leader = self.law.core.leader()
+        for a in [leader] if leader is not None else [r.addr for r in self.law.node.bond.alive("law")]:
+            if a != self.law.node.params.mesh:
+                self.law.node.mesh.cast(a, "here", body)
         self.law.put(lambda now: self.law.core.here(self.law.who(), now))
--- a/mallowvalve/law/main.py
+++ b/mallowvalve/law/main.py
@@ -13,6 +13,7 @@
 from mallowvalve.kind import Address
 from mallowvalve.law import beathttp, http, plainhttp, store
 from mallowvalve.law.rolltask import RollTask
+from mallowvalve.law.foundtask import ID
 from mallowvalve.law.task import LawTask
 from mallowvalve.node import Node
 from mallowvalve.params import Params
@@ -28,7 +29,7 @@
         faults = Faults(params.faults, params.name)
         with Folder(params.data) as folder:
             disk = FaultyDisk(folder, faults) if params.faults is not None else folder
-            tale = Tale.open(disk, params.fleet, uuid.uuid4().hex)
+            tale = Tale.open(disk, params.fleet, uuid.uuid4().hex[:ID])
             if tale.is_err():
                 return Err([Finding(f"{params.data}/{f.place}", f.text) for f in tale.err_value])
             loaded = store.load(tale.ok_value)
--- a/mallowvalve/law/plainhttp.py
+++ b/mallowvalve/law/plainhttp.py
@@ -203,7 +203,8 @@
             found = [Finding("name", "want a group: up to and including the first dot")]
         if found:
             return web.bounce(resp, 400, web.NOT_RUN, found)
-        plain = self.confirm(resp)
+        s: State | None = self.task.core.state
+        plain = s.plain if s is not None and after and self.task.core.current(clock.now()) else self.confirm(resp)
         if plain is None:
             return
         if after == 0:
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -38,7 +38,7 @@
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
         self.node, self.tale = node, tale
         p = node.params
-        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks)
+        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks, p.pace)
         if loaded.picture is not None:
             self.core.start(loaded.picture, loaded.hard, loaded.entries, clock.now())
         self._box: Queue = Queue()
--- a/mallowvalve/params.py
+++ b/mallowvalve/params.py
@@ -87,6 +87,7 @@
     holds: Literal["all", "settings"] = "all"
     ties_at: str = "/ties"
     beats: Literal["told", "rolled"] = "told"
+    pace: float = 0.0
     beat_ms: float = 1500.0
     budget: BudgetBounds = BudgetBounds()
     cold: ColdBounds = ColdBounds()
@@ -116,6 +117,7 @@
     holds: Literal["all", "settings"] = "all"
     ties_at: str = "/ties"
     beats: Literal["told", "rolled"] = "told"
+    pace: float = 0.0
     beat_ms: float = 1500.0
     budget: BudgetBounds = BudgetBounds()
     cold: ColdBounds = ColdBounds()
@@ -187,7 +189,7 @@
     return Ok(Params(
         role=role, name=raw.name, fleet=raw.fleet, seeds=seeds, data=Path(raw.data) if raw.data else None,
         log=raw.log, detector=d, polite=raw.polite, sessions=raw.sessions, body_bytes=raw.body_bytes, faults=raw.faults,
-        zones=raw.zones, serve_on=raw.serve_on, holds=raw.holds, ties_at=raw.ties_at, beats=raw.beats, beat_ms=raw.beat_ms,
+        zones=raw.zones, serve_on=raw.serve_on, holds=raw.holds, ties_at=raw.ties_at, beats=raw.beats, pace=raw.pace, beat_ms=raw.beat_ms,
         budget=raw.budget, cold=raw.cold, acks=raw.acks, terms=raw.terms, **values,
     ))
 
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -15,7 +15,10 @@
 
 
 class Times(msgspec.Struct, frozen=True):
+    """Seconds. `pace` is the least between two rounds of a leader: what comes meanwhile goes along in the next."""
+
     beat: float = 0.1
+    pace: float = 0.0
     election: float = 1.0
     picture_again: float = 2.0
 
@@ -40,7 +43,7 @@
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
         "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
-        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
     )
 
     def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
@@ -61,7 +64,7 @@
         self._early: list[tuple[str, Message]] = []
         self._late: list[tuple[str, Message]] = []
         self._saved = log.last
-        self._heard = self._beat_at = self._led_since = -1e9
+        self._heard = self._beat_at = self._led_since = self._paced_at = -1e9
         self._term_start = 0
         self._rest(now)
 
@@ -74,7 +77,15 @@
         return self.leads and self.commit >= self._term_start
 
     def wakeup(self) -> float:
-        return self._beat_at if self.leads else self._election_at
+        if not self.leads:
+            return self._election_at
+        return min(self._beat_at, self._paced_at) if self.nudge else self._beat_at
+
+    def in_touch(self, now: float, span: float) -> bool:
+        """Whether a leader spoke to this voter, or a quorum answered this leader, within the span (s)."""
+        if self.leads:
+            return now - self._sure_at() <= span
+        return bool(self.leader) and now - self._heard <= span
 
     def progress(self) -> dict[str, Progress]:
         return self._progress
@@ -135,7 +146,7 @@
             self._late.append((max(ahead)[1], Elect(self.term)))
 
     def ready(self, now: float) -> Ready:
-        if self.leads and self.nudge:
+        if self.leads and self.nudge and now >= self._paced_at:
             self._broadcast(now)
         hard = Hard(self.group, self.term, self.vote)
         r = Ready(
@@ -219,13 +230,15 @@
     def _tick_leader(self, now: float) -> None:
         if now >= self._beat_at:
             self.nudge = True
-        sure = next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._led_since)
-        if now - sure > 2 * self.times.election:
+        if now - self._sure_at() > 2 * self.times.election:
             self._follow(self.term, "", now)
 
+    def _sure_at(self) -> float:
+        return next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._led_since)
+
     def _broadcast(self, now: float) -> None:
         self.seq += 1
-        self.nudge, self._beat_at = False, now + self.times.beat
+        self.nudge, self._beat_at, self._paced_at = False, now + self.times.beat, now + self.times.pace
         self._sent.append((self.seq, now))
         for i in self.log.voters.everyone():
             if i != self.me:
