--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -148,8 +148,8 @@
             self.bond.ready(now)
         self.bond.leave(final=False)
         leaving()
-        linger = 0.75 if self.params.role == "flow" else 0.1
-        self.server.drain(self.params.polite * linger, self.params.polite * 0.2)
+        linger, finish = (0.5, 0.4) if self.params.role == "flow" else (0.1, 0.2)
+        self.server.drain(self.params.polite * linger, self.params.polite * finish)
         self.bond.leave(final=True)
 
     def is_ready(self) -> bool:
--- a/tests/test_plainhttp.py
+++ b/tests/test_plainhttp.py
@@ -26,6 +26,9 @@
     def do(self, c):
         return self.state.apply(self.state.index + 1, self.at, c if isinstance(c, bytes) else encode(c))
 
+    def current(self, now):
+        return False
+
     def read(self, limit):
         return self.reads.pop(0) if self.reads else Took("ok", self.state.revision)
 
