--- a/mallowvalve/law/plainhttp.py
+++ b/mallowvalve/law/plainhttp.py
@@ -40,7 +40,7 @@
 
 class WriteDoc(msgspec.Struct):
     value: str
-    base: int = 0
+    base: int | None = None
 
 
 def names(text: str) -> bool:
@@ -58,7 +58,7 @@
     if len(getattr(d, "value", "").encode()) > VALUE_MOST:
         found.append(Finding("value", f"want at most {VALUE_MOST} bytes"))
     for field in ("token", "base"):
-        if not 0 <= getattr(d, field, 0) < NUMBER_MOST:
+        if not 0 <= (getattr(d, field, 0) or 0) < NUMBER_MOST:
             found.append(Finding(field, "out of range"))
     return found
 
@@ -203,7 +203,8 @@
             found = [Finding("name", "want a group: up to and including the first dot")]
         if found:
             return web.bounce(resp, 400, web.NOT_RUN, found)
-        plain = self.confirm(resp)
+        s: State | None = self.task.core.state
+        plain = s.plain if s is not None and after and self.task.core.current(clock.now()) else self.confirm(resp)
         if plain is None:
             return
         if after == 0:
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -82,6 +82,7 @@
             call = staticmethod(lambda to, kind, body, limit: asked.append((to, kind)) or Ok(wire.encode(Took("ok", 5))))
 
     t = LawTask.__new__(LawTask)
+    t._over = False
     t.node, t.stalled = Node, True
     assert t.offer(b"x", 1.0).revision == 5 and asked == [("other", "offer")]
     assert t.read(1.0).code == "leader" and len(asked) == 1
@@ -91,5 +92,6 @@
     ends = [Took("undecided")]
     monkeypatch.setattr(LawTask, "_offer_once", lambda self, c, left: ends.pop() if ends else Took("leader"))
     t = LawTask.__new__(LawTask)
+    t._over = False
     assert t.offer(b"", 0.12, 0.05).code == "undecided"
     assert t.offer(b"", 0.06, 0.05).code == "leader"
