--- a/sim/target.py
+++ b/sim/target.py
@@ -93,9 +93,10 @@
     }
 
 
-def fed(entries: list[Entry]) -> Fed:
+def fed(entries: list[Entry], told: Voters | None = None) -> Fed:
+    """An answer of the leader; the core machines are named only to an echo that may not know them."""
     n = 1_000_000
-    return Fed(addr(1), GROUP, False, entries, n, 20_000_000 << 36 | n, 123456.789, voters(), 86_400_000, 86_400_100)
+    return Fed(addr(1), GROUP, False, entries, n, 20_000_000 << 36 | n, 123456.789, told, 86_400_000, 86_400_100)
 
 
 def want() -> Want:
@@ -130,6 +131,7 @@
         "beat digest entry": len(encode({beat(65_000).name: beat(65_000).rank})) - 1,
         "want, framed": frame("want", wire.encode(want())),
         "fed idle, framed": idle,
+        "fed more: the core machines": frame("want", wire.encode(fed([], voters())), True) - idle,
         "fed more: one upstream": more(rolled(65_000)),
         "fed more: one route": more(Amend([item(129_000)], "operator-1/000123")),
         "fed more: a seat": more(Enrol(addr(9), BOOT, at(9))),
