Items of kinds the product does not use are versioned and kept as sent

They were refused (400), so a fleet with a kind more could not be configured at all. Weighed: passing over them, which would lose them at read-back. Place of a missing version in a drop is now the field itself.

--- a/mallowvalve/law/itemhttp.py
+++ b/mallowvalve/law/itemhttp.py
@@ -9,7 +9,7 @@
 from mallowvalve.law.api import ATTEMPT, LIMIT, Api
 from mallowvalve.law.state import Evacuate, encode
 from mallowvalve.tree.itemcall import read
-from mallowvalve.tree.items import Amend
+from mallowvalve.tree.items import LIMITS, Amend, Items
 
 CALL_BYTES = 8 << 20
 _findings = msgspec.msgpack.Decoder(Findings).decode
@@ -30,10 +30,12 @@
         if self.confirm(req, resp) is None:
             return
         items = self.task.core.state.items
-        limits = items.standing("limits")
-        web.say(resp, {
-            "routes": items.standing("routes"), "services": items.standing("services"), "limits": limits[0] if limits else {},
-        })
+        web.say(resp, {kind: self._laid_out(items, kind) for kind in items.kinds()})
+
+    def _laid_out(self, items: Items, kind: str):
+        held = items.standing(kind)
+        alone = kind == LIMITS or (kind, "") in items.rows
+        return held if not alone else held[0] if held else {}
 
     def on_patch(self, req, resp) -> None:
         """What this node finds wrong may only be news it has not heard yet; the leader's state has the last word."""
--- a/mallowvalve/tree/itemcall.py
+++ b/mallowvalve/tree/itemcall.py
@@ -13,7 +13,6 @@
 
 AIM_OVER_MS = 60_000.0
 NAME_BYTES = 1024
-ABSENT = msgspec.Raw(b"null")
 
 
 class Gone(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,24 +24,21 @@
     version: int
 
 
-class SetDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    routes: list[msgspec.Raw] = []
-    services: list[msgspec.Raw] = []
-    limits: msgspec.Raw = ABSENT
+class Any(msgspec.Struct, frozen=True, kw_only=True):
+    """What an item of a kind that the product does not use must say."""
 
-
-class DropDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    routes: list[Gone] = []
-    services: list[Gone] = []
-    limits: GoneLimits | None = None
+    version: int
+    name: str = ""
 
 
 class CallDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    set: SetDoc = SetDoc()
-    drop: DropDoc = DropDoc()
+    set: dict[str, msgspec.Raw] = {}
+    drop: dict[str, msgspec.Raw] = {}
 
 
 _call = msgspec.json.Decoder(CallDoc).decode
+_raws = msgspec.json.Decoder(list[msgspec.Raw]).decode
+_any = msgspec.json.Decoder(Any).decode
 
 
 def read(body: bytes) -> Result[Amend, Findings]:
@@ -55,26 +51,44 @@
         return Err([Finding(place.removesuffix("`") or "body", text)])
     found: Findings = []
     items: list[Item] = []
-    for kind in PARTS:
-        for n, raw in enumerate(getattr(call.set, kind)):
-            doc = _read(kind, bytes(raw), f"set.{kind}[{n}]", found)
+    for kind, raw in call.set.items():
+        for place, one in _each(kind, raw, f"set.{kind}", found):
+            doc = _read(kind, one, place, found)
             if doc is not None:
-                items.append(Item(kind, doc.name, doc.version, bytes(raw)))
-    limits = bytes(call.set.limits)
-    if limits != bytes(ABSENT):
-        doc = _read(LIMITS, limits, "set.limits", found)
-        if doc is not None:
-            items.append(Item(LIMITS, "", doc.version, limits))
-    for kind in PARTS:
-        for n, g in enumerate(getattr(call.drop, kind)):
-            _name(g.name, f"drop.{kind}[{n}].name", found)
-            items.append(Item(kind, g.name, g.version, None))
-    if call.drop.limits is not None:
-        items.append(Item(LIMITS, "", call.drop.limits.version, None))
+                items.append(Item(kind, getattr(doc, "name", ""), doc.version, one))
+    for kind, raw in call.drop.items():
+        for place, one in _each(kind, raw, f"drop.{kind}", found):
+            gone = _gone(kind, one, place, found)
+            if gone is not None:
+                items.append(Item(kind, getattr(gone, "name", ""), gone.version, None))
     found += _twice(items)
     return Err(found) if found else Ok(Amend(items))
 
 
+def _each(kind: str, raw: msgspec.Raw, place: str, found: Findings) -> list[tuple[str, bytes]]:
+    """The items of one kind: a list of them, or the only one it has."""
+    text = bytes(raw)
+    if text == b"null":
+        return []
+    many = kind in PARTS or kind != LIMITS and text[:1] == b"["
+    if not many:
+        return [(place, text)]
+    try:
+        return [(f"{place}[{n}]", bytes(r)) for n, r in enumerate(_raws(text))]
+    except (msgspec.DecodeError, RecursionError) as e:
+        found.append(Finding(place, str(e)))
+        return []
+
+
+def _gone(kind: str, raw: bytes, place: str, found: Findings) -> Gone | GoneLimits | None:
+    shape = Gone if kind in PARTS else GoneLimits if kind == LIMITS else Any
+    data = finding.parse_json(raw, place)
+    doc = finding.read_into(found, shape, _known(shape, data.ok_value), place) if data.is_ok() else None
+    if doc is not None and kind in PARTS:
+        _name(doc.name, f"{place}.name", found)
+    return doc
+
+
 def _twice(items: list[Item]) -> Findings:
     """Routes of one call that could not stand beside each other, whatever else stands."""
     found: Findings = []
@@ -95,14 +109,17 @@
 def _read(kind: str, raw: bytes, place: str, found: Findings) -> Doc | None:
     before = len(found)
     try:
-        doc = DOCS[kind](raw)
+        doc = DOCS.get(kind, _any)(raw)
     except (msgspec.DecodeError, RecursionError) as e:
         data = finding.parse_json(raw, place)
         if data.is_ok():
-            finding.read_into(found, KINDS[kind], _known(KINDS[kind], data.ok_value), place)
+            shape = KINDS.get(kind, Any)
+            finding.read_into(found, shape, _known(shape, data.ok_value), place)
         if len(found) == before:
             found.append(Finding(place, f"not understood: {e}"))
         return None
+    if kind not in KINDS:
+        return doc
     if kind != LIMITS:
         _name(doc.name, f"{place}.name", found)
     _checks[kind](doc, place, found)
--- a/mallowvalve/tree/items.py
+++ b/mallowvalve/tree/items.py
@@ -56,7 +56,10 @@
 
 
 class Item(msgspec.Struct, array_like=True, frozen=True):
-    """`kind` is routes, services or limits; `doc` the item as it was sent (JSON), or None once dropped."""
+    """`doc` is the item as it was sent (JSON), or None once dropped; one that stands alone in its kind has no name.
+
+    Kinds that the product does not use (not routes, services or limits) are kept and read back, no more.
+    """
 
     kind: str
     name: str
@@ -131,10 +134,15 @@
         """The items of a kind as they were sent, by name."""
         return [msgspec.Raw(i.doc) for k, i in sorted(self.rows.items()) if k[0] == kind and i.doc is not None]
 
+    def kinds(self) -> list[str]:
+        """The kinds that hold something, those the product uses first."""
+        held = {k for (k, _), i in self.rows.items() if i.doc is not None}
+        return [*KINDS, *sorted(held - KINDS.keys())]
+
     def adopt(self, rows: list[Item]) -> None:
         """Takes in rows of a picture as they are."""
         for i in rows:
-            self._put(i, decode(i).ok() if i.doc is not None else None)
+            self._put(i, decode(i).ok() if i.doc is not None and i.kind in KINDS else None)
 
     def _put(self, i: Item, doc: Doc | None) -> None:
         self.rows[i.kind, i.name] = i
@@ -145,7 +153,7 @@
                 self.services[i.name] = doc
         elif i.kind == LIMITS:
             self.limits = doc or Limits(version=i.version)
-        else:
+        elif i.kind == "routes":
             self._route(i.name, doc)
 
     def _route(self, name: str, r: HostRoute | None) -> None:
@@ -177,7 +185,7 @@
                 docs.pop(key, None)
             elif i.kind != "routes" or i.doc is None:
                 continue
-            if i.doc is None:
+            if i.doc is None or i.kind not in KINDS:
                 continue
             doc = decode(i)
             if doc.is_err():
