A leader answers reads, and a law its watches, only from a state that holds what was acknowledged

Ruled out: history or pictures losing events. Tests: both states played at the machine, failed first. A watch whose law lags behind what its caller has is bounced.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -100,7 +100,8 @@
 
     @property
     def leads(self) -> bool:
-        return self.raft is not None and self.raft.settled
+        """Whether it may answer as the leader: all that former leaders acknowledged is applied here."""
+        return self.raft is not None and self.raft.settled and self.state.index >= self.raft.term_start
 
     @property
     def unborn(self) -> bool:
@@ -158,7 +159,8 @@
 
     def current(self, now: float) -> bool:
         """Whether the state here lags what was acknowledged by no more than moments."""
-        return self.raft is not None and self.state.index >= self.raft.commit and self.raft.in_touch(now, CURRENT)
+        r = self.raft
+        return r is not None and r.in_touch(now, CURRENT) and self.state.index >= r.told and r.log.term(self.state.index) == r.term
 
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
@@ -249,7 +251,7 @@
                 self._fail_all()
             self._led = False
             return
-        if self.raft.settled and not self._led:
+        if self.leads and not self._led:
             self._led, self._clock_at = True, now
             self._clock_base = max(self.state.clock, self._clock_since(now))
             self.echoes.begin(now)
--- a/mallowvalve/law/plainhttp.py
+++ b/mallowvalve/law/plainhttp.py
@@ -216,6 +216,8 @@
             got = plain.since(group, after)
             if got is None:
                 return web.say(resp, {"code": "compacted"}, 410)
+            if got[1] < after:
+                return web.bounce(resp, 503, web.NOT_RUN, [Finding("after", f"this law holds the group up to {got[1]} only")], 0.2)
             if got[0] or clock.now() >= end or self.task.node.stopping.is_set():
                 return web.say(resp, {"events": list(map(event, got[0])), "revision": got[1]})
             self.bell.wait(group, after, end - clock.now())
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -43,7 +43,7 @@
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
         "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
-        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at", "told",
     )
 
     def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
@@ -52,7 +52,7 @@
         self.term, self.vote = max(term, log.picture.term), vote
         self.role, self.leader = FOLLOWER, ""
         self.commit = log.base
-        self.seq = self.confirmed = 0
+        self.seq = self.confirmed = self.told = 0
         self.counts = Counts()
         self.nudge = self.halted = False
         self._voices: set[str] = set()
@@ -76,6 +76,11 @@
     def settled(self) -> bool:
         return self.leads and self.commit >= self._term_start
 
+    @property
+    def term_start(self) -> int:
+        """The index of a leader's first entry."""
+        return self._term_start
+
     def wakeup(self) -> float:
         if not self.leads:
             return self._election_at
@@ -283,7 +288,7 @@
             self.log.append(e)
             self._fresh.append(e)
         match = max(prev, es[-1].index if es else 0)
-        self.commit = max(self.commit, min(m.commit, match))
+        self.commit, self.told = max(self.commit, min(m.commit, match)), max(self.told, m.commit)
         self._late.append((src, Appended(self.term, True, match, m.seq)))
 
     def _on_appended(self, src: str, m: Appended, now: float) -> None:
@@ -340,7 +345,7 @@
         n = sorted(ms, reverse=True)[vs.quorum - 1]
         if n <= self.commit or self.log.term(n) != self.term:
             return
-        self.commit = n
+        self.commit = self.told = n
         self.nudge = True
         gone = self.me not in self.log.voters.voters and self.log.voters_index <= n
         if gone:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,10 @@
 from mallowvalve.law.cut import dump
 from mallowvalve.law.state import Change, State, Tick, encode
 from mallowvalve.law.wire import Took, Want
-from mallowvalve.vote.wire import Envelope, Group, Install, Picture, Voters
+from mallowvalve.tie.plain import Count
+from mallowvalve.vote.wire import (
+    COMMAND, NOOP, Append, Appended, Entry, Envelope, Group, Install, Picture, Voice, Voters,
+)
 
 A, B = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
 EU, US = Locality("eu", "a"), Locality("us", "a")
@@ -129,3 +132,40 @@
     assert "t" not in dict(go_on(c, now, now + 5.0))
     c.want(want(G, out["w"].index, out["w"].revision, now + 5.0), "w", now + 5.0)
     assert dict(step(c, now + 5.0))["t"].code == "ok"
+
+
+def test_a_new_leader_answers_no_read_before_what_was_committed_is_applied():
+    entries = [Entry(1, 1, COMMAND, 10, encode(Count("n")))]
+    c = Core("a", A, EU, random.Random(1))
+    c.start(founding(G, Voters({"a": A, "b": B}), None), None, entries, 0.0)
+    at = 5.0
+    c.tick(at)
+    c.saved(c.ready(at), at)
+    for pre in (True, False):
+        c.receive(Envelope(G, "b", "a", B, Voice(c.raft.term + pre, pre, True)), at)
+        c.saved(c.ready(at), at)
+    assert c.raft.leads and not c.leads
+    c.receive(Envelope(G, "b", "a", B, Appended(c.raft.term, True, 2, c.raft.seq)), at)
+    c.read("r", 9.0, at)
+    c.tick(at)
+    assert c.raft.settled and c.state.index == 0 and not c.leads
+    assert [took.code for t, took in c.replies if t == "r"] == ["leader"]
+    c.saved(c.ready(at), at)
+    assert c.leads and c.state.plain.numbers == {"n": 1}
+
+
+def test_a_restarted_follower_is_not_current_before_its_leader_s_term_is_applied():
+    entries = [Entry(1, 1, COMMAND, 10, encode(Count("n")))]
+    c = Core("a", A, EU, random.Random(1))
+    c.start(founding(G, Voters({"a": A, "b": B}), None), None, entries, 0.0)
+
+    def heard(m):
+        c.receive(Envelope(G, "b", "a", B, m), 0.1)
+        c.saved(c.ready(0.1), 0.1)
+        return c.current(0.2)
+
+    assert not c.current(0.1)
+    assert not heard(Append(2, 1, 1, [], 0, 1))
+    assert not heard(Append(2, 1, 1, [Entry(2, 2, NOOP, 20, b"")], 0, 2))
+    assert heard(Append(2, 2, 2, [], 2, 3)) and c.state.plain.numbers == {"n": 1}
+    assert not c.current(3.0)
