Many joiners share one picture of the settings

Cause: each label asked for made a new picture, and the shelf of two dropped those on their way: of 12 joiners at 40 ms none was whole after 30 s (944 pictures). The test was marked as an expected failure; the mark is gone.

--- a/mallowvalve/law/pieces.py
+++ b/mallowvalve/law/pieces.py
@@ -14,6 +14,7 @@
 KEPT = 2
 IDLE = 30.0
 AGAIN = 8
+YOUNG = 2.0
 
 
 class Label(msgspec.Struct, array_like=True, frozen=True):
@@ -48,10 +49,11 @@
 class Shelf:
     """The pictures a node hands out; few, and not for long after the last piece was asked for."""
 
-    __slots__ = ("_kept",)
+    __slots__ = ("_kept", "_cut")
 
     def __init__(self):
         self._kept: dict[tuple[Group, int, bool], tuple[Picture, float]] = {}
+        self._cut: dict[tuple[Group, int, bool], float] = {}
 
     def put(self, p: Picture, now: float, settings: bool = False) -> Label:
         self.forget(now)
@@ -59,12 +61,18 @@
         while len(self._kept) >= KEPT:
             del self._kept[next(iter(self._kept))]
         self._kept[p.group, p.index, settings] = (p, now)
+        self._cut = {k: self._cut.get(k, now) for k in self._kept}
         return label(p, settings)
 
-    def newest(self, group: Group, index: int, settings: bool = False) -> Picture | None:
-        """One cut from this group no further back than the index."""
-        kept = reversed(self._kept.items())
-        return next((p for (g, i, part), (p, _) in kept if g == group and i >= index and part == settings), None)
+    def newest(self, group: Group, index: int, now: float, settings: bool = False) -> Picture | None:
+        """One cut from this group no further back than the index; of settings, one cut moments ago will do too.
+
+        Whoever joins follows the log from there on; a new picture for each would push out those on their way.
+        """
+        for (g, i, part), (p, _) in reversed(self._kept.items()):
+            if g == group and part == settings and (i >= index or settings and now - self._cut[g, i, part] < YOUNG):
+                return p
+        return None
 
     def cut(self, w: Want, now: float) -> Piece | None:
         kept = self._kept.get((w.group, w.index, w.settings))
--- a/mallowvalve/law/pull.py
+++ b/mallowvalve/law/pull.py
@@ -82,4 +82,4 @@
         if made is None:
             return None
         p, pieces = made
-        return self._shelf.newest(p.group, p.index, part) or fill(p, pieces)
+        return self._shelf.newest(p.group, p.index, clock.now(), part) or fill(p, pieces)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -63,7 +63,6 @@
     assert play(3, 0.02, 0.02, 20, 10.0)[0] == 3
 
 
-@pytest.mark.xfail(reason="each label asked for makes a new picture and drops those on their way; docs/CAPACITY.md, first to mend")
 def test_many_joiners_at_once_all_get_the_settings_of_a_machine_whose_log_goes_on():
     done, made, _ = play(40, 0.02, 0.02, 20, 5.0)
     assert done == 40 and made < 10
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -306,7 +306,7 @@
         shelf.put(Picture(G, s.index, 1, Voters({}), list(pieces)), 0.0, part)
         for pieces, part in ((cut(s), False), (cut_settings(s), True))
     ]
-    assert shelf.newest(G, s.index, True) is not shelf.newest(G, s.index)
+    assert shelf.newest(G, s.index, 0.0, True) is not shelf.newest(G, s.index, 0.0)
     for l, whole in zip(labels, (True, False)):
         g = Gather(l)
         while (w := g.want()) is not None:
