--- a/mallowvalve/bond/detector.py
+++ b/mallowvalve/bond/detector.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from mallowvalve.bond.share import Share
+from mallowvalve.bond.share import DIRECT, Share
 from mallowvalve.bond.wire import (
     ALIVE, ALL, FAILED, LEAVING, LEFT, SELF, VERSION, Ack, Head, Marks, Message, Ping, PingReq, Record, RelayPing, Sum, Sums,
     Tell, Want,
@@ -16,8 +16,9 @@
 JOIN = 0.25
 YOUNG = 10.0
 HEAL = 1.0
-ACCUSED = 32
+ACCUSED = 8
 TRIES = 16
+PASS_ON = 0.25
 
 
 class Bond(Share):
@@ -28,7 +29,7 @@
 
     __slots__ = (
         "seeds", "period", "helpers", "round_trip", "pr", "_start", "_target", "_acked", "_asked", "_turn", "_born",
-        "_join_at", "_joined", "_healed",
+        "_join_at", "_joined", "_agrees", "_healed",
     )
 
     def __init__(
@@ -45,7 +46,7 @@
         self._asked: float | None = None
         self._turn = 0
         self._born = self._join_at = None
-        self._joined = False
+        self._joined = self._agrees = False
         self._healed = float("-inf")
 
     def wakeup(self) -> float:
@@ -92,10 +93,9 @@
             case Ack() if m.origin == self.me.addr and m.pr == self.pr and self._target and m.target == self._target.addr:
                 self._acked = True
             case Sum():
-                if self._compare(sender, m.total):
-                    self._settle()
-                    if m.ask:
-                        self._send(sender, Sum(self._head(), m.total, False))
+                self._agrees = self._compare(sender, m.total)
+                if self._agrees and m.ask:
+                    self._send(sender, Sum(self._head(), m.total, False))
             case Sums():
                 self._show(sender, m.sums, self._join_at is not None)
             case Marks():
@@ -151,25 +151,25 @@
         self._spread([r], r.addr)
 
     def _join(self, now: float) -> None:
-        """Until its view agrees with a neighbour's a new member asks four times a second, for ten seconds at most."""
-        if now > self._born + YOUNG or not self.seeds and not self._view.live:
-            self._settle()
+        """Until it sees its seeds and agrees with a neighbour a new member asks four times a second, ten seconds at most."""
+        lone = self._lone()
+        if now > self._born + YOUNG or self._agrees and not lone or not self.seeds and not self._view.live:
+            self._join_at = None
             return
         self._join_at = now + JOIN
-        if not self._joined:
-            for s in self.seeds if len(self.seeds) <= 8 else self.rng.sample(self.seeds, 8):
-                self._send(s, Tell(self._head(), [self.me], ALL))
-        elif self._view.live:
+        for s in lone if len(lone) <= 8 else self.rng.sample(lone, 8):
+            self._send(s, Tell(self._head(), [self.me], ALL))
+        if self._view.live:
             self._send(self.rng.choice(self._view.live), Sum(self._head(), self._digest.total, True))
 
-    def _settle(self) -> None:
-        self._join_at = None
+    def _lone(self) -> list[Address]:
+        return [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
 
     def _seek(self, now: float) -> None:
         """Looks for those outside: seeds that are not in the view, and members held as failed."""
         self._turn += 1
         live = self._view.live
-        lone = [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
+        lone = self._lone()
         if lone and (not live or self._turn % 4 == 0):
             for s in lone if not live else [self.rng.choice(lone)]:
                 self._send(s, Tell(self._head(), [self.me], ALL))
@@ -200,7 +200,10 @@
             self._send(h.sender, Tell(self._head(), [self.me], SELF))
 
     def _heal(self, sender: Address, now: float) -> None:
-        """One held as failed speaks: a cut may be over. All held as failed are told so, to refute it before it spreads."""
+        """One held as failed speaks, or this node hears that it was: a cut may be over.
+
+        Those it holds as failed are told so, to refute it before it spreads.
+        """
         if now < self._healed + HEAL:
             return
         self._healed = now
@@ -212,7 +215,7 @@
         sender, back = m.head.sender, []
         for r in m.records:
             if r.addr == self.me.addr:
-                self._refute(r, sender)
+                self._refute(r, sender, now)
                 continue
             old = self.view.get(r.addr)
             if self._accept(r, now, f"told by {sender}"):
@@ -236,9 +239,10 @@
         if old is None and self._join_at is not None:
             self._introduce(r.addr, now)
         elif old is not None and old.state == FAILED and sender == r.addr:
-            self._report(r, now)
+            if len(self._view.live) <= DIRECT or self.rng.random() < PASS_ON:
+                self._report(r, now)
 
-    def _refute(self, r: Record, sender: Address) -> None:
+    def _refute(self, r: Record, sender: Address, now: float) -> None:
         if r.boot == self.me.boot and r.incarnation <= self.me.incarnation and r.state <= self.me.state:
             return
         if r.incarnation < self.me.incarnation:
@@ -247,6 +251,8 @@
         self._raise(r.incarnation + 1)
         self.counts.add("bond_refuted")
         self._spread([self.me], sender)
+        if r.boot == self.me.boot:
+            self._heal(sender, now)
 
 
 def fresh_record(addr: Address, boot: int, role: str, name: str, locality, web: Address) -> Record:
--- a/mallowvalve/bond/share.py
+++ b/mallowvalve/bond/share.py
@@ -51,7 +51,7 @@
 
     __slots__ = (
         "me", "fleet", "rng", "counts", "why", "_view", "_digest", "_seen", "_out", "_news", "_untold", "_flush_at",
-        "_room", "_filled",
+        "_told", "_room", "_filled",
     )
 
     def __init__(self, me: Record, fleet: str, rng: random.Random):
@@ -65,6 +65,7 @@
         self._news: dict[Address, Record] = {}
         self._untold: list[Address] = []
         self._flush_at: float | None = None
+        self._told = 0
         self._room, self._filled = float(BURST), 0.0
 
     @property
@@ -113,11 +114,12 @@
         if self._flush_at is None or now < self._flush_at:
             return
         self._flush_at = None
-        if self._untold and len(self._view.live) > DIRECT:
-            self._spread([self.me])
-        else:
+        if len(self._view.live) <= DIRECT:
             for a in self._untold:
                 self._send(a, Tell(self._head(), [self.me]))
+        elif self._untold and len(self._view.live) > 2 * self._told:
+            self._spread([self.me])
+            self._told = len(self._view.live)
         for rs in batches(list(self._news.values())):
             self._spread(rs)
         self._untold, self._news = [], {}
