--- a/mallowvalve/bond/detector.py
+++ b/mallowvalve/bond/detector.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from mallowvalve.bond.share import DIRECT, Share
+from mallowvalve.bond.share import Share
 from mallowvalve.bond.wire import (
     ALIVE, ALL, FAILED, LEAVING, LEFT, SELF, VERSION, Ack, Head, Marks, Message, Ping, PingReq, Record, RelayPing, Sum, Sums,
     Tell, Want,
@@ -18,7 +18,6 @@
 HEAL = 1.0
 ACCUSED = 8
 TRIES = 16
-PASS_ON = 0.25
 
 
 class Bond(Share):
@@ -157,7 +156,7 @@
             self._join_at = None
             return
         self._join_at = now + JOIN
-        for s in lone if len(lone) <= 8 else self.rng.sample(lone, 8):
+        for s in self.rng.sample(lone, min(len(lone), 2 if self._joined else 8)):
             self._send(s, Tell(self._head(), [self.me], ALL))
         if self._view.live:
             self._send(self.rng.choice(self._view.live), Sum(self._head(), self._digest.total, True))
@@ -194,7 +193,7 @@
         stale = (h.incarnation, h.boot) != (r.incarnation, r.boot) and h.incarnation <= r.incarnation
         if stale or (r.state > LEAVING and h.incarnation <= r.incarnation):
             self._send(h.sender, Tell(self._head(), [r]))
-            if r.state == FAILED:
+            if r.state == FAILED and r.boot == h.boot:
                 self._heal(h.sender, now)
         elif h.incarnation > r.incarnation:
             self._send(h.sender, Tell(self._head(), [self.me], SELF))
@@ -207,7 +206,7 @@
         if now < self._healed + HEAL:
             return
         self._healed = now
-        accused = [a for a in self._seen if a != sender and self.view[a].state == FAILED]
+        accused = self._failed(sender)
         for a in self.rng.sample(accused, min(ACCUSED, len(accused))):
             self._send(a, Tell(self._head(), [self.view[a]]))
 
@@ -220,7 +219,7 @@
             old = self.view.get(r.addr)
             if self._accept(r, now, f"told by {sender}"):
                 self.counts.add("bond_learned")
-                self._pass_on(r, old, sender, now)
+                self._learned(r, old, now)
             elif old.state > LEAVING and r.rank < old.rank and sender != r.addr:
                 back.append(old)
         if back:
@@ -232,15 +231,13 @@
         if m.ask == ALL:
             self._tell(sender, [self.me, *(self.view[a] for a in self.view if a in self._digest)], now)
 
-    def _pass_on(self, r: Record, old: Record | None, sender: Address, now: float) -> None:
-        if r.state > LEAVING:
-            return
-        self._joined = True
-        if old is None and self._join_at is not None:
-            self._introduce(r.addr, now)
-        elif old is not None and old.state == FAILED and sender == r.addr:
-            if len(self._view.live) <= DIRECT or self.rng.random() < PASS_ON:
-                self._report(r, now)
+    def _learned(self, r: Record, old: Record | None, now: float) -> None:
+        if r.state <= LEAVING:
+            self._joined = True
+            if old is None and self._join_at is not None:
+                self._introduce(r.addr, now)
+        elif r.state == FAILED and self.rng.random() < ACCUSED / (len(self._view.live) + 1):
+            self._send(r.addr, Tell(self._head(), [r]))
 
     def _refute(self, r: Record, sender: Address, now: float) -> None:
         if r.boot == self.me.boot and r.incarnation <= self.me.incarnation and r.state <= self.me.state:
@@ -251,8 +248,13 @@
         self._raise(r.incarnation + 1)
         self.counts.add("bond_refuted")
         self._spread([self.me], sender)
-        if r.boot == self.me.boot:
-            self._heal(sender, now)
+        if r.boot != self.me.boot:
+            return
+        self._cast([self.me], self._failed(sender))
+        self._heal(sender, now)
+
+    def _failed(self, but: Address) -> list[Address]:
+        return [a for a in self._seen if a != but and self.view[a].state == FAILED]
 
 
 def fresh_record(addr: Address, boot: int, role: str, name: str, locality, web: Address) -> Record:
--- a/mallowvalve/bond/share.py
+++ b/mallowvalve/bond/share.py
@@ -50,7 +50,7 @@
     """
 
     __slots__ = (
-        "me", "fleet", "rng", "counts", "why", "_view", "_digest", "_seen", "_out", "_news", "_untold", "_flush_at",
+        "me", "fleet", "rng", "counts", "why", "_view", "_digest", "_seen", "_out", "_untold", "_flush_at",
         "_told", "_room", "_filled",
     )
 
@@ -62,7 +62,6 @@
         self._digest.put(me)
         self._seen: dict[Address, float] = {}
         self._out: list[tuple[Address, Message]] = []
-        self._news: dict[Address, Record] = {}
         self._untold: list[Address] = []
         self._flush_at: float | None = None
         self._told = 0
@@ -106,10 +105,6 @@
         self._untold.append(a)
         self._flush_at = self._flush_at or now + PAUSE
 
-    def _report(self, r: Record, now: float) -> None:
-        self._news[r.addr] = r
-        self._flush_at = self._flush_at or now + PAUSE
-
     def _flush(self, now: float) -> None:
         if self._flush_at is None or now < self._flush_at:
             return
@@ -120,24 +115,24 @@
         elif self._untold and len(self._view.live) > 2 * self._told:
             self._spread([self.me])
             self._told = len(self._view.live)
-        for rs in batches(list(self._news.values())):
-            self._spread(rs)
-        self._untold, self._news = [], {}
+        self._untold = []
 
     def _spread(self, records: list[Record], also: Address | None = None) -> None:
-        live = self._view.live
-        if also is not None and also not in self._view._place:
+        if also is not None and not self._view.lives(also):
             self._send(also, Tell(self._head(), records))
-        if len(live) <= DIRECT:
-            for a in live:
+        self._cast(records, self._view.live)
+
+    def _cast(self, records: list[Record], to: list[Address]) -> None:
+        if len(to) <= DIRECT:
+            for a in to:
                 self._send(a, Tell(self._head(), records))
             return
-        m = shares(len(live))
+        m = shares(len(to))
         cut: list[list[Address]] = [[] for _ in range(m)]
-        for a in live:
+        for a in to:
             cut[self._digest.bucket(a) % m].append(a)
         for i, members in enumerate(cut):
-            self._send(self.rng.choice(members or live), Tell(self._head(), records, share=(i, m)))
+            self._send(self.rng.choice(members or to), Tell(self._head(), records, share=(i, m)))
 
     def _relay(self, m: Tell, sender: Address) -> None:
         i, n = m.share
--- a/mallowvalve/bond/view.py
+++ b/mallowvalve/bond/view.py
@@ -15,7 +15,11 @@
     """64 bits that tell this state of this record from any other; the low 6 are the bucket of its address."""
     addr = f"{r.addr.host}:{r.addr.port}"
     h = blake2b(f"{addr} {r.boot} {r.incarnation} {r.state}".encode(), digest_size=8).digest()
-    return int.from_bytes(h, "big") & ~(BUCKETS - 1) | crc32(addr.encode()) % BUCKETS
+    return int.from_bytes(h, "big") & ~(BUCKETS - 1) | bucket(addr)
+
+
+def bucket(addr: str) -> int:
+    return crc32(addr.encode()) % BUCKETS
 
 
 def packed(marks) -> bytes:
@@ -54,7 +58,8 @@
         return a in self._of
 
     def bucket(self, a: Address) -> int:
-        return self._of[a] % BUCKETS
+        m = self._of.get(a)
+        return bucket(f"{a.host}:{a.port}") if m is None else m % BUCKETS
 
     def find(self, m: int) -> Address | None:
         return self.buckets[m % BUCKETS].get(m)
@@ -92,6 +97,9 @@
         self._lists.clear()
         self._unlive(a)
 
+    def lives(self, a: Address) -> bool:
+        return a in self._place
+
     def alive(self, role: str | None = None) -> list[Record]:
         got = self._lists.get(role)
         if got is None:
