Laws note what is committed on disk; blank proxies start from anybody's settings

Cause: after everything was killed, laws knew only their last picture until one led again, and proxies waited for that leader (0.57 s restart, 1.5 s election, 0.2 s feed), answering 503 meanwhile. Now each saved batch carries the commit known then; settings with nothing after them get one batch of their own 30 ms later. Proxies that serve on take the newest settings that laws or neighbours answer with, without waiting for the silent, and listen only once they hold some, so that consumers try elsewhere at once. Lines are redialled after 30 ms, doubling to 250 ms.

Weighed: a commit file of its own without sync (a torn one before a whole batch would read as damage in the log's place, a second file is a second thing to be wrong); taking settings from the first who answers (older ones than need be).

--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import random
 import uuid
 
@@ -20,6 +21,28 @@
 from mallowvalve.params import Params
 
 
+class Doors:
+    """A front with pages apart listens only once settings are held: who is turned away at the door tries elsewhere at once."""
+
+    __slots__ = ("node", "echo", "_job")
+
+    def __init__(self, node: Node, echo: EchoTask):
+        self.node, self.echo = node, echo
+
+    def __enter__(self) -> Doors:
+        self._job = vital(gevent.spawn(self._run))
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._job.kill()
+        self.node.server.stop(timeout=0.2)
+
+    def _run(self) -> None:
+        self.echo.held.wait()
+        if not self.node.stopping.is_set():
+            self.node.server.start()
+
+
 class Tidy:
     """Closes sessions to upstreams that are gone, once a second, and all at the end."""
 
@@ -60,7 +83,8 @@
     tries = Tries(echo.echo, hosts, params, node.counts, clock.now, random.Random())
     _mount(node, serve, hosts, tries)
     node.gauge("busy", lambda: sum(pool.draw.busy.values()) + sum(s.busy for s in hosts.spots.values()))
-    with node, echo, Tidy(pool, hosts), repeats:
+    node.late = params.serve_on and params.pages is not None
+    with node, echo, Tidy(pool, hosts), repeats, Doors(node, echo) if node.late else contextlib.nullcontext():
         node.run(lambda: _ready(params, echo))
 
 
--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -25,6 +25,7 @@
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
 CURRENT = 0.5
+MARK = 0.03
 
 
 class Pending(msgspec.Struct):
@@ -53,13 +54,14 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_mark_at",
     )
 
     def __init__(
         self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks(), pace: float = 0.0,
+        election: float = Times().election,
     ):
-        """`pace` is the least time between two rounds to the voters (s)."""
+        """`pace` is the least time between two rounds to the voters, `election` how long a silent leader is waited for (s)."""
         self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
         self.raft: Raft | None = None
         self.state: State | None = None
@@ -77,20 +79,23 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._base_index = 0
-        self._acks, self._times = acks, Times(pace=pace)
+        self._acks, self._times = acks, Times(pace=pace, election=election)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
+        self._mark_at: float | None = None
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
     ) -> None:
         hard = hard if hard is not None and hard.group == picture.group else Hard(picture.group, 0, "")
-        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now, self._times)
+        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now, self._times, hard.commit)
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
         self._news, self._dropped = deque(), self.state.turned
-        self._led = False
+        self._led, self._mark_at = False, None
+        self._apply()
+        self.decided = []
         self._clock_heard = (self.state.clock, now)
 
     def stop(self, new_id: str) -> None:
@@ -124,12 +129,13 @@
             self.seen = {i: s for i, s in self.seen.items() if now - s.at < 2 * grow.FORGOTTEN}
 
     def wakeup(self, now: float) -> float:
-        return min(now + 0.1, self.raft.wakeup()) if self.raft else now + 0.1
+        return min(now + 0.1, self._mark_at or now + 0.1, self.raft.wakeup()) if self.raft else now + 0.1
 
     def tick(self, now: float) -> None:
         if self.raft is None:
             return
         self.raft.tick(now)
+        self._note(now)
         self._settle(now)
 
     def receive(self, e: Envelope, now: float) -> None:
@@ -170,6 +176,15 @@
         self.echoes.heard(w, self.raft.group, self.raft.seq + 1, now)
         self._parked[w.addr] = Parked(token, w, now)
 
+    def _note(self, now: float) -> None:
+        """Settings are noted as committed with the next batch, or with one of their own where none comes soon."""
+        if self.state.turned <= self.raft.marked:
+            self._mark_at = None
+        elif self._mark_at is None:
+            self._mark_at = now + MARK
+        elif now >= self._mark_at:
+            self.raft.mark, self._mark_at = True, None
+
     def ready(self, now: float) -> Ready | None:
         return self.raft.ready(now) if self.raft else None
 
--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.queue import Empty, Queue
 from result import Result
 
@@ -27,6 +28,7 @@
 OVER = 0.6
 SHUN = 1.0
 ANYWHERE = 1.0
+FIRST, FIRST_AGAIN, FIRST_WAIT, FIRST_LIMIT = 0.08, 0.1, 0.08, 0.4
 HOLD_ON = 1.0
 LARGE = 32768
 ATTEMPT = 0.8
@@ -34,7 +36,7 @@
 
 
 class EchoTask:
-    __slots__ = ("node", "echo", "puller", "_jobs", "_rng", "_fetching", "_met", "_shunned", "_sought")
+    __slots__ = ("node", "echo", "puller", "_jobs", "_rng", "_fetching", "_met", "_shunned", "_sought", "held")
 
     def __init__(self, node: Node):
         self.node = node
@@ -47,6 +49,7 @@
         self._met: Address | None = None
         self._shunned: dict[Address, float] = {}
         self._sought = -1e9
+        self.held = Event()
         on = node.mesh.on
         on("round", lambda s, b: wire.encode(self.echo.tell(wire.round_(b))), quick=True)
         on("who", lambda s, b: wire.encode(self._who()), quick=True)
@@ -57,6 +60,8 @@
 
     def __enter__(self) -> EchoTask:
         self._jobs = [vital(gevent.spawn(self._follow)), vital(gevent.spawn(self._rounds))]
+        if self.node.params.serve_on:
+            self._jobs.append(vital(gevent.spawn(self._begin)))
         return self
 
     def __exit__(self, *_) -> None:
@@ -145,6 +150,7 @@
     def _take(self, of: Address, f: wire.Fed) -> None:
         warm(large_docs(f.entries))
         self.echo.fed(f, clock.now())
+        self._note()
         if f.group is None:
             return
         self._met = of
@@ -173,22 +179,54 @@
             self._fetch_anywhere()
         gevent.sleep(0.1)
 
+    def _begin(self) -> None:
+        """A proxy with nothing to go by takes the newest settings anybody answers with, and does not wait for the silent."""
+        gevent.sleep(FIRST)
+        while not self.held.is_set():
+            self._take_newest(FIRST_WAIT)
+            self.held.wait(timeout=FIRST_AGAIN)
+
     def _fetch_anywhere(self) -> None:
         """The newest settings that a law or a neighbour holds, while nobody leads; never older ones than are held."""
         now = clock.now()
         if now - self._sought < ANYWHERE:
             return
         self._sought = now
+        self._take_newest(None)
+
+    def _take_newest(self, wait: float | None) -> None:
+        """Of all that answer, or of those that do within `wait` (s) once somebody who holds settings has."""
         flows = [r.addr for r in self.node.bond.alive("flow") if r.addr != self.echo.addr]
         to = [*self._laws()[: 2 * SEEK_MOST], *self._rng.sample(flows, min(len(flows), SEEK_MOST))]
-        jobs = [gevent.spawn(self.node.mesh.call, a, "who", b"", 0.5) for a in to]
-        gevent.joinall(jobs)
-        known = [wire.who(j.value.ok_value) for j in jobs if j.value is not None and j.value.is_ok()]
-        known = [w for w in known if w.group is not None and w.voters is not None]
+        known = self._known(to, wait)
         for w in sorted(known, key=lambda w: (w.group.generation, w.index), reverse=True):
             if self.echo.lacks(Label(w.group, w.index, 0, w.voters, 0)) and self._fetch(w.addr, self._now):
                 return
 
+    def _known(self, to: list[Address], wait: float | None) -> list[wire.Who]:
+        box: Queue = Queue()
+        for a in to:
+            gevent.spawn(lambda a=a: box.put(self.node.mesh.call(a, "who", b"", FIRST_LIMIT)))
+        known: list[wire.Who] = []
+        end = clock.now() + FIRST_LIMIT + 0.1
+        for _ in to:
+            try:
+                r = box.get(timeout=max(0.001, end - clock.now()))
+            except Empty:
+                break
+            w = wire.who(r.ok_value) if r.is_ok() else None
+            if w is None or w.group is None or w.voters is None:
+                continue
+            if not known and wait is not None:
+                end = min(end, clock.now() + wait)
+            known.append(w)
+        return known
+
+    def _note(self) -> None:
+        s = self.echo.state
+        if s is not None and s.items.revision:
+            self.held.set()
+
     @property
     def _now(self) -> bytes:
         return SETTINGS if self.echo.parts == "settings" else NOW
@@ -200,6 +238,7 @@
         p, s = r.ok_value
         warm([s.params.doc] if len(s.params.doc) > LARGE else [])
         self.echo.adopt(p, s)
+        self._note()
         return True
 
     def _rounds(self) -> None:
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -24,7 +24,7 @@
 from mallowvalve.tale.log import Tale
 from mallowvalve.tree.build import EMPTY, build
 from mallowvalve.tree.model import Tree
-from mallowvalve.vote.wire import Envelope, Group, Hard, Install, Message, Picture, encode, envelope
+from mallowvalve.vote.wire import Envelope, Group, Install, Message, Picture, encode, envelope
 
 STORE_AGAIN = 2.0
 
@@ -38,7 +38,7 @@
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
         self.node, self.tale = node, tale
         p = node.params
-        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks, p.pace)
+        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks, p.pace, p.election)
         if loaded.picture is not None:
             self.core.start(loaded.picture, loaded.hard, loaded.entries, clock.now())
         self._box: Queue = Queue()
@@ -229,7 +229,7 @@
                 self.node.counts.add("log_entries", len(r.entries))
                 self.node.counts.add("log_bytes", sum(len(e.data) for e in r.entries))
             stored = self._stored.pop((group, r.install.index), None) if r.install is not None else None
-            self.persist(lambda: store.save(self.tale, r, Hard(group, self.core.raft.term, self.core.raft.vote), stored))
+            self.persist(lambda: store.save(self.tale, r, self.core.raft.hard(), stored))
             self._send(group, r.late)
             self.core.saved(r, clock.now())
             if self.tale.full() and not self._saving:
@@ -273,7 +273,7 @@
         if raft is None or raft.group != p.group or p.index <= raft.log.base:
             return self.persist(lambda: self.tale.drop(name))
         tail = [e for e in raft.log.entries if e.index > p.index]
-        first = store.head(Hard(raft.group, raft.term, raft.vote), tail)
+        first = store.head(raft.hard(), tail)
         self.persist(lambda: store.turn(self.tale, p, first, name))
         self.core.compact(p)
         self.node.counts.add("pictures_taken")
--- a/mallowvalve/mesh/task.py
+++ b/mallowvalve/mesh/task.py
@@ -19,7 +19,7 @@
 
 Handler = Callable[[Address, bytes], bytes | None]
 OUTBOX = 4096
-REDIAL = 0.25
+REDIAL, REDIAL_MOST = 0.03, 0.25
 UNACKED_MS = 3000
 IDLE = 60.0
 
@@ -30,13 +30,14 @@
 
 
 class Line:
-    __slots__ = ("to", "hello", "counts", "faults", "used", "_box", "_waits", "_next", "_job", "_sock")
+    __slots__ = ("to", "hello", "counts", "faults", "used", "_again", "_box", "_waits", "_next", "_job", "_sock")
 
     def __init__(self, to: Address, hello: Hello, counts: Counts, faults: Faults):
         self.to, self.hello, self.counts, self.faults = to, hello, counts, faults
         self._box: Queue = Queue(OUTBOX)
         self._waits: dict[int, AsyncResult] = {}
         self._next = 0
+        self._again = REDIAL
         self.used = 0.0
         self._sock = None
         self._job = gevent.spawn(self._run)
@@ -66,7 +67,8 @@
                 continue
             if self._sock is None and not self._dial():
                 self._drop("unreachable")
-                gevent.sleep(REDIAL)
+                gevent.sleep(self._again)
+                self._again = min(2 * self._again, REDIAL_MOST)
                 continue
             buf = [seal(f)]
             while len(buf) < 64:
@@ -89,6 +91,7 @@
             self._sock.sendall(seal(self.hello))
         except OSError:
             return False
+        self._again = REDIAL
         gevent.spawn(self._listen, self._sock)
         return True
 
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -62,7 +62,7 @@
 
     __slots__ = (
         "params", "boot", "counts", "faults", "bond", "mesh", "beats", "app", "server", "pages", "stopping", "_stack", "_gauges",
-        "_allowed",
+        "_allowed", "late",
     )
 
     def __init__(
@@ -87,6 +87,7 @@
         self.stopping = Event()
         self._gauges: dict[str, object] = {}
         self._allowed = lambda service: True
+        self.late = False
 
     def __enter__(self) -> Node:
         self._stack = contextlib.ExitStack()
@@ -99,7 +100,7 @@
         with self._stack as s:
             reload = Reload(self.params, self.renew, self.counts)
             told = [self.beats] if self.params.beats == "told" else []
-            for part in (self.faults, self.mesh, self.bond, *told, self.pages, self.server, reload):
+            for part in (self.faults, self.mesh, self.bond, *told, self.pages, *([] if self.late else [self.server]), reload):
                 s.enter_context(part)
             for sig in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(sig, self.stopping.set)
@@ -140,7 +141,7 @@
 
     def run(self, ready, leaving=lambda: None) -> None:
         before = None
-        while not self.stopping.wait(timeout=0.2):
+        while not self.stopping.wait(timeout=0.2 if before else 0.05):
             now = bool(ready())
             if now != before:
                 change("ready" if now else "unready", name=self.params.name)
--- a/mallowvalve/params.py
+++ b/mallowvalve/params.py
@@ -88,6 +88,7 @@
     ties_at: str = "/ties"
     beats: Literal["told", "rolled"] = "told"
     pace: float = 0.0
+    election: float = 1.0
     beat_ms: float = 1500.0
     budget: BudgetBounds = BudgetBounds()
     cold: ColdBounds = ColdBounds()
@@ -118,6 +119,7 @@
     ties_at: str = "/ties"
     beats: Literal["told", "rolled"] = "told"
     pace: float = 0.0
+    election: float = 1.0
     beat_ms: float = 1500.0
     budget: BudgetBounds = BudgetBounds()
     cold: ColdBounds = ColdBounds()
@@ -163,7 +165,7 @@
     for place, v in (("budget.ratio", raw.budget.ratio), ("budget.slack", raw.budget.slack), ("cold.slack", raw.cold.slack)):
         if v < 0:
             found.append(Finding(place, "must not be negative"))
-    for place, v in (("budget.span", raw.budget.span), ("cold.over", raw.cold.over), ("beat_ms", raw.beat_ms)):
+    for place, v in (("budget.span", raw.budget.span), ("cold.over", raw.cold.over), ("beat_ms", raw.beat_ms), ("election", raw.election)):
         if v <= 0:
             found.append(Finding(place, "must be positive"))
     if len(seeds) > 3:
@@ -189,7 +191,7 @@
     return Ok(Params(
         role=role, name=raw.name, fleet=raw.fleet, seeds=seeds, data=Path(raw.data) if raw.data else None,
         log=raw.log, detector=d, polite=raw.polite, sessions=raw.sessions, body_bytes=raw.body_bytes, faults=raw.faults,
-        zones=raw.zones, serve_on=raw.serve_on, holds=raw.holds, ties_at=raw.ties_at, beats=raw.beats, pace=raw.pace, beat_ms=raw.beat_ms,
+        zones=raw.zones, serve_on=raw.serve_on, holds=raw.holds, ties_at=raw.ties_at, beats=raw.beats, pace=raw.pace, election=raw.election, beat_ms=raw.beat_ms,
         budget=raw.budget, cold=raw.cold, acks=raw.acks, terms=raw.terms, **values,
     ))
 
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -11,6 +11,7 @@
     NOOP, VOTERS, Append, Appended, Ask, Elect, Entry, Group, Hard, Install, Message, Picture, Voice, Voters, encode,
 )
 
+FIRST = 0.3
 FOLLOWER, PRE, CANDIDATE, LEADER = "follower", "pre", "candidate", "leader"
 
 
@@ -42,23 +43,26 @@
 class Raft:
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
-        "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
+        "rng", "nudge", "halted", "mark", "marked", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
         "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
     )
 
-    def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
+    def __init__(
+        self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times(), commit: int = 0,
+    ):
+        """`commit` is how far the log was known to be committed when it was last saved."""
         self.me, self.log, self.rng, self.times = me, log, rng, times
         self.group: Group = log.picture.group
         self.term, self.vote = max(term, log.picture.term), vote
         self.role, self.leader = FOLLOWER, ""
-        self.commit = log.base
+        self.commit = self.marked = max(log.base, min(commit, log.last))
         self.seq = self.confirmed = 0
         self.counts = Counts()
-        self.nudge = self.halted = False
+        self.nudge = self.halted = self.mark = False
         self._voices: set[str] = set()
         self._progress: dict[str, Progress] = {}
         self._sent: deque[tuple[int, float]] = deque()
-        self._hard = Hard(self.group, term, vote)
+        self._hard = (term, vote)
         self._fresh: list[Entry] = []
         self._install: Picture | None = None
         self._early: list[tuple[str, Message]] = []
@@ -66,7 +70,7 @@
         self._saved = log.last
         self._heard = self._beat_at = self._led_since = self._paced_at = -1e9
         self._term_start = 0
-        self._rest(now)
+        self._election_at = now + times.election * (FIRST + (1 - FIRST) * rng.random())
 
     @property
     def leads(self) -> bool:
@@ -148,14 +152,22 @@
     def ready(self, now: float) -> Ready:
         if self.leads and self.nudge and now >= self._paced_at:
             self._broadcast(now)
-        hard = Hard(self.group, self.term, self.vote)
+        hard = self.hard()
+        same = (hard.term, hard.vote) == self._hard
+        if same and not self._fresh and not self.mark and self._install is None:
+            hard = None
+        else:
+            self._hard, self.mark, self.marked = (hard.term, hard.vote), False, hard.commit
         r = Ready(
-            None if hard == self._hard else hard, self._fresh, self._install, self._early, self._late, self.log.last,
+            hard, self._fresh, self._install, self._early, self._late, self.log.last,
         )
-        self._hard = hard
         self._fresh, self._install, self._early, self._late = [], None, [], []
         return r
 
+    def hard(self) -> Hard:
+        """What must be on disk before anything else is said."""
+        return Hard(self.group, self.term, self.vote, self.commit)
+
     def saved(self, r: Ready) -> None:
         if r.entries and r.last <= self.log.last and self.log.term(r.last) == r.entries[-1].term:
             self._saved = max(self._saved, r.last)
--- a/mallowvalve/vote/wire.py
+++ b/mallowvalve/vote/wire.py
@@ -44,9 +44,12 @@
 
 
 class Hard(msgspec.Struct, array_like=True, frozen=True):
+    """`commit` is what was known to be committed of what is saved with it or before; never a promise to others."""
+
     group: Group
     term: int
     vote: str
+    commit: int = 0
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
--- a/sim/law.py
+++ b/sim/law.py
@@ -104,7 +104,7 @@
             return self._reply()
         raft = self.core.raft
         self._send(raft.group, r.early)
-        hard = Hard(raft.group, raft.term, raft.vote)
+        hard = raft.hard()
         self._persist(lambda: store.save(self.tale, r, hard), lambda: self._saved(raft, r))
 
     def _persist(self, act, then) -> None:
@@ -148,7 +148,7 @@
 
         def turn() -> None:
             tail = [e for e in raft.log.entries if e.index > p.index]
-            store.turn(self.tale, p, store.head(Hard(raft.group, raft.term, raft.vote), tail), name)
+            store.turn(self.tale, p, store.head(raft.hard(), tail), name)
 
         self._persist(turn, lambda: self.core.compact(p))
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -77,8 +77,8 @@
     node, (a, b, c) = fleet
     a.role, b.leader, c.role = "silent", c.addr, "leads"
     with EchoTask(node) as t:
-        assert soon(lambda: t.echo.state is not None and t.echo.state.index == 3)
-        assert t.echo.leader == c.addr and t.echo.parts == "settings" and {w.parts for w in c.wants} == {"settings"}
+        assert soon(lambda: t.echo.leader == c.addr and t.echo.state is not None and t.echo.state.index == 3)
+        assert t.echo.parts == "settings" and {w.parts for w in c.wants} == {"settings"}
         while a.state.index < 5:
             a.state.apply(a.state.index + 1, 9, encode(service("s", a.state.index + 1)))
         a.role, c.role = "leads", "silent"
@@ -89,8 +89,8 @@
 def test_with_no_leader_the_newest_settings_of_any_law_serve_and_never_older_ones(fleet):
     node, laws = fleet
     with EchoTask(node) as t:
-        assert soon(lambda: t.echo.state is not None)
-        assert t.echo.state.index == 3 and t.echo.leader is None
+        assert soon(lambda: t.echo.state is not None and t.echo.state.index == 3)
+        assert t.echo.leader is None
         laws[2].role = "silent"
         asked = len(laws[1].wants)
         assert soon(lambda: len(laws[1].wants) > asked + 3)
