--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -44,7 +44,7 @@
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
         "rng", "nudge", "halted", "mark", "marked", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
-        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at", "told",
     )
 
     def __init__(
@@ -56,7 +56,7 @@
         self.term, self.vote = max(term, log.picture.term), vote
         self.role, self.leader = FOLLOWER, ""
         self.commit = self.marked = max(log.base, min(commit, log.last))
-        self.seq = self.confirmed = 0
+        self.seq = self.confirmed = self.told = 0
         self.counts = Counts()
         self.nudge = self.halted = self.mark = False
         self._voices: set[str] = set()
@@ -80,6 +80,11 @@
     def settled(self) -> bool:
         return self.leads and self.commit >= self._term_start
 
+    @property
+    def term_start(self) -> int:
+        """The index of a leader's first entry."""
+        return self._term_start
+
     def wakeup(self) -> float:
         if not self.leads:
             return self._election_at
@@ -295,7 +300,7 @@
             self.log.append(e)
             self._fresh.append(e)
         match = max(prev, es[-1].index if es else 0)
-        self.commit = max(self.commit, min(m.commit, match))
+        self.commit, self.told = max(self.commit, min(m.commit, match)), max(self.told, m.commit)
         self._late.append((src, Appended(self.term, True, match, m.seq)))
 
     def _on_appended(self, src: str, m: Appended, now: float) -> None:
@@ -352,7 +357,7 @@
         n = sorted(ms, reverse=True)[vs.quorum - 1]
         if n <= self.commit or self.log.term(n) != self.term:
             return
-        self.commit = n
+        self.commit = self.told = n
         self.nudge = True
         gone = self.me not in self.log.voters.voters and self.log.voters_index <= n
         if gone:
