--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -145,6 +145,11 @@
             return
         self.raft.receive(e.sender, e.body, now)
 
+    def gone(self, a: Address, now: float) -> None:
+        """A neighbour's last session here ended."""
+        if self.raft is not None and a == self.leader():
+            self.raft.doubt(now)
+
     def propose(self, data: bytes, token: Any, limit: float, now: float) -> None:
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
--- a/mallowvalve/law/foundtask.py
+++ b/mallowvalve/law/foundtask.py
@@ -19,7 +19,7 @@
 from mallowvalve.law.state import State
 from mallowvalve.vote.wire import Group, Hard, Picture, Voters
 
-FOUND_EVERY = 0.5
+FOUND_EVERY, BLANK_EVERY = 0.5, 0.15
 HERE = 1.0
 CALM = 5
 ID = 12
@@ -51,7 +51,11 @@
             v = decide(self.law.who(), answers, first_generation(), self.law.core.unborn)
             self._act(self._judge.hear(v, clock.now()), answers)
             self._say_here()
-            gevent.sleep(FOUND_EVERY if self.law.core.raft is None else HERE)
+            gevent.sleep(HERE if self.law.core.raft is not None else BLANK_EVERY if self._joins(answers) else FOUND_EVERY)
+
+    def _joins(self, answers: list[wire.Who]) -> bool:
+        """Whether somebody leads a group here, who will soon name this one."""
+        return any(w.leader is not None for w in answers)
 
     def heard(self, w: wire.Want) -> None:
         """Who asks for what comes after its state holds one: a blank core must not found without having asked it."""
--- a/mallowvalve/law/pull.py
+++ b/mallowvalve/law/pull.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -9,7 +10,7 @@
 
 from mallowvalve import clock
 from mallowvalve.kind import Address
-from mallowvalve.law.pieces import Gather, Label, Shelf, read_label, read_piece, read_want
+from mallowvalve.law.pieces import Gather, Label, Piece, Shelf, label, read_label, read_piece, read_want
 from mallowvalve.law.state import State, encode
 from mallowvalve.mesh.task import Mesh
 from mallowvalve.vote.wire import Picture
@@ -17,6 +18,8 @@
 BASE, NOW, SETTINGS = b"base", b"now", b"settings"
 LABEL_LIMIT, PIECE_LIMIT = 10.0, 2.0
 QUICK_LABEL, QUICK_PIECE, QUICK_TRIES = 2.0, 0.8, 2
+WHOLE = 512 << 10
+read_whole = msgspec.msgpack.Decoder(tuple[Label | None, list[bytes]]).decode
 Made = tuple[Picture, Iterator[bytes]]
 
 
@@ -41,6 +44,7 @@
         self.mesh, self._now, self._base, self._settings = mesh, now, base, settings
         self._shelf, self._lock = Shelf(), RLock()
         mesh.on("label", lambda s, b: encode(self._label(b)))
+        mesh.on("whole", lambda s, b: encode(self._whole(b)))
         mesh.on("piece", lambda s, b: encode(self._shelf.cut(read_want(b), clock.now())), quick=True)
 
     def pull(
@@ -48,11 +52,17 @@
     ) -> Result[tuple[Picture, State], str]:
         """A settings part is small, and whoever wants it has others to ask: a silent one is soon given up."""
         quick = what == SETTINGS
-        r = self.mesh.call(to, "label", what, QUICK_LABEL if quick else LABEL_LIMIT)
-        l = read_label(r.ok_value) if r.is_ok() else None
+        if quick:
+            r = self.mesh.call(to, "whole", what, QUICK_LABEL)
+            l, had = read_whole(r.ok_value) if r.is_ok() else (None, [])
+        else:
+            r = self.mesh.call(to, "label", what, LABEL_LIMIT)
+            l, had = read_label(r.ok_value) if r.is_ok() else None, []
         if l is None or not wanted(l):
             return Err("has none that is wanted")
         g, failed = Gather(l), 0
+        for n, data in enumerate(had):
+            g.take(Piece(l.group, l.index, n, zlib.crc32(data), data, l.settings))
         while (w := g.want()) is not None:
             why = self._piece(to, g, encode(w), QUICK_PIECE if quick else PIECE_LIMIT)
             if why is None:
@@ -72,10 +82,23 @@
         return g.take(p).err() if p is not None else "no longer handed out"
 
     def _label(self, what: bytes) -> Label | None:
+        p = self._picture(what)
+        return label(p, what == SETTINGS) if p is not None else None
+
+    def _whole(self, what: bytes) -> tuple[Label | None, list[bytes]]:
+        """The label, and the pieces along with it where they are small: one question instead of some."""
+        p = self._picture(what)
+        if p is None:
+            return None, []
+        return label(p, what == SETTINGS), p.state if sum(map(len, p.state)) <= WHOLE else []
+
+    def _picture(self, what: bytes) -> Picture | None:
         with self._lock:
             part = what == SETTINGS
             p = self._base() if what == BASE else self._made(part)
-            return self._shelf.put(p, clock.now(), part) if p is not None else None
+            if p is not None:
+                self._shelf.put(p, clock.now(), part)
+            return p
 
     def _made(self, part: bool) -> Picture | None:
         made = self._settings() if part else self._now()
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -32,7 +32,7 @@
 class LawTask:
     __slots__ = (
         "node", "core", "tale", "_box", "_jobs", "stalled", "_role_said", "_tree",
-        "puller", "_saving", "_pulling", "_stored", "disk", "founder", "_waits", "_over",
+        "puller", "_saving", "_pulling", "_stored", "disk", "founder", "_waits", "_over", "_hint",
     )
 
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
@@ -51,7 +51,9 @@
         self.disk = RLock()
         self._waits: set[AsyncResult] = set()
         self._over = False
+        self._hint: Address | None = None
         self.founder = FoundTask(self)
+        node.mesh.gone = lambda a: self.put(lambda now: self.core.gone(a, now))
         on = node.mesh.on
         on("vote", self._vote, quick=True)
         on("want", lambda s, b: wire.encode(self._want(wire.want(b))))
@@ -96,15 +98,21 @@
 
     def _offer_once(self, command: bytes, limit: float) -> wire.Took:
         """A law whose disk refuses holds no command back: another one is asked."""
-        t = wire.Took("leader", leader=self._other()) if self.stalled else self._offer(wire.Offer(command, limit))
+        held = self.core.raft is None or self.stalled
+        t = wire.Took("leader", leader=self._other()) if held else self._offer(wire.Offer(command, limit))
         if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
             return t
-        r = self.node.mesh.call(t.leader, "offer", wire.encode(wire.Offer(command, limit)), limit)
-        return wire.took(r.ok_value) if r.is_ok() else wire.Took("undecided")
+        to, self._hint = t.leader, None
+        r = self.node.mesh.call(to, "offer", wire.encode(wire.Offer(command, limit)), limit)
+        if r.is_err():
+            return wire.Took("undecided")
+        t = wire.took(r.ok_value)
+        self._hint = t.leader if t.code in AGAIN else to
+        return t
 
     def _other(self) -> Address | None:
         laws = [r.addr for r in self.node.bond.alive("law")]
-        return random.choice(laws) if laws else None
+        return self._hint if self._hint in laws else random.choice(laws) if laws else None
 
     def read(self, limit: float) -> wire.Took:
         if self.stalled:
--- a/mallowvalve/mesh/task.py
+++ b/mallowvalve/mesh/task.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from socket import TCP_USER_TIMEOUT
 
@@ -127,13 +128,15 @@
 
 
 class Mesh:
-    __slots__ = ("me", "fleet", "counts", "faults", "_on", "_lines", "_server", "_pool")
+    __slots__ = ("me", "fleet", "counts", "faults", "gone", "_on", "_lines", "_server", "_pool", "_here")
 
     def __init__(self, me: Address, fleet: str, counts: Counts, faults: Faults = Faults()):
         self.me, self.fleet, self.counts, self.faults = me, fleet, counts, faults
         self._on: dict[str, tuple[Handler, bool]] = {}
         self._lines: dict[Address, Line] = {}
         self._pool = Pool(1024)
+        self._here: Counter[Address] = Counter()
+        self.gone: Callable[[Address], None] = lambda a: None
 
     def on(self, kind: str, handler: Handler, quick: bool = False) -> None:
         self._on[kind] = (handler, quick)
@@ -195,6 +198,17 @@
             self.counts.add("mesh_unanswered")
 
     def _read(self, sock, box: Queue) -> None:
+        heard: set[Address] = set()
+        try:
+            self._hear(sock, box, heard)
+        finally:
+            for a in heard:
+                self._here[a] -= 1
+                if self._here[a] <= 0:
+                    del self._here[a]
+                    self.gone(a)
+
+    def _hear(self, sock, box: Queue, heard: set[Address]) -> None:
         cut, sender = Cutter(self.fleet), None
         while True:
             try:
@@ -210,6 +224,9 @@
             for f in r.ok_value:
                 if isinstance(f, Hello):
                     sender = f.sender
+                    if sender not in heard:
+                        heard.add(sender)
+                        self._here[sender] += 1
                     continue
                 if self.faults.apart(sender, self.me):
                     continue
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -11,7 +11,7 @@
     NOOP, VOTERS, Append, Appended, Ask, Elect, Entry, Group, Hard, Install, Message, Picture, Voice, Voters, encode,
 )
 
-FIRST = 0.3
+FIRST, DOUBT = 0.3, 0.25
 FOLLOWER, PRE, CANDIDATE, LEADER = "follower", "pre", "candidate", "leader"
 
 
@@ -131,6 +131,13 @@
             case Elect() if self.me in self.log.voters.voters:
                 self._campaign(now, pre=False, forced=True)
 
+    def doubt(self, now: float) -> None:
+        """The leader may have ended: unless it speaks again soon, its time-out is not waited for."""
+        if self.role != FOLLOWER or not self.leader:
+            return
+        self._heard = -1e9
+        self._election_at = min(self._election_at, now + self.times.election * (DOUBT + DOUBT * self.rng.random()))
+
     def propose(self, kind: int, data: bytes, at: int) -> int | None:
         if not self.leads or self.halted:
             return None
--- a/tests/test_again.py
+++ b/tests/test_again.py
@@ -7,15 +7,21 @@
 import msgspec
 from gevent.event import Event
 
+from mallowvalve import clock
+from mallowvalve.count import Counts
 from mallowvalve.flow.main import Doors
-from mallowvalve.law import store, wire
+from mallowvalve.kind import Address
+from mallowvalve.law import pull, store, wire
 from mallowvalve.law.core import Core, founding
 from mallowvalve.law.cut import load
 from mallowvalve.law.echotask import EchoTask
+from mallowvalve.law.pull import SETTINGS, Puller
 from mallowvalve.law.state import encode
+from mallowvalve.mesh.task import Mesh
 from mallowvalve.tale.log import Tale
-from mallowvalve.vote.raft import FIRST, Times
-from mallowvalve.vote.wire import Append, Entry, Envelope, Group, Hard, Voters
+from mallowvalve.vote.raft import DOUBT, FIRST, Times
+from mallowvalve.vote.wire import Append, Ask, Entry, Envelope, Group, Hard, Voters
+from mallowvalve.whole.ports import free_ports
 from sim.disk import SimDisk
 from tests.test_core import A, B, EU, G, core
 from tests.test_follow import fleet, soon  # noqa: F401
@@ -149,3 +155,55 @@
         echo.held.set()
         assert soon(lambda: began == [1])
     assert began == [1, 0]
+
+
+def test_settings_come_with_one_question_and_large_ones_by_pieces(fleet, monkeypatch):  # noqa: F811
+    node, (a, b, c) = fleet
+    asked = []
+    c.mesh.on("piece", lambda s, body, act=c.mesh._on["piece"][0]: (asked.append(1), act(s, body))[1])
+    mine = Puller(node.mesh, lambda: None)
+    p, s = mine.pull(c.addr, SETTINGS).unwrap()
+    assert (p.index, s.items.services["s"].version, asked) == (3, 3, [])
+    monkeypatch.setattr(pull, "WHOLE", 10)
+    p, s = mine.pull(c.addr, SETTINGS).unwrap()
+    assert (p.index, s.items.services["s"].version) == (3, 3) and asked
+    assert mine.pull(c.addr, SETTINGS, lambda l: False).is_err()
+
+
+def test_a_follower_whose_leader_hung_up_waits_less_unless_it_speaks_again():
+    c = core(AB)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 1)), 1.0)
+    c.gone(A, 1.05)
+    assert c.raft.wakeup() >= 2.0 and c.raft.in_touch(1.1, 1.0)
+    c.gone(B, 1.1)
+    assert 1.1 + DOUBT <= c.raft.wakeup() <= 1.1 + 2 * DOUBT and not c.raft.in_touch(1.1, 1.0)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 2)), 1.2)
+    assert c.raft.wakeup() >= 2.2 and c.raft.leader == "b"
+
+
+def test_doubt_of_one_follower_moves_nobody_while_the_others_hear_the_leader():
+    three = Voters({"a": A, "b": B, "c": Address("10.0.0.3", 1)})
+    c = core(three)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 1)), 1.0)
+    c.ready(1.0)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, True, 5, 1)), 1.1)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, False, 5, 1)), 1.1)
+    r = c.ready(1.1)
+    assert [m.granted for _, m in r.late] == [False] and c.raft.term == 1
+    c.gone(B, 1.2)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, True, 5, 1)), 1.3)
+    assert [m.granted for _, m in c.ready(1.3).late] == [True]
+
+
+def test_a_neighbour_is_gone_with_its_last_session():
+    x, y = (Address("127.0.0.1", p) for p in free_ports(2))
+    gone = []
+    with Mesh(x, "f", Counts()) as here:
+        here.gone = gone.append
+        here.on("hi", lambda s, b: b)
+        with Mesh(y, "f", Counts()) as there, Mesh(Address("127.0.0.1", free_ports(1)[0]), "f", Counts()) as other:
+            other.me = y
+            assert there.call(x, "hi", b"1", 5).is_ok() and other.call(x, "hi", b"1", 5).is_ok()
+            other._line(x, clock.now()).close()
+            assert there.call(x, "hi", b"2", 5).is_ok() and gone == []
+        assert soon(lambda: gone == [y])
