A leader tells decisions in rounds that go anyway; first puts reach their watchers

Cause: each commit started a round of its own, and each read waited for it at a follower. A watch with after 0 on an empty group was answered at once and asked again at once (a quorum read each, 12/s a watcher), and the group's first put was seen by nobody (8 of 332 puts). A watch at a law that had just heard of a commit it had not yet applied asked a quorum. Now: a commit is told within 3 paces or by the next round; learners hear only that and the beat; a read asks for what was decided when it came; an empty group's watch waits for its first put; puts known here are told without a quorum. Ruled out: slow laws (calls take 75 to 190 ms inside, never more); what is late lost a packet on the caller's own way.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -25,6 +25,7 @@
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
 CURRENT = 0.5
+TOLD_PACES = 3
 
 
 class Pending(msgspec.Struct):
@@ -46,6 +47,7 @@
 class Read(msgspec.Struct):
     token: Any
     need: int
+    index: int
     limit: float
 
 
@@ -77,7 +79,7 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._base_index = 0
-        self._acks, self._times = acks, Times(pace=pace)
+        self._acks, self._times = acks, Times(pace=pace, told=TOLD_PACES * pace)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
 
@@ -154,11 +156,11 @@
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
             return
-        self._reads.append(Read(token, self.raft.ask_quorum(), limit))
+        self._reads.append(Read(token, self.raft.ask_quorum(), self.raft.commit, limit))
 
     def current(self, now: float) -> bool:
         """Whether the state here lags what was acknowledged by no more than moments."""
-        return self.raft is not None and self.state.index >= self.raft.commit and self.raft.in_touch(now, CURRENT)
+        return self.raft is not None and self.raft.in_touch(now, CURRENT)
 
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
@@ -285,8 +287,8 @@
     def _answer_reads(self, now: float) -> None:
         keep = []
         for r in self._reads:
-            if r.need <= self.raft.confirmed:
-                self.replies.append((r.token, Took("ok", self.state.revision)))
+            if r.need <= self.raft.confirmed and r.index <= self.state.index:
+                self.replies.append((r.token, Took("ok", self.state.revision_at(r.index))))
             elif now >= r.limit:
                 self.replies.append((r.token, Took("undecided")))
             else:
--- a/mallowvalve/law/plainhttp.py
+++ b/mallowvalve/law/plainhttp.py
@@ -203,21 +203,27 @@
             found = [Finding("name", "want a group: up to and including the first dot")]
         if found:
             return web.bounce(resp, 400, web.NOT_RUN, found)
-        s: State | None = self.task.core.state
-        plain = s.plain if s is not None and after and self.task.core.current(clock.now()) else self.confirm(resp)
+        plain = self._plain(resp, name, after)
         if plain is None:
             return
-        if after == 0:
+        if after == 0 and plain.revision(name):
             return web.say(resp, {"events": [], "revision": plain.revision(name)})
         self._watch(resp, plain, name, after, end)
 
+    def _plain(self, resp, group: str, after: int) -> Plain | None:
+        """What is known here tells of puts already; only whether there are none may want asking elsewhere."""
+        s: State | None = self.task.core.state
+        if s is not None and after and (s.plain.revision(group) > after or self.task.core.current(clock.now())):
+            return s.plain
+        return self.confirm(resp)
+
     def _watch(self, resp, plain: Plain, group: str, after: int, end: float) -> None:
         while True:
             got = plain.since(group, after)
             if got is None:
                 return web.say(resp, {"code": "compacted"}, 410)
             if got[0] or clock.now() >= end or self.task.node.stopping.is_set():
-                return web.say(resp, {"events": list(map(event, got[0])), "revision": got[1]})
+                return web.say(resp, {"events": list(map(event, got[0])), "revision": max(got[1], after)})
             self.bell.wait(group, after, end - clock.now())
             s: State | None = self.task.core.state
             if s is None:
--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -108,7 +108,10 @@
 
     @property
     def revision(self) -> int:
-        return int(Revision.make(self.generation, self.index))
+        return self.revision_at(self.index)
+
+    def revision_at(self, index: int) -> int:
+        return int(Revision.make(self.generation, index))
 
     @property
     def turned(self) -> int:
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -11,14 +11,19 @@
     NOOP, VOTERS, Append, Appended, Ask, Elect, Entry, Group, Hard, Install, Message, Picture, Voice, Voters, encode,
 )
 
+NEVER = float("inf")
 FOLLOWER, PRE, CANDIDATE, LEADER = "follower", "pre", "candidate", "leader"
 
 
 class Times(msgspec.Struct, frozen=True):
-    """Seconds. `pace` is the least between two rounds of a leader: what comes meanwhile goes along in the next."""
+    """Seconds. `pace` is the least between two rounds of a leader: what comes meanwhile goes along in the next.
+
+    `told` is how long the word that something is decided may wait for a round that goes anyway.
+    """
 
     beat: float = 0.1
     pace: float = 0.0
+    told: float = 0.0
     election: float = 1.0
     picture_again: float = 2.0
 
@@ -43,7 +48,7 @@
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
         "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
-        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at", "_all_at", "_now",
     )
 
     def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
@@ -66,6 +71,7 @@
         self._saved = log.last
         self._heard = self._beat_at = self._led_since = self._paced_at = -1e9
         self._term_start = 0
+        self._all_at, self._now = -1e9, now
         self._rest(now)
 
     @property
@@ -79,7 +85,7 @@
     def wakeup(self) -> float:
         if not self.leads:
             return self._election_at
-        return min(self._beat_at, self._paced_at) if self.nudge else self._beat_at
+        return min(self._beat_at, self._all_at, self._paced_at if self.nudge else NEVER)
 
     def in_touch(self, now: float, span: float) -> bool:
         """Whether a leader spoke to this voter, or a quorum answered this leader, within the span (s)."""
@@ -91,12 +97,14 @@
         return self._progress
 
     def tick(self, now: float) -> None:
+        self._now = now
         if self.leads:
             self._tick_leader(now)
         elif now >= self._election_at:
             self._campaign(now, pre=True)
 
     def receive(self, src: str, m: Message, now: float) -> None:
+        self._now = now
         quiet = isinstance(m, Ask) and m.pre or isinstance(m, Voice) and m.pre and m.granted
         if isinstance(m, Ask) and not m.pre and not m.forced and m.term > self.term and self._loyal(now):
             return
@@ -146,7 +154,8 @@
             self._late.append((max(ahead)[1], Elect(self.term)))
 
     def ready(self, now: float) -> Ready:
-        if self.leads and self.nudge and now >= self._paced_at:
+        self._now = now
+        if self.leads and (self.nudge and now >= self._paced_at or now >= min(self._beat_at, self._all_at)):
             self._broadcast(now)
         hard = Hard(self.group, self.term, self.vote)
         r = Ready(
@@ -228,8 +237,6 @@
         self.counts.add("vote_led")
 
     def _tick_leader(self, now: float) -> None:
-        if now >= self._beat_at:
-            self.nudge = True
         if now - self._sure_at() > 2 * self.times.election:
             self._follow(self.term, "", now)
 
@@ -237,10 +244,17 @@
         return next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._led_since)
 
     def _broadcast(self, now: float) -> None:
+        """Learners wait for the word of what is decided, or for the beat; it may be for them alone."""
+        vs, all = self.log.voters, now >= self._all_at
         self.seq += 1
-        self.nudge, self._beat_at, self._paced_at = False, now + self.times.beat, now + self.times.pace
         self._sent.append((self.seq, now))
-        for i in self.log.voters.everyone():
+        to = [*vs.learners] if all else []
+        if self.nudge or now >= self._beat_at:
+            to += vs.voters
+            self.nudge, self._beat_at, self._paced_at = False, now + self.times.beat, now + self.times.pace
+        if all:
+            self._all_at = now + self.times.beat
+        for i in to:
             if i != self.me:
                 self._send_append(i, now)
         self._confirm()
@@ -341,7 +355,8 @@
         if n <= self.commit or self.log.term(n) != self.term:
             return
         self.commit = n
-        self.nudge = True
+        due = self._now + self.times.told
+        self._beat_at, self._all_at = min(self._beat_at, due), min(self._all_at, due)
         gone = self.me not in self.log.voters.voters and self.log.voters_index <= n
         if gone:
             self.role, self.leader = FOLLOWER, ""
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -4,7 +4,7 @@
 
 from mallowvalve.kind import Address
 from mallowvalve.vote.log import Log
-from mallowvalve.vote.raft import LEADER, Raft
+from mallowvalve.vote.raft import LEADER, Raft, Times
 from mallowvalve.vote.wire import COMMAND, Append, Appended, Ask, Entry, Group, Picture, Voice, Voters
 from sim.world import Node, World
 
@@ -149,3 +149,30 @@
     assert lead.raft.change_voters(VOTERS, 0) is None
     w.run(w.now + 1.0)
     assert lead.raft.change_voters(VOTERS, 0) is not None
+
+
+def test_what_is_decided_waits_for_a_round_that_goes_anyway_but_not_long():
+    v = Voters({"n0": ADDRS["n0"], "n1": ADDRS["n1"]}, {"n2": ADDRS["n2"]})
+    r = Raft("n0", Log(Picture(G, 0, 0, v, b""), []), 0, "", random.Random(1), 0.0, Times(pace=0.01, told=0.03))
+
+    def turn(now):
+        out = r.ready(now)
+        r.saved(out)
+        return [(to, m.commit) for to, m in out.early]
+
+    r.tick(9.0)
+    for pre in (True, False):
+        r.receive("n1", Voice(1, pre, True), 9.0)
+    assert turn(9.0) == [("n2", 0), ("n1", 0)]
+    r.propose(COMMAND, b"x", 0)
+    assert turn(9.02) == [("n1", 0)]
+    r.receive("n1", Appended(1, True, 2, 2), 9.03)
+    assert turn(9.03) == [] and r.commit == 2 and r.wakeup() == pytest.approx(9.06)
+    r.ask_quorum()
+    assert turn(9.05) == [("n1", 2)]
+    assert turn(9.06) == [("n2", 2)]
+    for i in range(7, 16):
+        r.ask_quorum()
+        assert turn(9.0 + i / 100) == [("n1", 2)]
+    r.ask_quorum()
+    assert turn(9.17) == [("n2", 2), ("n1", 2)]
