--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -24,8 +24,9 @@
 TOLD = tags((Change, Evacuate, Enrol, Strike))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
-CURRENT = 0.5
+CURRENT, LAG = 0.5, 16
 MARK = 0.03
+TOLD_PACES = 3
 
 
 class Pending(msgspec.Struct):
@@ -47,6 +48,7 @@
 class Read(msgspec.Struct):
     token: Any
     need: int
+    index: int
     limit: float
 
 
@@ -79,7 +81,7 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._base_index = 0
-        self._acks, self._times = acks, Times(pace=pace, election=election)
+        self._acks, self._times = acks, Times(pace=pace, told=TOLD_PACES * pace, election=election)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
         self._mark_at: float | None = None
@@ -166,12 +168,14 @@
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
             return
-        self._reads.append(Read(token, self.raft.ask_quorum(), limit))
+        self._reads.append(Read(token, self.raft.ask_quorum(), self.raft.commit, limit))
 
     def current(self, now: float) -> bool:
         """Whether the state here lags what was acknowledged by no more than moments."""
         r = self.raft
-        return r is not None and r.in_touch(now, CURRENT) and self.state.index >= r.told and r.log.term(self.state.index) == r.term
+        if r is None or not r.in_touch(now, CURRENT) or r.log.term(self.state.index) != r.term:
+            return False
+        return self.state.index + LAG >= r.told
 
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
@@ -307,8 +311,8 @@
     def _answer_reads(self, now: float) -> None:
         keep = []
         for r in self._reads:
-            if r.need <= self.raft.confirmed:
-                self.replies.append((r.token, Took("ok", self.state.revision)))
+            if r.need <= self.raft.confirmed and r.index <= self.state.index:
+                self.replies.append((r.token, Took("ok", self.state.revision_at(r.index))))
             elif now >= r.limit:
                 self.replies.append((r.token, Took("undecided")))
             else:
