Silent upstreams are noticed sooner and tried again by one request; early requests wait

Now a session that does not open within 0.15 s keeps others away, a failed upstream is tried by one request at a time, over a new session (0.2 s), and silence counts from 2.5 x its mean latency.

--- a/mallowvalve/flow/host.py
+++ b/mallowvalve/flow/host.py
@@ -21,7 +21,8 @@
 FULL = 0.2
 QUEUED = 2
 BREAK, BREAK_MOST = 0.5, 4.0
-MUTE = 0.5
+MUTE, OWES = 0.25, 2.5
+OPENING = 0.15
 COLD_SHARE = 0.9
 WRONG = 5.0
 BUDGET_SHARE, FLOOR_SHARE = 0.7, 0.5
@@ -32,7 +33,7 @@
 
     __slots__ = (
         "up", "busy", "base", "base_at", "since", "full_until", "broken_until", "pause", "wrong_until", "mute", "latency",
-        "cold_until", "cold_end", "cold_next", "cold_k", "cold_at",
+        "opening", "cold_until", "cold_end", "cold_next", "cold_k", "cold_at",
     )
 
     def __init__(self, up: Upstream):
@@ -42,6 +43,7 @@
         self.pause = BREAK
         self.mute: float | None = None
         self.latency = 0.1
+        self.opening: list[float] = []
         self.cold_until, self.cold_end, self.cold_next = 0, -1e9, -1e9
         self.cold_k, self.cold_at = 0, (-1, -1)
 
@@ -59,9 +61,16 @@
         return self.load(now, share) >= 2 * self.up.slots if now - self.base_at < FRESH else False
 
     def sound(self, now: float) -> bool:
-        if now < self.broken_until:
+        """One that failed is tried by one request at a time, and one that is slow to connect is left to those at it."""
+        if now < self.broken_until or self.doubted and self.busy:
             return False
-        return self.mute is None or now - self.mute <= max(MUTE, 4 * self.latency)
+        if self.opening and now - self.opening[0] > OPENING:
+            return False
+        return self.mute is None or now - self.mute <= max(MUTE, OWES * self.latency)
+
+    @property
+    def doubted(self) -> bool:
+        return self.pause > BREAK
 
     def cold(self, now: float) -> bool:
         return now < self.cold_end
@@ -106,6 +115,10 @@
             s.close()
         return None
 
+    def drop(self, instance: str) -> None:
+        for s in self._idle.pop(instance, ()):
+            s.close()
+
     def give(self, s, now: float) -> None:
         s.since = now
         self._idle.setdefault(s.beat.instance, []).append(s)
@@ -199,9 +212,13 @@
             self._chill(s, now + int(cold[:6]) / 1000, now)
 
     def late(self, s: Spot, sent_at: float, now: float) -> None:
-        """No answer within the limit: its fault when it has answered nothing at all since."""
+        """No answer within the limit: its fault when it has answered nothing at all since.
+
+        Whether it is there at all shows when a session is opened, at no risk to a request.
+        """
         if self.is_mute(s, sent_at):
             self.failed(s, now)
+            self.links.drop(s.up.instance)
 
     def is_mute(self, s: Spot, since: float) -> bool:
         return s.mute is not None and s.mute <= since
--- a/mallowvalve/flow/tries.py
+++ b/mallowvalve/flow/tries.py
@@ -20,13 +20,14 @@
 ))
 PROMISE = frozenset((408, 421, 429, 503))
 NOT_RUN, UNKNOWN = "not-run", "unknown"
-OPEN = 0.5
+OPEN, TRIAL = 0.4, 0.2
 HELD = 0.2
 LOOK = 0.03
 WAITING = 32
 OPENS = 3
 PART, SOON, SLOW = 0.6, 0.3, 3.5
 LEAST = 0.02
+EARLY, PATIENT = 2.0, 0.45
 STAY = 0.75
 
 
@@ -72,7 +73,11 @@
 
     def carry(self, a: Ask) -> Generator[Step, object, Reply]:
         self.counts.add("requests")
-        r = self._begin(a, self.now())
+        at = self.now()
+        r = self._begin(a, at)
+        if r.is_err() and not self._told():
+            yield from self._until_told(a, at)
+            r = self._begin(a, at)
         if r.is_err():
             return r.err_value
         t: Trip = r.ok_value
@@ -90,6 +95,17 @@
             if isinstance(got, Reply):
                 return got
 
+    def _told(self) -> bool:
+        return self.echo.state is not None and self.echo.state.items.revision > 0
+
+    def _until_told(self, a: Ask, at: float) -> Generator[Step, object, None]:
+        """A proxy that has just started has its settings in a moment; who came too early waits for less than half of its time."""
+        text = a.headers.get(self._limit, "")
+        left = int(text) / 1000 if text.isascii() and text.isdigit() and len(text) <= 12 else EARLY
+        end = at + PATIENT * min(left, EARLY)
+        while not self._told() and (now := self.now()) < end:
+            yield Room("", min(end, now + LOOK))
+
     def _begin(self, a: Ask, now: float) -> Result[Trip, Reply]:
         state = self.echo.state
         if state is None or not state.items.revision or not (self.params.serve_on or self.echo.admits(now)):
@@ -140,6 +156,7 @@
 
     def _place(self, t: Trip) -> Generator[Step, object, Place | Reply]:
         held = t.at + HELD * min(t.route.aim_ms or t.route.limit_ms, t.route.limit_ms) / 1000
+        held = max(held, self.now() + LOOK)
         while True:
             now = self.now()
             no = self._judge(t, now)
@@ -147,18 +164,21 @@
                 return no
             spot, any_ = self._pick(t, now)
             if spot is None:
-                if not any_ or t.sent or now >= held or not (yield from self._queue(t, min(held, now + LOOK))):
+                if t.sent or now >= held or not (yield from self._queue(t, min(held, now + LOOK))):
                     return self._end(t, "the upstreams are busy" if any_ else "no upstream may take it just now")
                 continue
             place = Place(self.hosts, spot)
             place.session = self.hosts.links.take(spot.up, now)
             if place.session is not None:
                 return place
+            spot.opening.append(now)
             try:
-                r = yield Open(spot.up, "", min(t.end, now + OPEN))
+                r = yield Open(spot.up, "", min(t.end, now + (TRIAL if spot.doubted else OPEN)))
             except BaseException:
                 place.back(keep=False)
                 raise
+            finally:
+                spot.opening.remove(now)
             now = self.now()
             if r.is_err():
                 self.counts.add("upstream_open_failed")
--- /dev/null
+++ b/tests/test_tries_dark.py
@@ -0,0 +1,115 @@
+"""Upstreams and proxies that went dark, or have only just come back."""
+
+from result import Err
+
+from mallowvalve.flow.steps import Exchange, Open, Room
+from tests.tryout import FAR, Played, answer, ask
+
+READ, TRY = ask("/r/1"), ask("/o/1", "POST", length=0)
+
+
+def start(p, a):
+    gen = p.b.tries.carry(a)
+    return gen, gen.send(None)
+
+
+def until(p, gen, s, kind):
+    while not isinstance(s, kind):
+        s = gen.send(p.reply(s))
+    p.steps.append(s)
+    return s
+
+
+def play(p, a):
+    gen, s = start(p, a)
+    s = until(p, gen, s, Exchange)
+    try:
+        while True:
+            s = gen.send(p.reply(s))
+    except StopIteration:
+        return
+
+
+def test_a_session_that_does_not_open_keeps_others_away():
+    p = Played()
+    gen, s = start(p, READ)
+    s = until(p, gen, s, Open)
+    slow = s.beat.instance
+    p.t += 0.2
+    for _ in range(10):
+        play(p, READ)
+    assert len(p.to()) == 10 and slow not in p.to()
+    gen.close()
+    for _ in range(10):
+        p.run(READ)
+    assert slow in p.to()
+
+
+def test_one_request_at_a_time_asks_after_an_upstream_that_failed():
+    p = Played([Err("broken: reset")])
+    p.run(TRY)
+    bad = p.to()[0]
+    p.t += 1.0
+    p.b.hosts.sync(p.t)
+    gens = []
+    for _ in range(8):
+        gen, s = start(p, READ)
+        s = until(p, gen, s, Exchange)
+        gens.append((gen, s.session.beat.instance))
+    assert sum(name == bad for _, name in gens) <= 1
+    for gen, _ in gens:
+        gen.close()
+    p.t += 1.0
+    p.b.hosts.heard(p.b.hosts.spots[bad], answer(), 0.1, p.t)
+    assert not p.b.hosts.spots[bad].doubted
+
+
+def test_after_a_silence_a_new_session_must_open_first():
+    p = Played(upstreams=1)
+    p.run(READ)
+    p.say = [Err("limit")]
+    p.acts["exchange"] = lambda p: setattr(p, "t", p.t + 1.0)
+    p.run(TRY)
+    assert p.b.hosts.links.take(p.b.hosts.spots["u0"].up, p.t) is None
+    p.t, p.opens, n = p.t + 1.0, [Err("unreachable")] * 9, p.count(Exchange)
+    assert p.run(TRY).status == 503 and p.count(Exchange) == n
+
+
+def test_a_silence_is_noticed_soon_where_answers_are_quick():
+    p = Played()
+    gen, s = start(p, TRY)
+    dark = until(p, gen, s, Exchange).session.beat.instance
+    p.t += 0.3
+    for _ in range(10):
+        play(p, READ)
+    assert len(p.to()) == 11 and dark not in p.to()[1:]
+    gen.close()
+
+
+def test_who_comes_before_the_settings_waits_for_them():
+    p = Played()
+    p.b.state.items.revision = 0
+    gen, s = start(p, READ)
+    assert isinstance(s, Room)
+    p.t = s.end
+    p.b.state.items.revision = 1
+    assert isinstance(until(p, gen, gen.send(False), Exchange), Exchange)
+    gen.close()
+
+
+def test_it_waits_for_less_than_half_of_its_time():
+    p = Played()
+    p.b.echo.state = None
+    r = p.run(ask("/r/1", mallow_limit="1000"))
+    assert (r.status, r.outcome) == (503, "not-run") and 0.4 < p.t < 0.5
+
+
+def test_without_an_upstream_a_request_waits_a_little_for_one():
+    p = Played(upstreams=0)
+    gen, s = start(p, READ)
+    assert isinstance(s, Room)
+    p.b.upstream("far", at=FAR)
+    assert until(p, gen, gen.send(False), Exchange).session.beat.instance == "far"
+    gen.close()
+    p = Played(upstreams=0)
+    assert p.run(READ).status == 503 and p.t <= 0.1
