--- a/mallowvalve/way/answer.py
+++ b/mallowvalve/way/answer.py
@@ -1,13 +1,12 @@
 from __future__ import annotations
 
-from math import ceil
 from zlib import crc32
 
 from mallowvalve.bond.wire import ALIVE, Record
 from mallowvalve.kind import Address, Locality
 
 MOST, ENOUGH = 64, 2
-MORE = 1.5
+MORE = 1.6
 
 
 def proxies(records: list[Record], near: Locality, most: int = MOST) -> list[Address]:
@@ -25,20 +24,16 @@
 
 
 def _spread(rows: list[Record], near: Locality) -> list[Record]:
-    """Leaves out some of a zone that is more than half of all, a different lot for each asking zone.
+    """Names the others twice where one zone has more than half: consumers choose by chance, by this as often there.
 
-    When that zone is lost, a consumer's second choice is then likelier to be alive. None gets over `MORE` times its
-    even share by it.
+    When that zone is lost, a consumer's next choice is then likelier to be alive. None gets over `MORE` times its even
+    share by it.
     """
     by: dict[str, list[Record]] = {}
-    for r in sorted(rows, key=lambda r: str(r.web)):
+    for r in rows:
         by.setdefault(r.locality.zone, []).append(r)
-    zone = max(by, key=lambda z: (len(by[z]), z))
-    big = by[zone]
-    others = len(rows) - len(big)
-    keep = max(others, ceil(len(rows) / MORE - others))
-    if not others or keep >= len(big):
+    big = max(map(len, by.values()))
+    others = len(rows) - big
+    if not others or big <= others or 2 * len(rows) > MORE * (len(rows) + others):
         return rows
-    at = sorted({*by, near.zone}).index(near.zone) * keep
-    lot = {big[(at + i) % len(big)].web for i in range(keep)}
-    return [r for r in rows if r.locality.zone != zone or r.web in lot]
+    return rows + [r for z in by.values() if len(z) < big for r in z]
