All proxies that come at once get their seats at once

Cause: 82 proxies were enrolled one command at a time, each in force before the next (0.25 s each, 20 s), and each fed to 82 echoes. Where settings are not acknowledged by force nothing rests on overlapping majorities of the roster: one command carries all that is due. With force it stays one at a time.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -13,7 +13,7 @@
 from mallowvalve.law.cut import cut, cut_settings, dump, load
 from mallowvalve.law.force import Echoes
 from mallowvalve.law.state import (
-    SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, State, Strike, Tick, command, encode, tag_of, tags,
+    SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, Seats, State, Strike, Tick, command, encode, tag_of, tags,
 )
 from mallowvalve.law.wire import Fed, Took, Want, Who
 from mallowvalve.params import Acks
@@ -21,7 +21,7 @@
 from mallowvalve.vote.raft import Raft, Ready, Times
 from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
 
-TOLD = tags((Change, Evacuate, Enrol, Strike))
+TOLD = tags((Change, Evacuate, Enrol, Strike, Seats))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
 CURRENT = 0.5
@@ -53,7 +53,7 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_seating",
     )
 
     def __init__(
@@ -76,6 +76,7 @@
         self._clock_base, self._clock_at = 0, 0.0
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
+        self._seating = 0
         self._base_index = 0
         self._acks, self._times = acks, Times(pace=pace)
         self._news: deque[Entry] = deque()
@@ -233,7 +234,8 @@
             if self.state.turned == e.index:
                 self._news.append(e)
                 if tag_of(e.data) in TOLD:
-                    self.decided.append((command(e.data), out))
+                    c = command(e.data)
+                    self.decided += [(x, out) for x in (c.steps if isinstance(c, Seats) else [c])]
             p = self._pending.pop(e.index, None)
             if p is None:
                 continue
@@ -250,7 +252,7 @@
             self._led = False
             return
         if self.raft.settled and not self._led:
-            self._led, self._clock_at = True, now
+            self._led, self._clock_at, self._seating = True, now, 0
             self._clock_base = max(self.state.clock, self._clock_since(now))
             self.echoes.begin(now)
         if not self._led:
@@ -341,9 +343,12 @@
         v = grow.next_voters(self.raft, self.seen, now)
         if v is not None and self.raft.change_voters(v, self._clock(now)) is not None:
             self.counts.add("vote_changes")
-        step = self.echoes.roster_step(self.state.params, now)
+        if self._seating > self.raft.commit:
+            return
+        due = self.echoes.roster_step if self._acks.settings == "force" else self.echoes.roster_steps
+        step = due(self.state.params, now)
         if step is not None:
-            self.raft.propose(COMMAND, encode(step), self._clock(now))
+            self._seating = self.raft.propose(COMMAND, encode(step), self._clock(now)) or 0
 
     def _fail_all(self) -> None:
         for p in [*self._pending.values(), *(p for _, p in self._waiting)]:
--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+from collections.abc import Iterator
+from itertools import islice
+
 import msgspec
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.echo import WINDOW
-from mallowvalve.law.state import Enrol, Params, Strike
+from mallowvalve.law.state import Enrol, Params, Seats, Strike
 from mallowvalve.law.wire import Want
 from mallowvalve.vote.wire import Group
 
@@ -14,6 +17,7 @@
 PROMPT = 0.3
 GONE = 15.0
 FORGOTTEN = 60.0
+STEPS = 256
 
 
 class Heard(msgspec.Struct):
@@ -110,22 +114,30 @@
         return calm and len(self._holders(revision)) == len(s.roster)
 
     def roster_step(self, s: Params, now: float) -> Enrol | Strike | None:
+        """One seat at a time, each in force before the next: majorities of one roster and the next overlap."""
         if not self.in_force(s.revision, now):
             return None
+        return next(self._steps(s, now), None)
+
+    def roster_steps(self, s: Params, now: float) -> Seats | None:
+        """All that is due at once, for fleets where nothing rests on majorities of the roster."""
+        steps = list(islice(self._steps(s, now), STEPS))
+        return Seats(steps) if steps else None
+
+    def _steps(self, s: Params, now: float) -> Iterator[Enrol | Strike]:
         for a, h in sorted(self.heard_of.items()):
             if h.want.role != "flow" or now - h.at > REACHED:
                 continue
             seat = s.roster.get(h.name)
             if seat is None or seat.boot != h.want.boot:
-                return Enrol(a, h.want.boot, h.want.locality)
+                yield Enrol(a, h.want.boot, h.want.locality)
         if now < self._calm + GONE:
-            return None
+            return
         for text in sorted(s.roster):
             a = Address.read(text).ok_value
             h = self.heard_of.get(a)
             if h is None or now - h.at > GONE:
-                return Strike(a, s.roster[text].boot)
-        return None
+                yield Strike(a, s.roster[text].boot)
 
     def _holders(self, revision: int) -> list[Address]:
         out = []
--- a/mallowvalve/law/state.py
+++ b/mallowvalve/law/state.py
@@ -38,6 +38,12 @@
     ask: str = ""
 
 
+class Seats(msgspec.Struct, frozen=True, array_like=True, tag="seats"):
+    """Several changes of the roster as one."""
+
+    steps: list[Enrol | Strike]
+
+
 class Tick(msgspec.Struct, frozen=True, array_like=True, tag="tick"):
     pass
 
@@ -45,8 +51,8 @@
 Ledgered = Claim | Done | Release | Forfeit | Lose
 Tied = Lock | Renew | Unlock | Next | Put
 Plainly = Take | Extend | Free | Count | Write
-Command = Change | Evacuate | Enrol | Strike | Tick | Ledgered | Tied | Plainly | Amend | Rolled
-SETTINGS = (Change, Evacuate, Enrol, Strike, Amend, Rolled)
+Command = Change | Evacuate | Enrol | Strike | Seats | Tick | Ledgered | Tied | Plainly | Amend | Rolled
+SETTINGS = (Change, Evacuate, Enrol, Strike, Seats, Amend, Rolled)
 TIES = (Lock, Renew, Unlock, Next, Put, Take, Extend, Free, Count, Write)
 encode = msgspec.msgpack.Encoder().encode
 command = msgspec.msgpack.Decoder(Command).decode
@@ -153,6 +159,10 @@
                 return self._enrol(c)
             case Strike():
                 return self._strike(c)
+            case Seats():
+                for step in c.steps:
+                    self._do(step)
+                return Outcome("ok", self.params.revision)
             case Amend():
                 return self._amend(c)
             case Rolled():
