--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -168,6 +168,7 @@
     follow(late, c, 8.2)
     propose(c, 8.2, Tick(), Tick())
     step(c, 8.2)
+    follow(late, c, 8.25), follow(late, c, 8.25)
     p = c.picture()
     c.compact(msgspec.structs.replace(p[0], state=list(p[1])))
     assert not c._news
