--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,12 +3,13 @@
 import pytest
 
 from mallowvalve.bond.wire import encode as bond_encode
+from sim.joiners import play
 from sim.target import Led, bond, sizes
 
 MOST = {
     "roll row": 100, "route item": 320, "membership record": 110, "ping": 80, "ack": 80, "tell of one": 150,
     "tell of twelve": 1300, "beat noted, framed": 140, "beat digest entry": 40, "want, framed": 140,
-    "fed idle, framed": 720, "fed more: one upstream": 125, "fed more: one route": 365, "fed more: a seat": 80,
+    "fed idle, framed": 95, "fed more: the core machines": 650, "fed more: one upstream": 125, "fed more: one route": 365, "fed more: a seat": 80,
     "fed more: a strike": 60, "fed more: an evacuation": 70, "round, framed": 50, "told, framed": 100,
     "tree: a route": 140, "tree: a tenant": 50,
 }
@@ -37,7 +38,7 @@
     assert led.parked() == 20
     led.now += 0.2
     led.answer(led.step())
-    assert led.parked() == 0 and led.sent <= 20 * 300
+    assert led.parked() == 0 and led.sent <= 20 * 95
 
 
 def test_a_change_goes_to_each_echo_once():
@@ -56,3 +57,12 @@
     b.tick(0.0)
     out = b.ready(False)
     assert len(out) == 49 and max(len(bond_encode(m)) for _, m in out) <= MOST["tell of one"]
+
+
+def test_a_few_joiners_at_once_all_get_the_settings_of_a_machine_whose_log_goes_on():
+    assert play(3, 0.02, 0.02, 20, 10.0)[0] == 3
+
+
+def test_many_joiners_at_once_all_get_the_settings_of_a_machine_whose_log_goes_on():
+    done, made, _ = play(40, 0.02, 0.02, 20, 5.0)
+    assert done == 40 and made < 10
