News in bursts reaches many echoes in parts; a leader looks through them only when one is due

Cause: each change of the roll was answered to each of 88 echoes by itself, and each turn of the leader walked all parked wants and rebuilt the table of echoes. An echo that was fed news 0.4 ms x echoes ago or less (most 50 ms) gets the next with what came meanwhile; a change after a pause goes out at once, one far behind is fed on without a pause.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -25,6 +25,7 @@
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
 CURRENT = 0.5
+FEED, GATHER_MOST = 0.0004, 0.05
 
 
 class Pending(msgspec.Struct):
@@ -54,6 +55,7 @@
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
         "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_seating",
+        "_looked", "_look_at",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
         self._seating = 0
+        self._looked, self._look_at = (0, 0), -1e9
         self._base_index = 0
         self._acks, self._times = acks, Times(pace=pace)
         self._news: deque[Entry] = deque()
@@ -126,7 +129,9 @@
             self.seen = {i: s for i, s in self.seen.items() if now - s.at < 2 * grow.FORGOTTEN}
 
     def wakeup(self, now: float) -> float:
-        return min(now + 0.1, self.raft.wakeup()) if self.raft else now + 0.1
+        if self.raft is None:
+            return now + 0.1
+        return min(now + 0.1, self.raft.wakeup(), self._look_at if self._parked else now + 0.1)
 
     def tick(self, now: float) -> None:
         if self.raft is None:
@@ -172,6 +177,7 @@
             self.replies.append((old.token, Fed(self.addr)))
         self.echoes.heard(w, self.raft.group, self.raft.seq + 1, now)
         self._parked[w.addr] = Parked(token, w, now)
+        self._look_at = now
 
     def ready(self, now: float) -> Ready | None:
         return self.raft.ready(now) if self.raft else None
@@ -298,21 +304,29 @@
         self._reads = keep
 
     def _answer_wants(self, now: float) -> None:
+        """One that was fed news a moment ago is fed the next with what else comes by then: `FEED` is what one costs (s)."""
+        news = (self.state.turned, self.state.index if any(p.want.parts == "all" for p in self._parked.values()) else 0)
+        if news == self._looked and now < self._look_at:
+            return
+        self._looked, self._look_at = news, now + HOLD_MOST
+        gather = min(GATHER_MOST, FEED * len(self.echoes.heard_of))
         for a, p in list(self._parked.items()):
             w, part = p.want, p.want.parts == "settings"
             same = w.group == self.raft.group
             newest = self.state.turned if part else self.state.index
-            if same and w.index >= newest and now - p.at < min(w.hold, HOLD_MOST):
+            due = p.at + min(w.hold, HOLD_MOST) if w.index >= newest else self.echoes.told_at(a) + gather
+            if same and now < due:
+                self._look_at = min(self._look_at, due)
                 continue
             del self._parked[a]
             sure = self.echoes.sure(a, self.raft.confirmed)
-            self.echoes.fed(a, now)
             entries, upto = [], self.state.index
             lacking = not same or w.index < (self._dropped if part else self.raft.log.base)
             if not lacking and part:
                 entries, upto = self._news_since(w.index)
             elif not lacking:
                 entries = [e for e in self.raft.log.since(w.index) if e.index <= self.state.index]
+            self.echoes.fed(a, now, w.index < newest <= upto)
             self.replies.append((p.token, Fed(
                 self.addr, self.raft.group, lacking, entries, upto, self.state.params.revision, sure,
                 self._voters_since(w, lacking), self.state.clock, self._clock(now),
--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -18,6 +18,7 @@
 GONE = 15.0
 FORGOTTEN = 60.0
 STEPS = 256
+PRUNE = 1.0
 
 
 class Heard(msgspec.Struct):
@@ -26,6 +27,7 @@
     name: str
     asks: list[tuple[int, float]]
     fed_at: float | None = None
+    told_at: float = -1e9
 
     def holds(self, group: Group | None, index: int) -> bool:
         return self.want.group == group and self.want.index >= index
@@ -38,7 +40,7 @@
 
 
 class Echoes:
-    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck", "_began")
+    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck", "_began", "_pruned")
 
     def __init__(self, locality: Locality):
         self.locality = locality
@@ -49,6 +51,7 @@
         self._began = -1e9
         self._group: Group | None = None
         self._struck: dict[str, float] = {}
+        self._pruned = -1e9
 
     def begin(self, now: float) -> None:
         self.heard_of, self._majority_at = {}, {}
@@ -64,10 +67,16 @@
         h.want, h.at, h.fed_at = w, now, None
         h.asks = [*h.asks[-16:], (need, w.stamp)]
 
-    def fed(self, a: Address, now: float) -> None:
+    def fed(self, a: Address, now: float, news: bool = True) -> None:
         h = self.heard_of.get(a)
         if h is not None:
             h.fed_at = now
+            h.told_at = now if news else h.told_at
+
+    def told_at(self, a: Address) -> float:
+        """When it was last fed news (s)."""
+        h = self.heard_of.get(a)
+        return h.told_at if h is not None else -1e9
 
     def sure(self, a: Address, confirmed: int) -> float:
         h = self.heard_of.get(a)
@@ -93,7 +102,9 @@
                 self._struck[a] = now + WINDOW + SLACK
             self._params = msgspec.structs.replace(s, roster=dict(s.roster))
         self._struck = {a: t for a, t in self._struck.items() if t > now}
-        self.heard_of = {a: h for a, h in self.heard_of.items() if now - h.at < FORGOTTEN or h.name in s.roster}
+        if now - self._pruned >= PRUNE:
+            self._pruned = now
+            self.heard_of = {a: h for a, h in self.heard_of.items() if now - h.at < FORGOTTEN or h.name in s.roster}
         if s.revision in self._majority_at:
             return
         if not s.roster or 2 * len(self._holders(s.revision)) > len(s.roster):
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -6,7 +6,7 @@
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.core import Core, founding
-from mallowvalve.law.state import Enrol, Seats, State, Strike, encode
+from mallowvalve.law.state import Enrol, Evacuate, Seats, State, Strike, Tick, encode
 from mallowvalve.law.wire import Want
 from mallowvalve.params import Acks
 from mallowvalve.vote.wire import Group, Voters
@@ -75,3 +75,39 @@
     assert len(s.params.roster) == 82 and s.turned == 1
     s.apply(2, 0, encode(Seats([Strike(MANY[0], 6), Strike(MANY[1], 7), Enrol(MANY[2], 8, LOC)])))
     assert len(s.params.roster) == 81 and s.params.roster[str(MANY[2])].boot == 8 and s.turned == 2
+
+
+def fed(c, now):
+    return {t for t, f in step(c, now)}
+
+
+def test_news_is_fed_at_once_and_a_burst_of_it_in_parts():
+    c = leader("commit")
+    wants(c, 8.0)
+    go_on(c, 8.0, 8.3)
+    wants(c, 8.4)
+    go_on(c, 8.4, 8.6)
+    c.propose(encode(Evacuate("a", True, "1")), "t", 20.0, 8.6)
+    assert set(MANY) <= fed(c, 8.6)
+    wants(c, 8.61)
+    times = []
+    for n in range(20):
+        c.propose(encode(Evacuate(f"z{n}", True, f"{n}")), "t", 20.0, 8.61 + n / 1000)
+        times += [8.61 + n / 1000] * (MANY[0] in fed(c, 8.61 + n / 1000))
+    assert times == []
+    assert c.wakeup(8.63) <= 8.65
+    assert set(MANY) <= fed(c, 8.65)
+
+
+def test_a_leader_looks_through_its_echoes_only_when_something_is_due():
+    c = leader("commit")
+    wants(c, 8.0)
+    go_on(c, 8.0, 8.3)
+    wants(c, 8.4)
+    step(c, 8.4)
+    looks = c._look_at
+    for n in range(50):
+        c.propose(encode(Tick()), n, 20.0, 8.45 + n / 1000)
+        step(c, 8.45 + n / 1000)
+    assert c._look_at == looks and len(c._parked) == 82
+    assert set(MANY) <= fed(c, 9.41)
