--- a/mallowvalve/law/force.py
+++ b/mallowvalve/law/force.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+from collections.abc import Iterator
+from itertools import islice
+
 import msgspec
 
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.echo import WINDOW
-from mallowvalve.law.state import Enrol, Params, Strike
+from mallowvalve.law.state import Enrol, Params, Seats, Strike
 from mallowvalve.law.wire import Want
 from mallowvalve.vote.wire import Group
 
@@ -14,6 +17,8 @@
 PROMPT = 0.3
 GONE = 15.0
 FORGOTTEN = 60.0
+STEPS = 256
+PRUNE = 1.0
 
 
 class Heard(msgspec.Struct):
@@ -22,6 +27,7 @@
     name: str
     asks: list[tuple[int, float]]
     fed_at: float | None = None
+    told_at: float = -1e9
 
     def holds(self, group: Group | None, index: int) -> bool:
         return self.want.group == group and self.want.index >= index
@@ -34,7 +40,7 @@
 
 
 class Echoes:
-    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck", "_began")
+    __slots__ = ("locality", "heard_of", "_params", "_majority_at", "_calm", "_group", "_struck", "_began", "_pruned")
 
     def __init__(self, locality: Locality):
         self.locality = locality
@@ -45,6 +51,7 @@
         self._began = -1e9
         self._group: Group | None = None
         self._struck: dict[str, float] = {}
+        self._pruned = -1e9
 
     def begin(self, now: float) -> None:
         self.heard_of, self._majority_at = {}, {}
@@ -60,10 +67,16 @@
         h.want, h.at, h.fed_at = w, now, None
         h.asks = [*h.asks[-16:], (need, w.stamp)]
 
-    def fed(self, a: Address, now: float) -> None:
+    def fed(self, a: Address, now: float, news: bool = True) -> None:
         h = self.heard_of.get(a)
         if h is not None:
             h.fed_at = now
+            h.told_at = now if news else h.told_at
+
+    def told_at(self, a: Address) -> float:
+        """When it was last fed news (s)."""
+        h = self.heard_of.get(a)
+        return h.told_at if h is not None else -1e9
 
     def sure(self, a: Address, confirmed: int) -> float:
         h = self.heard_of.get(a)
@@ -89,7 +102,9 @@
                 self._struck[a] = now + WINDOW + SLACK
             self._params = msgspec.structs.replace(s, roster=dict(s.roster))
         self._struck = {a: t for a, t in self._struck.items() if t > now}
-        self.heard_of = {a: h for a, h in self.heard_of.items() if now - h.at < FORGOTTEN or h.name in s.roster}
+        if now - self._pruned >= PRUNE:
+            self._pruned = now
+            self.heard_of = {a: h for a, h in self.heard_of.items() if now - h.at < FORGOTTEN or h.name in s.roster}
         if s.revision in self._majority_at:
             return
         if not s.roster or 2 * len(self._holders(s.revision)) > len(s.roster):
@@ -110,22 +125,30 @@
         return calm and len(self._holders(revision)) == len(s.roster)
 
     def roster_step(self, s: Params, now: float) -> Enrol | Strike | None:
+        """One seat at a time, each in force before the next: majorities of one roster and the next overlap."""
         if not self.in_force(s.revision, now):
             return None
+        return next(self._steps(s, now), None)
+
+    def roster_steps(self, s: Params, now: float) -> Seats | None:
+        """All that is due at once, for fleets where nothing rests on majorities of the roster."""
+        steps = list(islice(self._steps(s, now), STEPS))
+        return Seats(steps) if steps else None
+
+    def _steps(self, s: Params, now: float) -> Iterator[Enrol | Strike]:
         for a, h in sorted(self.heard_of.items()):
             if h.want.role != "flow" or now - h.at > REACHED:
                 continue
             seat = s.roster.get(h.name)
             if seat is None or seat.boot != h.want.boot:
-                return Enrol(a, h.want.boot, h.want.locality)
+                yield Enrol(a, h.want.boot, h.want.locality)
         if now < self._calm + GONE:
-            return None
+            return
         for text in sorted(s.roster):
             a = Address.read(text).ok_value
             h = self.heard_of.get(a)
             if h is None or now - h.at > GONE:
-                return Strike(a, s.roster[text].boot)
-        return None
+                yield Strike(a, s.roster[text].boot)
 
     def _holders(self, revision: int) -> list[Address]:
         out = []
