Proxies start and say whether they are ready without the library of their pages

Cause: 70 to 105 ms of a proxy's start went into falcon and what it loads (asyncio, ssl, cookies), none of which a request needs. The pages' app is made by the first request for them; readiness is answered without.

Ruled out: loading asyncio and http.cookiejar lazily below falcon (it uses both while it is loaded); byte code in the build (it is kept beside the sources).

A blank law hands calls to another one and remembers who led; it keeps one that nobody else can take.

--- a/mallowvalve/flow/main.py
+++ b/mallowvalve/flow/main.py
@@ -91,7 +91,7 @@
 def _mount(node: Node, serve: Serve, hosts: Hosts, tries: Tries) -> None:
     """With pages of their own, the front serves requests only; else it passes what is no host's to the one app."""
     apart = node.params.pages is not None
-    app = web.make_app() if apart else node.app
+    app = web.Later() if apart else node.app
     app.add_sink(serve, "/")
     front = Front(tries, app, only=apart)
     hosts.on_free = front.rooms.freed
--- a/mallowvalve/flow/serve.py
+++ b/mallowvalve/flow/serve.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
-import falcon
+from typing import TYPE_CHECKING
+
 import gevent
 import msgspec
 from gevent.event import Event
@@ -14,6 +15,9 @@
 from mallowvalve.law.echotask import EchoTask
 from mallowvalve.law.state import encode
 
+if TYPE_CHECKING:
+    import falcon
+
 INSIST = 10.0
 _verdict = msgspec.msgpack.Decoder(Verdict).decode
 
--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -97,9 +97,10 @@
         return wire.Took("undecided") if maybe and t.code in AGAIN else t
 
     def _offer_once(self, command: bytes, limit: float) -> wire.Took:
-        """A law whose disk refuses holds no command back: another one is asked."""
-        held = self.core.raft is None or self.stalled
-        t = wire.Took("leader", leader=self._other()) if held else self._offer(wire.Offer(command, limit))
+        """A law that is blank or whose disk refuses holds no command back: another one is asked."""
+        other = self._other() if self.core.raft is None or self.stalled else None
+        own = other is None and not self.stalled
+        t = self._offer(wire.Offer(command, limit)) if own else wire.Took("leader", leader=other)
         if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
             return t
         to, self._hint = t.leader, None
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -4,8 +4,8 @@
 import os
 import random
 import signal
+from typing import TYPE_CHECKING
 
-import falcon
 import gevent
 import msgspec
 from gevent.event import Event
@@ -25,6 +25,9 @@
 from mallowvalve.params import Params
 from mallowvalve.reload import Reload
 
+if TYPE_CHECKING:
+    import falcon
+
 
 PAGES = 64
 
@@ -81,7 +84,7 @@
         ), self.faults)
         self.mesh = Mesh(params.mesh, params.fleet, self.counts, self.faults)
         self.beats = BeatTask(self.bond, self.mesh)
-        self.app = web.make_app()
+        self.app = web.Later()
         self.server = web.Server(params.web, self.app, self.counts, params.sessions)
         self.pages = web.Server(params.pages, self.app, self.counts, PAGES) if params.pages else contextlib.nullcontext()
         self.stopping = Event()
@@ -91,7 +94,7 @@
 
     def __enter__(self) -> Node:
         self._stack = contextlib.ExitStack()
-        self.app.add_route("/-/ready", Ready(self))
+        self.app.plain["/-/ready"] = self._said_ready
         self.app.add_route("/-/counts", CountsView(self))
         self.app.add_route("/-/nodes", Nodes(self))
         self.app.add_route("/-/upstreams", Upstreams(self))
@@ -156,24 +159,24 @@
     def is_ready(self) -> bool:
         return self.bond.bond.me.ready and not self.stopping.is_set()
 
+    def _said_ready(self) -> tuple[int, object]:
+        ok = self.is_ready()
+        return 200 if ok else 503, {"ready": ok, "role": self.params.role, "name": self.params.name}
+
 
-class Ready:
+class View:
     def __init__(self, node: Node):
         self.node = node
 
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        ok = self.node.is_ready()
-        web.say(resp, {"ready": ok, "role": self.node.params.role, "name": self.node.params.name}, 200 if ok else 503)
-
 
-class CountsView(Ready):
+class CountsView(View):
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         n = self.node
         counts = n.counts.picture() | n.bond.bond.counts.picture() | n.beats.board.counts.picture()
         web.say(resp, {"counts": counts, "gauges": n.gauges()})
 
 
-class Nodes(Ready):
+class Nodes(View):
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         web.say(resp, {"nodes": [
             {"name": r.name, "role": r.role, "mesh": str(r.addr), "web": str(r.web), "locality": str(r.locality),
@@ -182,12 +185,12 @@
         ]})
 
 
-class Changes(Ready):
+class Changes(View):
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         web.say(resp, {"name": self.node.params.name, "changes": recent.about(req.get_param("about") or "")})
 
 
-class Upstreams(Ready):
+class Upstreams(View):
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         web.say(resp, {"upstreams": [
             {"service": b.service, "instance": b.instance, "incarnation": b.incarnation, "status": h,
@@ -196,7 +199,7 @@
         ]})
 
 
-class Beats(Ready):
+class Beats(View):
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         d = web.read_as(BeatDoc, req, resp)
         if d is None:
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -3,8 +3,9 @@
 import math
 import sys
 from collections.abc import Callable
+from http import HTTPStatus
+from typing import TYPE_CHECKING
 
-import falcon
 import gevent
 import msgspec
 from gevent import GreenletExit, socket
@@ -18,6 +19,9 @@
 from mallowvalve.kind import Address
 from mallowvalve.tree.items import Limits
 
+if TYPE_CHECKING:
+    import falcon
+
 OUTCOME = "Mallow-Outcome"
 NOT_RUN, UNDECIDED, UNKNOWN = "not-run", "undecided", "unknown"
 WHOLE = 256 << 10
@@ -176,7 +180,7 @@
         body = encode({"outcome": outcome, "findings": [Finding("request", "cut by a stop" if cut else "not served")]})
         head = [("Content-Type", "application/json"), (OUTCOME, outcome), ("Content-Length", str(len(body)))]
         try:
-            self.start_response(falcon.code_to_http_status(status), head)
+            self.start_response(f"{status} {HTTPStatus(status).phrase}", head)
             self.write(body)
         except OSError:
             self.server.counts.add("web_client_error")
@@ -266,7 +270,48 @@
     return r.ok_value
 
 
+class Later:
+    """An app that loads its library with the first request that needs it; `plain` answers GETs of a path without one."""
+
+    __slots__ = ("plain", "_app", "_todo")
+
+    def __init__(self):
+        self.plain: dict[str, Callable[[], tuple[int, object]]] = {}
+        self._app: falcon.App | None = None
+        self._todo: list[tuple] = []
+
+    def add_route(self, *a, **kw) -> None:
+        self._add("add_route", a, kw)
+
+    def add_sink(self, *a, **kw) -> None:
+        self._add("add_sink", a, kw)
+
+    def _add(self, what: str, a: tuple, kw: dict) -> None:
+        if self._app is None:
+            self._todo.append((what, a, kw))
+        else:
+            getattr(self._app, what)(*a, **kw)
+
+    def __call__(self, env: dict, start: Callable):
+        act = self.plain.get(env["PATH_INFO"]) if env["REQUEST_METHOD"] == "GET" else None
+        if act is None:
+            return self.made()(env, start)
+        status, body = act()
+        data = encode(body)
+        start(f"{status} {HTTPStatus(status).phrase}", [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+        return [data]
+
+    def made(self) -> falcon.App:
+        if self._app is None:
+            self._app = make_app()
+            for what, a, kw in self._todo:
+                getattr(self._app, what)(*a, **kw)
+        return self._app
+
+
 def make_app() -> falcon.App:
+    import falcon
+
     app = falcon.App()
     app.resp_options.default_media_type = None
     app.set_error_serializer(lambda req, resp, e: turn_away(req, resp, e.status_code, [Finding("request", e.title or "")]))
@@ -275,7 +320,9 @@
 
 
 def _crash(req, resp, ex, _params) -> None:
-    if isinstance(ex, falcon.HTTPError):
+    from falcon import HTTPError
+
+    if isinstance(ex, HTTPError):
         turn_away(req, resp, ex.status_code, [Finding(req.path, ex.description or ex.title)])
         return
     change("crash", where=req.path, error=repr(ex))
--- a/tests/test_lazy.py
+++ b/tests/test_lazy.py
@@ -2,8 +2,11 @@
 import sys
 
 import pytest
+from falcon.testing import TestClient
 
 from mallowvalve.cli import TOOLS, main
+from mallowvalve.node import View
+from mallowvalve.web import Later, say
 
 LOOK = """
 import sys
@@ -26,3 +29,24 @@
 def test_every_tool_is_listed_and_found():
     assert main.list_commands(None) == sorted([*TOOLS, "flow", "law", "way"])
     assert all(main.get_command(None, t).name == t for t in TOOLS) and main.get_command(None, "none") is None
+
+
+def test_a_proxy_starts_and_says_whether_it_is_ready_without_the_pages_library():
+    out = subprocess.run([sys.executable, "-c", LOOK.format(role="flow")], capture_output=True, text=True, check=True).stdout
+    assert {"falcon", "asyncio"} & set(out.split()) == set()
+    app, said = Later(), []
+    app.plain["/-/ready"] = lambda: (503, {"ready": False})
+    app.add_route("/x", object())
+    body = app({"REQUEST_METHOD": "GET", "PATH_INFO": "/-/ready"}, lambda status, headers: said.append((status, dict(headers))))
+    assert body == [b'{"ready":false}'] and said[0][0] == "503 Service Unavailable"
+    assert said[0][1] == {"Content-Type": "application/json", "Content-Length": "15"}
+
+
+def test_an_app_made_later_has_every_route_whenever_it_was_added():
+    app, view = Later(), View(None)
+    view.on_get = lambda req, resp: say(resp, {"at": req.path})
+    app.add_route("/before", view)
+    client = TestClient(app.made())
+    app.add_route("/after", view)
+    assert client.simulate_get("/before").json == {"at": "/before"} and client.simulate_get("/after").json == {"at": "/after"}
+    assert client.simulate_get("/none").status_code == 404
