--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -13,48 +13,30 @@
 from mallowvalve.law.cut import cut, cut_settings, dump, load
 from mallowvalve.law.force import Echoes
 from mallowvalve.law.state import (
-    SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, State, Strike, Tick, command, encode, tag_of, tags,
+    SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, Seats, State, Strike, Tick, command, encode, tag_of, tags,
 )
+from mallowvalve.law.waits import Parked, Pending, Read
 from mallowvalve.law.wire import Fed, Took, Want, Who
 from mallowvalve.params import Acks
 from mallowvalve.vote.log import CHUNK, CHUNK_BYTES, Log
 from mallowvalve.vote.raft import Raft, Ready, Times
 from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
 
-TOLD = tags((Change, Evacuate, Enrol, Strike))
+TOLD = tags((Change, Evacuate, Enrol, Strike, Seats))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
-CURRENT = 0.5
+CURRENT, LAG = 0.5, 16
 MARK = 0.03
-
-
-class Pending(msgspec.Struct):
-    token: Any
-    term: int
-    limit: float
-    settings: bool
-    waits: str
-    outcome: Outcome | None = None
-    need: int = 0
-
-
-class Parked(msgspec.Struct):
-    token: Any
-    want: Want
-    at: float
-
-
-class Read(msgspec.Struct):
-    token: Any
-    need: int
-    limit: float
+TOLD_PACES = 3
+FEED, GATHER_MOST = 0.0004, 0.05
 
 
 class Core:
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_mark_at",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_mark_at", "_seating",
+        "_looked", "_look_at",
     )
 
     def __init__(
@@ -78,8 +60,10 @@
         self._clock_base, self._clock_at = 0, 0.0
         self._brought: tuple[Group, int, State] | None = None
         self._ticked = self._grown = -1e9
+        self._seating = 0
+        self._looked, self._look_at = (0, 0), -1e9
         self._base_index = 0
-        self._acks, self._times = acks, Times(pace=pace, election=election)
+        self._acks, self._times = acks, Times(pace=pace, told=TOLD_PACES * pace, election=election)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
         self._mark_at: float | None = None
@@ -130,7 +114,9 @@
             self.seen = {i: s for i, s in self.seen.items() if now - s.at < 2 * grow.FORGOTTEN}
 
     def wakeup(self, now: float) -> float:
-        return min(now + 0.1, self._mark_at or now + 0.1, self.raft.wakeup()) if self.raft else now + 0.1
+        if self.raft is None:
+            return now + 0.1
+        return min(self._mark_at or now + 0.1, now + 0.1, self.raft.wakeup(), self._look_at if self._parked else now + 0.1)
 
     def tick(self, now: float) -> None:
         if self.raft is None:
@@ -166,12 +152,14 @@
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
             return
-        self._reads.append(Read(token, self.raft.ask_quorum(), limit))
+        self._reads.append(Read(token, self.raft.ask_quorum(), self.raft.commit, limit))
 
     def current(self, now: float) -> bool:
         """Whether the state here lags what was acknowledged by no more than moments."""
         r = self.raft
-        return r is not None and r.in_touch(now, CURRENT) and self.state.index >= r.told and r.log.term(self.state.index) == r.term
+        if r is None or not r.in_touch(now, CURRENT) or r.log.term(self.state.index) != r.term:
+            return False
+        return self.state.index + LAG >= r.told
 
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
@@ -182,6 +170,7 @@
             self.replies.append((old.token, Fed(self.addr)))
         self.echoes.heard(w, self.raft.group, self.raft.seq + 1, now)
         self._parked[w.addr] = Parked(token, w, now)
+        self._look_at = now
 
     def _note(self, now: float) -> None:
         """Settings are noted as committed with the next batch, or with one of their own where none comes soon."""
@@ -255,7 +244,8 @@
             if self.state.turned == e.index:
                 self._news.append(e)
                 if tag_of(e.data) in TOLD:
-                    self.decided.append((command(e.data), out))
+                    c = command(e.data)
+                    self.decided += [(x, out) for x in (c.steps if isinstance(c, Seats) else [c])]
             p = self._pending.pop(e.index, None)
             if p is None:
                 continue
@@ -272,7 +262,7 @@
             self._led = False
             return
         if self.leads and not self._led:
-            self._led, self._clock_at = True, now
+            self._led, self._clock_at, self._seating = True, now, 0
             self._clock_base = max(self.state.clock, self._clock_since(now))
             self.echoes.begin(now)
         if not self._led:
@@ -307,8 +297,8 @@
     def _answer_reads(self, now: float) -> None:
         keep = []
         for r in self._reads:
-            if r.need <= self.raft.confirmed:
-                self.replies.append((r.token, Took("ok", self.state.revision)))
+            if r.need <= self.raft.confirmed and r.index <= self.state.index:
+                self.replies.append((r.token, Took("ok", self.state.revision_at(r.index))))
             elif now >= r.limit:
                 self.replies.append((r.token, Took("undecided")))
             else:
@@ -316,21 +306,29 @@
         self._reads = keep
 
     def _answer_wants(self, now: float) -> None:
+        """One that was fed news a moment ago is fed the next with what else comes by then: `FEED` is what one costs (s)."""
+        news = (self.state.turned, self.state.index if any(p.want.parts == "all" for p in self._parked.values()) else 0)
+        if news == self._looked and now < self._look_at:
+            return
+        self._looked, self._look_at = news, now + HOLD_MOST
+        gather = min(GATHER_MOST, FEED * len(self.echoes.heard_of))
         for a, p in list(self._parked.items()):
             w, part = p.want, p.want.parts == "settings"
             same = w.group == self.raft.group
             newest = self.state.turned if part else self.state.index
-            if same and w.index >= newest and now - p.at < min(w.hold, HOLD_MOST):
+            due = p.at + min(w.hold, HOLD_MOST) if w.index >= newest else self.echoes.told_at(a) + gather
+            if same and now < due:
+                self._look_at = min(self._look_at, due)
                 continue
             del self._parked[a]
             sure = self.echoes.sure(a, self.raft.confirmed)
-            self.echoes.fed(a, now)
             entries, upto = [], self.state.index
             lacking = not same or w.index < (self._dropped if part else self.raft.log.base)
             if not lacking and part:
                 entries, upto = self._news_since(w.index)
             elif not lacking:
                 entries = [e for e in self.raft.log.since(w.index) if e.index <= self.state.index]
+            self.echoes.fed(a, now, w.index < newest <= upto)
             self.replies.append((p.token, Fed(
                 self.addr, self.raft.group, lacking, entries, upto, self.state.params.revision, sure,
                 self._voters_since(w, lacking), self.state.clock, self._clock(now),
@@ -363,9 +361,12 @@
         v = grow.next_voters(self.raft, self.seen, now)
         if v is not None and self.raft.change_voters(v, self._clock(now)) is not None:
             self.counts.add("vote_changes")
-        step = self.echoes.roster_step(self.state.params, now)
+        if self._seating > self.raft.commit:
+            return
+        due = self.echoes.roster_step if self._acks.settings == "force" else self.echoes.roster_steps
+        step = due(self.state.params, now)
         if step is not None:
-            self.raft.propose(COMMAND, encode(step), self._clock(now))
+            self._seating = self.raft.propose(COMMAND, encode(step), self._clock(now)) or 0
 
     def _fail_all(self) -> None:
         for p in [*self._pending.values(), *(p for _, p in self._waiting)]:
