--- a/mallowvalve/law/foundtask.py
+++ b/mallowvalve/law/foundtask.py
@@ -51,11 +51,8 @@
             v = decide(self.law.who(), answers, first_generation(), self.law.core.unborn)
             self._act(self._judge.hear(v, clock.now()), answers)
             self._say_here()
-            gevent.sleep(HERE if self.law.core.raft is not None else BLANK_EVERY if self._joins(answers) else FOUND_EVERY)
-
-    def _joins(self, answers: list[wire.Who]) -> bool:
-        """Whether somebody leads a group here, who will soon name this one."""
-        return any(w.leader is not None for w in answers)
+            joins = any(w.group is not None for w in answers)
+            gevent.sleep(HERE if self.law.core.raft is not None else BLANK_EVERY if joins else FOUND_EVERY)
 
     def heard(self, w: wire.Want) -> None:
         """Who asks for what comes after its state holds one: a blank core must not found without having asked it."""
