A zone that says nothing at all since several requests is left for a while

Cause: when a zone's upstreams go dark at once, each of them had to keep a request of its own before it was avoided, and a try on an idle session there is lost. Now three requests without any answer from the zone for 0.15 s (1.5 x its mean) turn the rest elsewhere, for 2 s at most.

--- a/mallowvalve/flow/host.py
+++ b/mallowvalve/flow/host.py
@@ -23,21 +23,44 @@
 BREAK, BREAK_MOST = 0.5, 4.0
 MUTE, OWES = 0.25, 2.5
 OPENING = 0.15
+DARK, DARK_OWES, DARK_SENT, DARK_MOST = 0.15, 1.5, 3, 2.0
 COLD_SHARE = 0.9
 WRONG = 5.0
 BUDGET_SHARE, FLOOR_SHARE = 0.7, 0.5
 
 
+class Zone:
+    """Whether a zone answers at all: dark once it has said nothing since several requests were sent there (s)."""
+
+    __slots__ = ("first", "sent", "latency")
+
+    def __init__(self):
+        self.first, self.sent, self.latency = -1e9, 0, 0.1
+
+    def sending(self, now: float) -> None:
+        if now - self.first > DARK_MOST:
+            self.first, self.sent = now, 0
+        self.sent += 1
+
+    def heard(self, took: float) -> None:
+        self.first, self.sent = -1e9, 0
+        self.latency += 0.1 * (took - self.latency)
+
+    def dark(self, now: float) -> bool:
+        """Not for long, so that one that is back is found."""
+        return self.sent >= DARK_SENT and max(DARK, DARK_OWES * self.latency) < now - self.first <= DARK_MOST
+
+
 class Spot:
     """One upstream as this proxy sees it. Times on the proxy's own clock (s); `load` counts requests of all proxies."""
 
     __slots__ = (
-        "up", "busy", "base", "base_at", "since", "full_until", "broken_until", "pause", "wrong_until", "mute", "latency",
+        "up", "zone", "busy", "base", "base_at", "since", "full_until", "broken_until", "pause", "wrong_until", "mute", "latency",
         "opening", "cold_until", "cold_end", "cold_next", "cold_k", "cold_at",
     )
 
-    def __init__(self, up: Upstream):
-        self.up, self.busy = up, 0
+    def __init__(self, up: Upstream, zone: Zone | None = None):
+        self.up, self.zone, self.busy = up, zone or Zone(), 0
         self.base, self.base_at, self.since = 0.0, -1e9, 0
         self.full_until = self.broken_until = self.wrong_until = -1e9
         self.pause = BREAK
@@ -62,7 +85,7 @@
 
     def sound(self, now: float) -> bool:
         """One that failed is tried by one request at a time, and one that is slow to connect is left to those at it."""
-        if now < self.broken_until or self.doubted and self.busy:
+        if now < self.broken_until or self.doubted and self.busy or self.zone.dark(now):
             return False
         if self.opening and now - self.opening[0] > OPENING:
             return False
@@ -137,7 +160,7 @@
 
 class Hosts:
     __slots__ = (
-        "echo", "params", "rng", "now", "on_free", "links", "waiting", "spots", "_rings", "_roll", "_revision",
+        "echo", "params", "rng", "now", "on_free", "links", "waiting", "spots", "zones", "_rings", "_roll", "_revision",
         "_budgets", "_share", "_proxies", "_roster", "_out",
     )
 
@@ -149,6 +172,7 @@
         self.links = Links()
         self.waiting: dict[str, int] = {}
         self.spots: dict[str, Spot] = {}
+        self.zones: dict[Locality, Zone] = {}
         self._rings: dict[str, list[tuple[int, list[Spot]]]] = {}
         self._roll, self._revision = None, -1
         self._budgets: dict[str, Sliding] = {}
@@ -191,6 +215,7 @@
     def sending(self, s: Spot, now: float) -> None:
         """Told right before the first byte: a cold upstream's turn is used up."""
         s.since += 1
+        s.zone.sending(now)
         if s.mute is None:
             s.mute = now
         item = self.echo.state.items.services.get(s.up.service)
@@ -199,6 +224,7 @@
 
     def heard(self, s: Spot, a: Answer, took: float, now: float) -> None:
         s.pause, s.broken_until = BREAK, -1e9
+        s.zone.heard(took)
         s.mute = now if s.busy > 1 else None
         s.latency += 0.2 * (took - s.latency)
         t = self.params.terms
@@ -280,9 +306,9 @@
         for name, up in roll.rows.items():
             if up.state != "ready":
                 continue
-            s = self.spots.get(name) or Spot(up)
-            if s.up.address != up.address or s.up.service != up.service:
-                s = Spot(up)
+            s = self.spots.get(name)
+            if s is None or s.up.address != up.address or s.up.service != up.service:
+                s = Spot(up, self.zones.setdefault(up.locality, Zone()))
             s.up = up
             if up.cold_until != s.cold_until:
                 s.cold_until = up.cold_until
--- a/tests/test_tries_dark.py
+++ b/tests/test_tries_dark.py
@@ -3,7 +3,7 @@
 from result import Err
 
 from mallowvalve.flow.steps import Exchange, Open, Room
-from tests.tryout import FAR, Played, answer, ask
+from tests.tryout import FAR, HERE, NEXT, Played, answer, ask
 
 READ, TRY = ask("/r/1"), ask("/o/1", "POST", length=0)
 
@@ -113,3 +113,40 @@
     gen.close()
     p = Played(upstreams=0)
     assert p.run(READ).status == 503 and p.t <= 0.1
+
+
+def test_a_zone_that_says_nothing_at_all_is_left_for_a_while():
+    p = Played(upstreams=6)
+    for i in range(2):
+        p.b.upstream(f"next{i}", at=NEXT, port=300 + i)
+    gens = []
+    for _ in range(3):
+        gen, s = start(p, TRY)
+        assert until(p, gen, s, Exchange).session.beat.locality == HERE
+        gens.append(gen)
+    p.t += 0.2
+    for _ in range(4):
+        play(p, READ)
+    assert {s.session.beat.locality for s in p.sent()[-4:]} == {NEXT}
+    p.t += 2.0
+    play(p, READ)
+    assert p.sent()[-1].session.beat.locality == HERE
+    for gen in gens:
+        gen.close()
+
+
+def test_a_zone_that_answers_one_is_not_left():
+    p = Played(upstreams=6)
+    p.b.upstream("next", at=NEXT, port=300)
+    gens = []
+    for _ in range(3):
+        gen, s = start(p, TRY)
+        until(p, gen, s, Exchange)
+        gens.append(gen)
+    p.t += 0.1
+    play(p, READ)
+    p.t += 0.1
+    play(p, READ)
+    assert {s.session.beat.locality for s in p.sent()} == {HERE}
+    for gen in gens:
+        gen.close()
