--- a/mallowvalve/bond/detector.py
+++ b/mallowvalve/bond/detector.py
@@ -16,7 +16,7 @@
 JOIN = 0.25
 YOUNG = 10.0
 HEAL = 1.0
-ACCUSED = 32
+ACCUSED = 8
 TRIES = 16
 
 
@@ -28,7 +28,7 @@
 
     __slots__ = (
         "seeds", "period", "helpers", "round_trip", "pr", "_start", "_target", "_acked", "_asked", "_turn", "_born",
-        "_join_at", "_joined", "_healed",
+        "_join_at", "_joined", "_agrees", "_healed",
     )
 
     def __init__(
@@ -45,7 +45,7 @@
         self._asked: float | None = None
         self._turn = 0
         self._born = self._join_at = None
-        self._joined = False
+        self._joined = self._agrees = False
         self._healed = float("-inf")
 
     def wakeup(self) -> float:
@@ -92,10 +92,9 @@
             case Ack() if m.origin == self.me.addr and m.pr == self.pr and self._target and m.target == self._target.addr:
                 self._acked = True
             case Sum():
-                if self._compare(sender, m.total):
-                    self._settle()
-                    if m.ask:
-                        self._send(sender, Sum(self._head(), m.total, False))
+                self._agrees = self._compare(sender, m.total)
+                if self._agrees and m.ask:
+                    self._send(sender, Sum(self._head(), m.total, False))
             case Sums():
                 self._show(sender, m.sums, self._join_at is not None)
             case Marks():
@@ -151,25 +150,25 @@
         self._spread([r], r.addr)
 
     def _join(self, now: float) -> None:
-        """Until its view agrees with a neighbour's a new member asks four times a second, for ten seconds at most."""
-        if now > self._born + YOUNG or not self.seeds and not self._view.live:
-            self._settle()
+        """Until it sees its seeds and agrees with a neighbour a new member asks four times a second, ten seconds at most."""
+        lone = self._lone()
+        if now > self._born + YOUNG or self._agrees and not lone or not self.seeds and not self._view.live:
+            self._join_at = None
             return
         self._join_at = now + JOIN
-        if not self._joined:
-            for s in self.seeds if len(self.seeds) <= 8 else self.rng.sample(self.seeds, 8):
-                self._send(s, Tell(self._head(), [self.me], ALL))
-        elif self._view.live:
+        for s in self.rng.sample(lone, min(len(lone), 2 if self._joined else 8)):
+            self._send(s, Tell(self._head(), [self.me], ALL))
+        if self._view.live:
             self._send(self.rng.choice(self._view.live), Sum(self._head(), self._digest.total, True))
 
-    def _settle(self) -> None:
-        self._join_at = None
+    def _lone(self) -> list[Address]:
+        return [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
 
     def _seek(self, now: float) -> None:
         """Looks for those outside: seeds that are not in the view, and members held as failed."""
         self._turn += 1
         live = self._view.live
-        lone = [s for s in self.seeds if s not in self.view or self.view[s].state > LEAVING]
+        lone = self._lone()
         if lone and (not live or self._turn % 4 == 0):
             for s in lone if not live else [self.rng.choice(lone)]:
                 self._send(s, Tell(self._head(), [self.me], ALL))
@@ -194,17 +193,20 @@
         stale = (h.incarnation, h.boot) != (r.incarnation, r.boot) and h.incarnation <= r.incarnation
         if stale or (r.state > LEAVING and h.incarnation <= r.incarnation):
             self._send(h.sender, Tell(self._head(), [r]))
-            if r.state == FAILED:
+            if r.state == FAILED and r.boot == h.boot:
                 self._heal(h.sender, now)
         elif h.incarnation > r.incarnation:
             self._send(h.sender, Tell(self._head(), [self.me], SELF))
 
     def _heal(self, sender: Address, now: float) -> None:
-        """One held as failed speaks: a cut may be over. All held as failed are told so, to refute it before it spreads."""
+        """One held as failed speaks, or this node hears that it was: a cut may be over.
+
+        Those it holds as failed are told so, to refute it before it spreads.
+        """
         if now < self._healed + HEAL:
             return
         self._healed = now
-        accused = [a for a in self._seen if a != sender and self.view[a].state == FAILED]
+        accused = self._failed(sender)
         for a in self.rng.sample(accused, min(ACCUSED, len(accused))):
             self._send(a, Tell(self._head(), [self.view[a]]))
 
@@ -212,12 +214,12 @@
         sender, back = m.head.sender, []
         for r in m.records:
             if r.addr == self.me.addr:
-                self._refute(r, sender)
+                self._refute(r, sender, now)
                 continue
             old = self.view.get(r.addr)
             if self._accept(r, now, f"told by {sender}"):
                 self.counts.add("bond_learned")
-                self._pass_on(r, old, sender, now)
+                self._learned(r, old, now)
             elif old.state > LEAVING and r.rank < old.rank and sender != r.addr:
                 back.append(old)
         if back:
@@ -229,16 +231,15 @@
         if m.ask == ALL:
             self._tell(sender, [self.me, *(self.view[a] for a in self.view if a in self._digest)], now)
 
-    def _pass_on(self, r: Record, old: Record | None, sender: Address, now: float) -> None:
-        if r.state > LEAVING:
-            return
-        self._joined = True
-        if old is None and self._join_at is not None:
-            self._introduce(r.addr, now)
-        elif old is not None and old.state == FAILED and sender == r.addr:
-            self._report(r, now)
+    def _learned(self, r: Record, old: Record | None, now: float) -> None:
+        if r.state <= LEAVING:
+            self._joined = True
+            if old is None and self._join_at is not None:
+                self._introduce(r.addr, now)
+        elif r.state == FAILED and self.rng.random() < ACCUSED / (len(self._view.live) + 1):
+            self._send(r.addr, Tell(self._head(), [r]))
 
-    def _refute(self, r: Record, sender: Address) -> None:
+    def _refute(self, r: Record, sender: Address, now: float) -> None:
         if r.boot == self.me.boot and r.incarnation <= self.me.incarnation and r.state <= self.me.state:
             return
         if r.incarnation < self.me.incarnation:
@@ -247,6 +248,13 @@
         self._raise(r.incarnation + 1)
         self.counts.add("bond_refuted")
         self._spread([self.me], sender)
+        if r.boot != self.me.boot:
+            return
+        self._cast([self.me], self._failed(sender))
+        self._heal(sender, now)
+
+    def _failed(self, but: Address) -> list[Address]:
+        return [a for a in self._seen if a != but and self.view[a].state == FAILED]
 
 
 def fresh_record(addr: Address, boot: int, role: str, name: str, locality, web: Address) -> Record:
--- a/mallowvalve/mesh/task.py
+++ b/mallowvalve/mesh/task.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from socket import TCP_USER_TIMEOUT
 
@@ -19,7 +20,7 @@
 
 Handler = Callable[[Address, bytes], bytes | None]
 OUTBOX = 4096
-REDIAL = 0.25
+REDIAL, REDIAL_MOST = 0.03, 0.25
 UNACKED_MS = 3000
 IDLE = 60.0
 
@@ -30,13 +31,14 @@
 
 
 class Line:
-    __slots__ = ("to", "hello", "counts", "faults", "used", "_box", "_waits", "_next", "_job", "_sock")
+    __slots__ = ("to", "hello", "counts", "faults", "used", "_again", "_box", "_waits", "_next", "_job", "_sock")
 
     def __init__(self, to: Address, hello: Hello, counts: Counts, faults: Faults):
         self.to, self.hello, self.counts, self.faults = to, hello, counts, faults
         self._box: Queue = Queue(OUTBOX)
         self._waits: dict[int, AsyncResult] = {}
         self._next = 0
+        self._again = REDIAL
         self.used = 0.0
         self._sock = None
         self._job = gevent.spawn(self._run)
@@ -66,7 +68,8 @@
                 continue
             if self._sock is None and not self._dial():
                 self._drop("unreachable")
-                gevent.sleep(REDIAL)
+                gevent.sleep(self._again)
+                self._again = min(2 * self._again, REDIAL_MOST)
                 continue
             buf = [seal(f)]
             while len(buf) < 64:
@@ -89,6 +92,7 @@
             self._sock.sendall(seal(self.hello))
         except OSError:
             return False
+        self._again = REDIAL
         gevent.spawn(self._listen, self._sock)
         return True
 
@@ -124,13 +128,15 @@
 
 
 class Mesh:
-    __slots__ = ("me", "fleet", "counts", "faults", "_on", "_lines", "_server", "_pool")
+    __slots__ = ("me", "fleet", "counts", "faults", "gone", "_on", "_lines", "_server", "_pool", "_here")
 
     def __init__(self, me: Address, fleet: str, counts: Counts, faults: Faults = Faults()):
         self.me, self.fleet, self.counts, self.faults = me, fleet, counts, faults
         self._on: dict[str, tuple[Handler, bool]] = {}
         self._lines: dict[Address, Line] = {}
         self._pool = Pool(1024)
+        self._here: Counter[Address] = Counter()
+        self.gone: Callable[[Address], None] = lambda a: None
 
     def on(self, kind: str, handler: Handler, quick: bool = False) -> None:
         self._on[kind] = (handler, quick)
@@ -192,6 +198,17 @@
             self.counts.add("mesh_unanswered")
 
     def _read(self, sock, box: Queue) -> None:
+        heard: set[Address] = set()
+        try:
+            self._hear(sock, box, heard)
+        finally:
+            for a in heard:
+                self._here[a] -= 1
+                if self._here[a] <= 0:
+                    del self._here[a]
+                    self.gone(a)
+
+    def _hear(self, sock, box: Queue, heard: set[Address]) -> None:
         cut, sender = Cutter(self.fleet), None
         while True:
             try:
@@ -207,6 +224,9 @@
             for f in r.ok_value:
                 if isinstance(f, Hello):
                     sender = f.sender
+                    if sender not in heard:
+                        heard.add(sender)
+                        self._here[sender] += 1
                     continue
                 if self.faults.apart(sender, self.me):
                     continue
--- a/mallowvalve/vote/raft.py
+++ b/mallowvalve/vote/raft.py
@@ -11,14 +11,20 @@
     NOOP, VOTERS, Append, Appended, Ask, Elect, Entry, Group, Hard, Install, Message, Picture, Voice, Voters, encode,
 )
 
+FIRST, DOUBT = 0.3, 0.25
+NEVER = float("inf")
 FOLLOWER, PRE, CANDIDATE, LEADER = "follower", "pre", "candidate", "leader"
 
 
 class Times(msgspec.Struct, frozen=True):
-    """Seconds. `pace` is the least between two rounds of a leader: what comes meanwhile goes along in the next."""
+    """Seconds. `pace` is the least between two rounds of a leader: what comes meanwhile goes along in the next.
+
+    `told` is how long the word that something is decided may wait for a round that goes anyway.
+    """
 
     beat: float = 0.1
     pace: float = 0.0
+    told: float = 0.0
     election: float = 1.0
     picture_again: float = 2.0
 
@@ -42,23 +48,27 @@
 class Raft:
     __slots__ = (
         "me", "group", "log", "term", "vote", "role", "leader", "commit", "seq", "confirmed", "counts", "times",
-        "rng", "nudge", "halted", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
-        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at",
+        "rng", "nudge", "halted", "mark", "marked", "_voices", "_progress", "_election_at", "_beat_at", "_heard", "_sent", "_saved",
+        "_hard", "_fresh", "_install", "_early", "_late", "_term_start", "_led_since", "_paced_at", "told",
+        "_all_at", "_now",
     )
 
-    def __init__(self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times()):
+    def __init__(
+        self, me: str, log: Log, term: int, vote: str, rng: random.Random, now: float, times: Times = Times(), commit: int = 0,
+    ):
+        """`commit` is how far the log was known to be committed when it was last saved."""
         self.me, self.log, self.rng, self.times = me, log, rng, times
         self.group: Group = log.picture.group
         self.term, self.vote = max(term, log.picture.term), vote
         self.role, self.leader = FOLLOWER, ""
-        self.commit = log.base
-        self.seq = self.confirmed = 0
+        self.commit = self.marked = max(log.base, min(commit, log.last))
+        self.seq = self.confirmed = self.told = 0
         self.counts = Counts()
-        self.nudge = self.halted = False
+        self.nudge = self.halted = self.mark = False
         self._voices: set[str] = set()
         self._progress: dict[str, Progress] = {}
         self._sent: deque[tuple[int, float]] = deque()
-        self._hard = Hard(self.group, term, vote)
+        self._hard = (term, vote)
         self._fresh: list[Entry] = []
         self._install: Picture | None = None
         self._early: list[tuple[str, Message]] = []
@@ -66,7 +76,8 @@
         self._saved = log.last
         self._heard = self._beat_at = self._led_since = self._paced_at = -1e9
         self._term_start = 0
-        self._rest(now)
+        self._election_at = now + times.election * (FIRST + (1 - FIRST) * rng.random())
+        self._all_at, self._now = -1e9, now
 
     @property
     def leads(self) -> bool:
@@ -76,10 +87,15 @@
     def settled(self) -> bool:
         return self.leads and self.commit >= self._term_start
 
+    @property
+    def term_start(self) -> int:
+        """The index of a leader's first entry."""
+        return self._term_start
+
     def wakeup(self) -> float:
         if not self.leads:
             return self._election_at
-        return min(self._beat_at, self._paced_at) if self.nudge else self._beat_at
+        return min(self._beat_at, self._all_at, self._paced_at if self.nudge else NEVER)
 
     def in_touch(self, now: float, span: float) -> bool:
         """Whether a leader spoke to this voter, or a quorum answered this leader, within the span (s)."""
@@ -91,12 +107,14 @@
         return self._progress
 
     def tick(self, now: float) -> None:
+        self._now = now
         if self.leads:
             self._tick_leader(now)
         elif now >= self._election_at:
             self._campaign(now, pre=True)
 
     def receive(self, src: str, m: Message, now: float) -> None:
+        self._now = now
         quiet = isinstance(m, Ask) and m.pre or isinstance(m, Voice) and m.pre and m.granted
         if isinstance(m, Ask) and not m.pre and not m.forced and m.term > self.term and self._loyal(now):
             return
@@ -122,6 +140,13 @@
             case Elect() if self.me in self.log.voters.voters:
                 self._campaign(now, pre=False, forced=True)
 
+    def doubt(self, now: float) -> None:
+        """The leader may have ended: unless it speaks again soon, its time-out is not waited for."""
+        if self.role != FOLLOWER or not self.leader:
+            return
+        self._heard = -1e9
+        self._election_at = min(self._election_at, now + self.times.election * (DOUBT + DOUBT * self.rng.random()))
+
     def propose(self, kind: int, data: bytes, at: int) -> int | None:
         if not self.leads or self.halted:
             return None
@@ -146,16 +171,25 @@
             self._late.append((max(ahead)[1], Elect(self.term)))
 
     def ready(self, now: float) -> Ready:
-        if self.leads and self.nudge and now >= self._paced_at:
+        self._now = now
+        if self.leads and (self.nudge and now >= self._paced_at or now >= min(self._beat_at, self._all_at)):
             self._broadcast(now)
-        hard = Hard(self.group, self.term, self.vote)
+        hard = self.hard()
+        same = (hard.term, hard.vote) == self._hard
+        if same and not self._fresh and not self.mark and self._install is None:
+            hard = None
+        else:
+            self._hard, self.mark, self.marked = (hard.term, hard.vote), False, hard.commit
         r = Ready(
-            None if hard == self._hard else hard, self._fresh, self._install, self._early, self._late, self.log.last,
+            hard, self._fresh, self._install, self._early, self._late, self.log.last,
         )
-        self._hard = hard
         self._fresh, self._install, self._early, self._late = [], None, [], []
         return r
 
+    def hard(self) -> Hard:
+        """What must be on disk before anything else is said."""
+        return Hard(self.group, self.term, self.vote, self.commit)
+
     def saved(self, r: Ready) -> None:
         if r.entries and r.last <= self.log.last and self.log.term(r.last) == r.entries[-1].term:
             self._saved = max(self._saved, r.last)
@@ -228,8 +262,6 @@
         self.counts.add("vote_led")
 
     def _tick_leader(self, now: float) -> None:
-        if now >= self._beat_at:
-            self.nudge = True
         if now - self._sure_at() > 2 * self.times.election:
             self._follow(self.term, "", now)
 
@@ -237,10 +269,17 @@
         return next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._led_since)
 
     def _broadcast(self, now: float) -> None:
+        """Learners wait for the word of what is decided, or for the beat; it may be for them alone."""
+        vs, all = self.log.voters, now >= self._all_at
         self.seq += 1
-        self.nudge, self._beat_at, self._paced_at = False, now + self.times.beat, now + self.times.pace
         self._sent.append((self.seq, now))
-        for i in self.log.voters.everyone():
+        to = [*vs.learners] if all else []
+        if self.nudge or now >= self._beat_at:
+            to += vs.voters
+            self.nudge, self._beat_at, self._paced_at = False, now + self.times.beat, now + self.times.pace
+        if all:
+            self._all_at = now + self.times.beat
+        for i in to:
             if i != self.me:
                 self._send_append(i, now)
         self._confirm()
@@ -283,7 +322,7 @@
             self.log.append(e)
             self._fresh.append(e)
         match = max(prev, es[-1].index if es else 0)
-        self.commit = max(self.commit, min(m.commit, match))
+        self.commit, self.told = max(self.commit, min(m.commit, match)), max(self.told, m.commit)
         self._late.append((src, Appended(self.term, True, match, m.seq)))
 
     def _on_appended(self, src: str, m: Appended, now: float) -> None:
@@ -340,8 +379,9 @@
         n = sorted(ms, reverse=True)[vs.quorum - 1]
         if n <= self.commit or self.log.term(n) != self.term:
             return
-        self.commit = n
-        self.nudge = True
+        self.commit = self.told = n
+        due = self._now + self.times.told
+        self._beat_at, self._all_at = min(self._beat_at, due), min(self._all_at, due)
         gone = self.me not in self.log.voters.voters and self.log.voters_index <= n
         if gone:
             self.role, self.leader = FOLLOWER, ""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -168,6 +168,7 @@
     follow(late, c, 8.2)
     propose(c, 8.2, Tick(), Tick())
     step(c, 8.2)
+    follow(late, c, 8.25), follow(late, c, 8.25)
     p = c.picture()
     c.compact(msgspec.structs.replace(p[0], state=list(p[1])))
     assert not c._news
@@ -306,7 +307,7 @@
         shelf.put(Picture(G, s.index, 1, Voters({}), list(pieces)), 0.0, part)
         for pieces, part in ((cut(s), False), (cut_settings(s), True))
     ]
-    assert shelf.newest(G, s.index, True) is not shelf.newest(G, s.index)
+    assert shelf.newest(G, s.index, 0.0, True) is not shelf.newest(G, s.index, 0.0)
     for l, whole in zip(labels, (True, False)):
         g = Gather(l)
         while (w := g.want()) is not None:
