--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -15,6 +15,7 @@
 from mallowvalve.law.state import (
     SETTINGS, TIES, Change, Enrol, Evacuate, Outcome, Seats, State, Strike, Tick, command, encode, tag_of, tags,
 )
+from mallowvalve.law.waits import Parked, Pending, Read
 from mallowvalve.law.wire import Fed, Took, Want, Who
 from mallowvalve.params import Acks
 from mallowvalve.vote.log import CHUNK, CHUNK_BYTES, Log
@@ -24,44 +25,25 @@
 TOLD = tags((Change, Evacuate, Enrol, Strike, Seats))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
 HOLD_MOST = 1.0
-CURRENT = 0.5
+CURRENT, LAG = 0.5, 16
+MARK = 0.03
+TOLD_PACES = 3
 FEED, GATHER_MOST = 0.0015, 0.15
 
 
-class Pending(msgspec.Struct):
-    token: Any
-    term: int
-    limit: float
-    settings: bool
-    waits: str
-    outcome: Outcome | None = None
-    need: int = 0
-
-
-class Parked(msgspec.Struct):
-    token: Any
-    want: Want
-    at: float
-
-
-class Read(msgspec.Struct):
-    token: Any
-    need: int
-    limit: float
-
-
 class Core:
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_seating",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_mark_at", "_seating",
         "_looked", "_look_at",
     )
 
     def __init__(
         self, id: str, addr: Address, locality: Locality, rng: random.Random, acks: Acks = Acks(), pace: float = 0.0,
+        election: float = Times().election,
     ):
-        """`pace` is the least time between two rounds to the voters (s)."""
+        """`pace` is the least time between two rounds to the voters, `election` how long a silent leader is waited for (s)."""
         self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
         self.raft: Raft | None = None
         self.state: State | None = None
@@ -81,20 +63,23 @@
         self._seating = 0
         self._looked, self._look_at = (0, 0), -1e9
         self._base_index = 0
-        self._acks, self._times = acks, Times(pace=pace)
+        self._acks, self._times = acks, Times(pace=pace, told=TOLD_PACES * pace, election=election)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
+        self._mark_at: float | None = None
 
     def start(
         self, picture: Picture, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None,
     ) -> None:
         hard = hard if hard is not None and hard.group == picture.group else Hard(picture.group, 0, "")
-        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now, self._times)
+        self.raft = Raft(self.id, Log(picture, entries), hard.term, hard.vote, self.rng, now, self._times, hard.commit)
         self.state = ready or load(picture.state, picture.group.generation)
         self.state.index = picture.index
         self._base_index = picture.index
         self._news, self._dropped = deque(), self.state.turned
-        self._led = False
+        self._led, self._mark_at = False, None
+        self._apply()
+        self.decided = []
         self._clock_heard = (self.state.clock, now)
 
     def stop(self, new_id: str) -> None:
@@ -131,12 +116,13 @@
     def wakeup(self, now: float) -> float:
         if self.raft is None:
             return now + 0.1
-        return min(now + 0.1, self.raft.wakeup(), self._look_at if self._parked else now + 0.1)
+        return min(self._mark_at or now + 0.1, now + 0.1, self.raft.wakeup(), self._look_at if self._parked else now + 0.1)
 
     def tick(self, now: float) -> None:
         if self.raft is None:
             return
         self.raft.tick(now)
+        self._note(now)
         self._settle(now)
 
     def receive(self, e: Envelope, now: float) -> None:
@@ -145,6 +131,11 @@
             return
         self.raft.receive(e.sender, e.body, now)
 
+    def gone(self, a: Address, now: float) -> None:
+        """A neighbour's last session here ended."""
+        if self.raft is not None and a == self.leader():
+            self.raft.doubt(now)
+
     def propose(self, data: bytes, token: Any, limit: float, now: float) -> None:
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
@@ -161,12 +152,14 @@
         if not self.leads:
             self.replies.append((token, Took("leader", leader=self.leader())))
             return
-        self._reads.append(Read(token, self.raft.ask_quorum(), limit))
+        self._reads.append(Read(token, self.raft.ask_quorum(), self.raft.commit, limit))
 
     def current(self, now: float) -> bool:
         """Whether the state here lags what was acknowledged by no more than moments."""
         r = self.raft
-        return r is not None and r.in_touch(now, CURRENT) and self.state.index >= r.told and r.log.term(self.state.index) == r.term
+        if r is None or not r.in_touch(now, CURRENT) or r.log.term(self.state.index) != r.term:
+            return False
+        return self.state.index + LAG >= r.told
 
     def want(self, w: Want, token: Any, now: float) -> None:
         if not self.leads:
@@ -179,6 +172,15 @@
         self._parked[w.addr] = Parked(token, w, now)
         self._look_at = now
 
+    def _note(self, now: float) -> None:
+        """Settings are noted as committed with the next batch, or with one of their own where none comes soon."""
+        if self.state.turned <= self.raft.marked:
+            self._mark_at = None
+        elif self._mark_at is None:
+            self._mark_at = now + MARK
+        elif now >= self._mark_at:
+            self.raft.mark, self._mark_at = True, None
+
     def ready(self, now: float) -> Ready | None:
         return self.raft.ready(now) if self.raft else None
 
@@ -295,8 +297,8 @@
     def _answer_reads(self, now: float) -> None:
         keep = []
         for r in self._reads:
-            if r.need <= self.raft.confirmed:
-                self.replies.append((r.token, Took("ok", self.state.revision)))
+            if r.need <= self.raft.confirmed and r.index <= self.state.index:
+                self.replies.append((r.token, Took("ok", self.state.revision_at(r.index))))
             elif now >= r.limit:
                 self.replies.append((r.token, Took("undecided")))
             else:
--- /dev/null
+++ b/tests/test_again.py
@@ -0,0 +1,209 @@
+"""Served again soon after everything stopped: what a law knows of itself, what a blank proxy takes, when its door opens."""
+
+import random
+from types import SimpleNamespace
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from mallowvalve import clock
+from mallowvalve.count import Counts
+from mallowvalve.flow.main import Doors
+from mallowvalve.kind import Address
+from mallowvalve.law import pull, store, wire
+from mallowvalve.law.core import Core, founding
+from mallowvalve.law.cut import load
+from mallowvalve.law.echotask import EchoTask
+from mallowvalve.law.pull import SETTINGS, Puller
+from mallowvalve.law.state import encode
+from mallowvalve.mesh.task import Mesh
+from mallowvalve.tale.log import Tale
+from mallowvalve.vote.raft import DOUBT, FIRST, Times
+from mallowvalve.vote.wire import Append, Ask, Entry, Envelope, Group, Hard, Voters
+from mallowvalve.whole.ports import free_ports
+from sim.disk import SimDisk
+from tests.test_core import A, B, EU, G, core
+from tests.test_follow import fleet, soon  # noqa: F401
+from tests.test_parts import service
+
+AB = Voters({"a": A, "b": B})
+
+
+class Saved:
+    """A law's machine over its disk, without sockets."""
+
+    def __init__(self, disk, voters):
+        self.disk = disk
+        self.tale = Tale.open(disk, "f", "a").unwrap()
+        loaded = store.load(self.tale).unwrap()
+        self.core = Core("a", A, EU, random.Random(1))
+        if loaded.picture is None:
+            p = founding(G, voters, None)
+            store.turn(self.tale, p, store.head(Hard(G, 0, ""), []))
+            self.core.start(p, None, [], 0.0)
+        else:
+            self.core.start(loaded.picture, loaded.hard, loaded.entries, 0.0)
+
+    def step(self, now):
+        self.core.tick(now)
+        r = self.core.ready(now)
+        store.save(self.tale, r, self.core.raft.hard())
+        self.core.saved(r, now)
+        return r
+
+
+def entries(n):
+    return [Entry(i, 1, 1, i, encode(service("s", i))) for i in range(1, n + 1)]
+
+
+def heard(s, es, commit, now, prev=0):
+    m = Append(1, prev, 1 if prev else 0, es, commit, 1)
+    s.core.receive(Envelope(G, "b", "a", B, m), now)
+    return s.step(now)
+
+
+def test_a_restarted_law_holds_what_it_knew_as_committed_before_there_is_a_leader():
+    disk = SimDisk(random.Random(1))
+    s = Saved(disk, AB)
+    heard(s, entries(5), 3, 1.0)
+    assert s.core.state.index == 3
+    again = Saved(disk, AB).core
+    assert again.state.index == 3 and again.leader() is None and not again.unborn and again.decided == []
+    p, pieces = again.settings()
+    assert p.index == 3 and load(list(pieces)).items.services["s"].version == 3
+    assert again.raft.log.last == 5 and again.raft.commit == 3
+
+
+def test_settings_committed_with_nothing_after_them_are_noted_once():
+    disk = SimDisk(random.Random(1))
+    s = Saved(disk, AB)
+    heard(s, entries(2), 0, 1.0)
+    heard(s, [], 2, 1.01, prev=2)
+    assert Saved(disk, AB).core.state.index == 0
+    s.step(1.02)
+    assert s.core.wakeup(1.03) < 1.06
+    s.step(1.06)
+    batches = len(s.tale.batches) + len(Tale.open(disk, "f", "a").unwrap().batches)
+    assert Saved(disk, AB).core.state.index == 2
+    for n in range(10):
+        s.step(1.07 + n / 100)
+    assert len(s.tale.batches) + len(Tale.open(disk, "f", "a").unwrap().batches) == batches
+
+
+def test_a_note_beyond_a_torn_log_counts_only_for_what_is_there():
+    p = founding(G, AB, None)
+    c = Core("a", A, EU, random.Random(1))
+    c.start(p, Hard(G, 1, "", 9), entries(4), 0.0)
+    assert c.raft.commit == c.state.index == 4
+    c.start(p, Hard(Group(2, "other"), 1, "", 4), entries(4), 0.0)
+    assert c.state.index == 0
+
+
+def test_a_disk_written_without_the_note_is_read():
+    class Old(msgspec.Struct, array_like=True):
+        group: Group
+        term: int
+        vote: str
+
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(Old(G, 2, "b")), type=Hard) == Hard(G, 2, "b", 0)
+
+
+def test_the_first_campaign_after_a_start_comes_within_one_time_out():
+    t = Times().election
+    at = [Core("a", A, EU, random.Random(n)) for n in range(50)]
+    for c in at:
+        c.start(founding(G, AB, None), None, [], 10.0)
+    assert all(10 + FIRST * t <= c.raft.wakeup() <= 10 + t for c in at)
+    c = core(AB)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 1)), 1.0)
+    assert 1 + t <= c.raft.wakeup() <= 1 + 2 * t
+
+
+def test_a_blank_proxy_takes_the_newest_settings_that_answer_and_does_not_wait_for_the_silent(fleet):  # noqa: F811
+    node, (a, b, c) = fleet
+    node.params.seeds = [a.addr, b.addr, c.addr]
+    c.mesh.on("who", lambda s, body: Event().wait(5))
+    c.role = "silent"
+    with EchoTask(node) as t:
+        assert not t.held.is_set()
+        assert soon(t.held.is_set)
+        assert t.echo.state.index == 2 and t.echo.leader is None
+        c.mesh.on("who", lambda s, body: wire.encode(c.who()))
+        assert soon(lambda: t.echo.state.index == 3)
+        a.state.apply(9, 9, encode(service("s", 9)))
+        assert soon(lambda: t.echo.state.index == 9)
+
+
+def test_empty_settings_are_not_held(fleet):  # noqa: F811
+    node, laws = fleet
+    for x in laws:
+        x.state = type(x.state)(3)
+    with EchoTask(node) as t:
+        assert soon(lambda: t.echo.state is not None) and not t.held.is_set()
+        laws[1].state.apply(1, 1, encode(service("s", 1)))
+        assert soon(t.held.is_set)
+
+
+def test_the_door_opens_once_settings_are_held_and_stays_open():
+    began = []
+    server = SimpleNamespace(start=lambda: began.append(1), stop=lambda timeout: began.append(0))
+    node, echo = SimpleNamespace(server=server, stopping=Event()), SimpleNamespace(held=Event())
+    with Doors(node, echo):
+        gevent.idle()
+        assert began == []
+        echo.held.set()
+        assert soon(lambda: began == [1])
+    assert began == [1, 0]
+
+
+def test_settings_come_with_one_question_and_large_ones_by_pieces(fleet, monkeypatch):  # noqa: F811
+    node, (a, b, c) = fleet
+    asked = []
+    c.mesh.on("piece", lambda s, body, act=c.mesh._on["piece"][0]: (asked.append(1), act(s, body))[1])
+    mine = Puller(node.mesh, lambda: None)
+    p, s = mine.pull(c.addr, SETTINGS).unwrap()
+    assert (p.index, s.items.services["s"].version, asked) == (3, 3, [])
+    monkeypatch.setattr(pull, "WHOLE", 10)
+    p, s = mine.pull(c.addr, SETTINGS).unwrap()
+    assert (p.index, s.items.services["s"].version) == (3, 3) and asked
+    assert mine.pull(c.addr, SETTINGS, lambda l: False).is_err()
+
+
+def test_a_follower_whose_leader_hung_up_waits_less_unless_it_speaks_again():
+    c = core(AB)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 1)), 1.0)
+    c.gone(A, 1.05)
+    assert c.raft.wakeup() >= 2.0 and c.raft.in_touch(1.1, 1.0)
+    c.gone(B, 1.1)
+    assert 1.1 + DOUBT <= c.raft.wakeup() <= 1.1 + 2 * DOUBT and not c.raft.in_touch(1.1, 1.0)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 2)), 1.2)
+    assert c.raft.wakeup() >= 2.2 and c.raft.leader == "b"
+
+
+def test_doubt_of_one_follower_moves_nobody_while_the_others_hear_the_leader():
+    three = Voters({"a": A, "b": B, "c": Address("10.0.0.3", 1)})
+    c = core(three)
+    c.receive(Envelope(G, "b", "a", B, Append(1, 0, 0, [], 0, 1)), 1.0)
+    c.ready(1.0)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, True, 5, 1)), 1.1)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, False, 5, 1)), 1.1)
+    r = c.ready(1.1)
+    assert [m.granted for _, m in r.late] == [False] and c.raft.term == 1
+    c.gone(B, 1.2)
+    c.receive(Envelope(G, "c", "a", B, Ask(2, True, 5, 1)), 1.3)
+    assert [m.granted for _, m in c.ready(1.3).late] == [True]
+
+
+def test_a_neighbour_is_gone_with_its_last_session():
+    x, y = (Address("127.0.0.1", p) for p in free_ports(2))
+    gone = []
+    with Mesh(x, "f", Counts()) as here:
+        here.gone = gone.append
+        here.on("hi", lambda s, b: b)
+        with Mesh(y, "f", Counts()) as there, Mesh(Address("127.0.0.1", free_ports(1)[0]), "f", Counts()) as other:
+            other.me = y
+            assert there.call(x, "hi", b"1", 5).is_ok() and other.call(x, "hi", b"1", 5).is_ok()
+            other._line(x, clock.now()).close()
+            assert there.call(x, "hi", b"2", 5).is_ok() and gone == []
+        assert soon(lambda: gone == [y])
