--- a/mallowvalve/law/task.py
+++ b/mallowvalve/law/task.py
@@ -24,7 +24,7 @@
 from mallowvalve.tale.log import Tale
 from mallowvalve.tree.build import EMPTY, build
 from mallowvalve.tree.model import Tree
-from mallowvalve.vote.wire import Envelope, Group, Hard, Install, Message, Picture, encode, envelope
+from mallowvalve.vote.wire import Envelope, Group, Install, Message, Picture, encode, envelope
 
 STORE_AGAIN = 2.0
 
@@ -32,13 +32,13 @@
 class LawTask:
     __slots__ = (
         "node", "core", "tale", "_box", "_jobs", "stalled", "_role_said", "_tree",
-        "puller", "_saving", "_pulling", "_stored", "disk", "founder", "_waits", "_over",
+        "puller", "_saving", "_pulling", "_stored", "disk", "founder", "_waits", "_over", "_hint",
     )
 
     def __init__(self, node: Node, tale: Tale, loaded: store.Loaded):
         self.node, self.tale = node, tale
         p = node.params
-        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks, p.pace)
+        self.core = Core(tale.identity.id, p.mesh, p.locality, random.Random(node.boot), p.acks, p.pace, p.election)
         if loaded.picture is not None:
             self.core.start(loaded.picture, loaded.hard, loaded.entries, clock.now())
         self._box: Queue = Queue()
@@ -51,7 +51,9 @@
         self.disk = RLock()
         self._waits: set[AsyncResult] = set()
         self._over = False
+        self._hint: Address | None = None
         self.founder = FoundTask(self)
+        node.mesh.gone = lambda a: self.put(lambda now: self.core.gone(a, now))
         on = node.mesh.on
         on("vote", self._vote, quick=True)
         on("want", lambda s, b: wire.encode(self._want(wire.want(b))))
@@ -96,15 +98,21 @@
 
     def _offer_once(self, command: bytes, limit: float) -> wire.Took:
         """A law whose disk refuses holds no command back: another one is asked."""
-        t = wire.Took("leader", leader=self._other()) if self.stalled else self._offer(wire.Offer(command, limit))
+        held = self.core.raft is None or self.stalled
+        t = wire.Took("leader", leader=self._other()) if held else self._offer(wire.Offer(command, limit))
         if t.code != "leader" or t.leader is None or t.leader == self.node.params.mesh:
             return t
-        r = self.node.mesh.call(t.leader, "offer", wire.encode(wire.Offer(command, limit)), limit)
-        return wire.took(r.ok_value) if r.is_ok() else wire.Took("undecided")
+        to, self._hint = t.leader, None
+        r = self.node.mesh.call(to, "offer", wire.encode(wire.Offer(command, limit)), limit)
+        if r.is_err():
+            return wire.Took("undecided")
+        t = wire.took(r.ok_value)
+        self._hint = t.leader if t.code in AGAIN else to
+        return t
 
     def _other(self) -> Address | None:
         laws = [r.addr for r in self.node.bond.alive("law")]
-        return random.choice(laws) if laws else None
+        return self._hint if self._hint in laws else random.choice(laws) if laws else None
 
     def read(self, limit: float) -> wire.Took:
         if self.stalled:
@@ -229,7 +237,7 @@
                 self.node.counts.add("log_entries", len(r.entries))
                 self.node.counts.add("log_bytes", sum(len(e.data) for e in r.entries))
             stored = self._stored.pop((group, r.install.index), None) if r.install is not None else None
-            self.persist(lambda: store.save(self.tale, r, Hard(group, self.core.raft.term, self.core.raft.vote), stored))
+            self.persist(lambda: store.save(self.tale, r, self.core.raft.hard(), stored))
             self._send(group, r.late)
             self.core.saved(r, clock.now())
             if self.tale.full() and not self._saving:
@@ -273,7 +281,7 @@
         if raft is None or raft.group != p.group or p.index <= raft.log.base:
             return self.persist(lambda: self.tale.drop(name))
         tail = [e for e in raft.log.entries if e.index > p.index]
-        first = store.head(Hard(raft.group, raft.term, raft.vote), tail)
+        first = store.head(raft.hard(), tail)
         self.persist(lambda: store.turn(self.tale, p, first, name))
         self.core.compact(p)
         self.node.counts.add("pictures_taken")
