Blank proxies ask less and less often: at a first start the whole fleet does

Cause (seen in the code merged from restarts): each proxy without settings asked nine nodes ten times a second; 82 of them, for the eight seconds of a first start, are 7,400 calls a second. The pause doubles from 0.1 s to 1 s; a restart into a running fleet ends with the first answer.

--- a/mallowvalve/law/echotask.py
+++ b/mallowvalve/law/echotask.py
@@ -180,11 +180,16 @@
         gevent.sleep(0.1)
 
     def _begin(self) -> None:
-        """A proxy with nothing to go by takes the newest settings anybody answers with, and does not wait for the silent."""
+        """A proxy with nothing to go by takes the newest settings anybody answers with, and does not wait for the silent.
+
+        It asks less and less often: where nobody has any, the whole fleet asks.
+        """
         gevent.sleep(FIRST)
+        pause = FIRST_AGAIN
         while not self.held.is_set():
             self._take_newest(FIRST_WAIT)
-            self.held.wait(timeout=FIRST_AGAIN)
+            self.held.wait(timeout=pause)
+            pause = min(2 * pause, ANYWHERE)
 
     def _fetch_anywhere(self) -> None:
         """The newest settings that a law or a neighbour holds, while nobody leads; never older ones than are held."""
