--- a/mallowvalve/flow/host.py
+++ b/mallowvalve/flow/host.py
@@ -9,6 +9,7 @@
 from mallowvalve.beat.roll import Upstream
 from mallowvalve.flow.budget import Sliding
 from mallowvalve.flow.draw import emptied
+from mallowvalve.flow.spot import BREAK, BREAK_MOST, Spot, Zone
 from mallowvalve.flow.steps import Answer
 from mallowvalve.kind import Locality
 from mallowvalve.law.echo import Echo
@@ -16,99 +17,32 @@
 from mallowvalve.tree.items import ServiceItem
 
 FILL, FAR = 0.85, (0.0, 0.1, 0.5)
-HALF = 0.4
-FRESH = 0.3
 FULL = 0.2
 QUEUED = 2
-BREAK, BREAK_MOST = 0.5, 4.0
-MUTE, OWES = 0.25, 2.5
-OPENING = 0.15
-DARK, DARK_OWES, DARK_SENT, DARK_MOST = 0.15, 1.5, 3, 2.0
 COLD_SHARE = 0.9
 WRONG = 5.0
 BUDGET_SHARE, FLOOR_SHARE = 0.7, 0.5
-
-
-class Zone:
-    """Whether a zone answers at all: dark once it has said nothing since several requests were sent there (s)."""
-
-    __slots__ = ("first", "sent", "latency")
-
-    def __init__(self):
-        self.first, self.sent, self.latency = -1e9, 0, 0.1
-
-    def sending(self, now: float) -> None:
-        if now - self.first > DARK_MOST:
-            self.first, self.sent = now, 0
-        self.sent += 1
-
-    def heard(self, took: float) -> None:
-        self.first, self.sent = -1e9, 0
-        self.latency += 0.1 * (took - self.latency)
-
-    def dark(self, now: float) -> bool:
-        """Not for long, so that one that is back is found."""
-        return self.sent >= DARK_SENT and max(DARK, DARK_OWES * self.latency) < now - self.first <= DARK_MOST
-
-
-class Spot:
-    """One upstream as this proxy sees it. Times on the proxy's own clock (s); `load` counts requests of all proxies."""
-
-    __slots__ = (
-        "up", "zone", "busy", "base", "base_at", "since", "full_until", "broken_until", "pause", "wrong_until", "mute", "latency",
-        "opening", "cold_until", "cold_end", "cold_next", "cold_k", "cold_at",
-    )
-
-    def __init__(self, up: Upstream, zone: Zone | None = None):
-        self.up, self.zone, self.busy = up, zone or Zone(), 0
-        self.base, self.base_at, self.since = 0.0, -1e9, 0
-        self.full_until = self.broken_until = self.wrong_until = -1e9
-        self.pause = BREAK
-        self.mute: float | None = None
-        self.latency = 0.1
-        self.opening: list[float] = []
-        self.cold_until, self.cold_end, self.cold_next = 0, -1e9, -1e9
-        self.cold_k, self.cold_at = 0, (-1, -1)
-
-    def load(self, now: float, share: int) -> float:
-        if self.base_at < -1e8:
-            return float(self.busy * share)
-        return max(float(self.busy), self.base * 0.5 ** ((now - self.base_at) / HALF) + self.since)
-
-    def fill(self, now: float, share: int) -> float:
-        return (self.load(now, share) + 1) / max(1, self.up.slots)
-
-    def full(self, now: float, share: int, most: int) -> bool:
-        if now < self.full_until or self.busy >= most:
-            return True
-        return self.load(now, share) >= 2 * self.up.slots if now - self.base_at < FRESH else False
-
-    def sound(self, now: float) -> bool:
-        """One that failed is tried by one request at a time, and one that is slow to connect is left to those at it."""
-        if now < self.broken_until or self.doubted and self.busy or self.zone.dark(now):
-            return False
-        if self.opening and now - self.opening[0] > OPENING:
-            return False
-        return self.mute is None or now - self.mute <= max(MUTE, OWES * self.latency)
-
-    @property
-    def doubted(self) -> bool:
-        return self.pause > BREAK
-
-    def cold(self, now: float) -> bool:
-        return now < self.cold_end
+SURE = 1.0
+CAUTION, CAUTION_SHARE, CAUTION_LEAST = 30.0, 0.5, 0.2
 
 
 class Place:
     """A place at an upstream and the session opened for it, given back exactly once."""
 
-    __slots__ = ("session", "hosts", "spot", "streams", "_left")
+    __slots__ = ("session", "hosts", "spot", "streams", "idle", "_left")
 
     def __init__(self, hosts: Hosts, spot: Spot):
-        self.session, self.hosts, self.spot = None, hosts, spot
+        """`idle` is for how long its session was not used (s), None for one just opened."""
+        self.session, self.hosts, self.spot, self.idle = None, hosts, spot, None
         self.streams = self._left = False
         spot.busy += 1
 
+    def reuse(self, sure: bool, now: float) -> bool:
+        self.session = self.hosts.links.take(self.spot.up, now, sure)
+        if self.session is not None:
+            self.idle = now - self.session.since
+        return self.session is not None
+
     def back(self, keep: bool) -> None:
         if self._left:
             return
@@ -122,22 +56,34 @@
 
 
 class Links:
-    """Idle sessions, the last used first; none is used beyond the time that its upstream keeps it."""
+    """Idle sessions, the last used first; none is used beyond the time that its upstream keeps it.
 
-    __slots__ = ("_idle",)
+    Where one was forgotten sooner than said, all are trusted for half of that time for a while.
+    """
+
+    __slots__ = ("_idle", "_trust", "_until")
 
     def __init__(self):
         self._idle: dict[str, list] = {}
+        self._trust, self._until = 1e9, -1e9
 
-    def take(self, up: Upstream, now: float):
-        idle = self._idle.get(up.instance, ())
+    def take(self, up: Upstream, now: float, sure: bool = False):
+        """`sure`: one that was used just now, for what cannot be sent again."""
+        idle, trust = self._idle.get(up.instance, ()), self._trust if now < self._until else 1e9
         while idle:
+            if sure and now - idle[-1].since > SURE:
+                return None
             s = idle.pop()
-            if s.beat.address == up.address and now - s.since <= s.life and not s.stale():
+            if s.beat.address == up.address and now - s.since <= min(s.life, trust) and not s.stale():
                 return s
             s.close()
         return None
 
+    def forgotten(self, idle: float, now: float) -> None:
+        """A session not used for `idle` seconds broke at once when it was sent on."""
+        trust = max(CAUTION_LEAST, CAUTION_SHARE * idle)
+        self._trust, self._until = min(trust, self._trust) if now < self._until else trust, now + CAUTION
+
     def drop(self, instance: str) -> None:
         for s in self._idle.pop(instance, ()):
             s.close()
@@ -194,9 +140,9 @@
             if not good:
                 continue
             s = self._two(good, now, share)
-            f = s.fill(now, share)
+            f = s.fill(now, share) + s.ill(now)
             if f > FILL and len(good) > 2:
-                f, s = min(((x.fill(now, share), x) for x in good), key=lambda g: g[0])
+                f, s = min(((x.fill(now, share) + x.ill(now), x) for x in good), key=lambda g: g[0])
             if f <= FILL:
                 return s, True
             rest.append((f + FAR[d], s))
@@ -228,6 +174,8 @@
         s.mute = now if s.busy > 1 else None
         s.latency += 0.2 * (took - s.latency)
         t = self.params.terms
+        if not (a.status == 421 or t.not_run and t.not_run.lower() in a.said):
+            s.judged(a.status < 500 or a.status == 504, now)
         usage = a.said.get(t.usage.lower()) if t.usage else None
         if usage is not None:
             self._usage(s, usage, now)
@@ -367,7 +315,7 @@
         if len(good) == 1:
             return good[0]
         a, b = self.rng.sample(good, 2)
-        return a if a.fill(now, share) <= b.fill(now, share) else b
+        return a if a.fill(now, share) + a.ill(now) <= b.fill(now, share) + b.ill(now) else b
 
     def _usage(self, s: Spot, text: str, now: float) -> None:
         try:
--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import msgspec
-
 from mallowvalve.count import Counts
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law import grow
@@ -28,7 +26,7 @@
 CURRENT, LAG = 0.5, 16
 MARK = 0.03
 TOLD_PACES = 3
-FEED, GATHER_MOST = 0.0004, 0.05
+FEED, GATHER_MOST = 0.0015, 0.15
 
 
 class Core:
@@ -306,7 +304,7 @@
         self._reads = keep
 
     def _answer_wants(self, now: float) -> None:
-        """One that was fed news a moment ago is fed the next with what else comes by then: `FEED` is what one costs (s)."""
+        """One that was fed news a moment ago is fed the next with what else comes by then: `FEED` seconds for each echo."""
         news = (self.state.turned, self.state.index if any(p.want.parts == "all" for p in self._parked.values()) else 0)
         if news == self._looked and now < self._look_at:
             return
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -83,7 +83,7 @@
 
     t = LawTask.__new__(LawTask)
     t._over = False
-    t.node, t.stalled = Node, True
+    t.node, t.stalled, t.core, t._hint = Node, True, type("C", (), {"raft": object()}), None
     assert t.offer(b"x", 1.0).revision == 5 and asked == [("other", "offer")]
     assert t.read(1.0).code == "leader" and len(asked) == 1
 
