A new leader counts on from its predecessor's clock alone, not from an earlier leader's that ran ahead

A law kept the line it had heard of the former leader where that was ahead, and leading later it measured leases by it that were given by the slower one. Now the first entry of a new term begins a new line; by induction each line is behind all before it. Ruled out: clock steps (the steady clock is read), late give-backs (fences differ). Test failed first.

--- a/mallowvalve/law/core.py
+++ b/mallowvalve/law/core.py
@@ -18,7 +18,7 @@
 from mallowvalve.params import Acks
 from mallowvalve.vote.log import CHUNK, CHUNK_BYTES, Log
 from mallowvalve.vote.raft import Raft, Ready, Times
-from mallowvalve.vote.wire import COMMAND, Entry, Envelope, Group, Hard, Picture, Voters
+from mallowvalve.vote.wire import COMMAND, NOOP, Entry, Envelope, Group, Hard, Picture, Voters
 
 TOLD = tags((Change, Evacuate, Enrol, Strike, Seats))
 SETTINGS_TAGS, TIES_TAGS = tags(SETTINGS), tags(TIES)
@@ -33,7 +33,7 @@
     __slots__ = (
         "id", "addr", "locality", "rng", "raft", "state", "echoes", "counts", "replies", "decided", "seen",
         "_pending", "_waiting", "_parked", "_reads", "_led", "_clock_base", "_clock_at", "_brought", "_ticked",
-        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_dropped", "_times", "_mark_at", "_seating",
+        "_grown", "_base_index", "_acks", "_news", "_clock_heard", "_clock_term", "_dropped", "_times", "_mark_at", "_seating",
         "_looked", "_look_at",
     )
 
@@ -64,6 +64,7 @@
         self._acks, self._times = acks, Times(pace=pace, told=TOLD_PACES * pace, election=election)
         self._news: deque[Entry] = deque()
         self._clock_heard = (0, 0.0)
+        self._clock_term = 0
         self._mark_at: float | None = None
 
     def start(
@@ -76,9 +77,9 @@
         self._base_index = picture.index
         self._news, self._dropped = deque(), self.state.turned
         self._led, self._mark_at = False, None
-        self._apply()
+        self._clock_heard, self._clock_term = (self.state.clock, now), 0
+        self._apply(now)
         self.decided = []
-        self._clock_heard = (self.state.clock, now)
 
     def stop(self, new_id: str) -> None:
         self.raft = self.state = None
@@ -186,10 +187,9 @@
         if r.install is not None:
             self.state = self._loaded_for(r.install)
             self._news, self._dropped = deque(), self.state.turned
+            self._clock_heard, self._clock_term = (self.state.clock, now), 0
         self.raft.saved(r)
-        self._apply()
-        if self.state.clock > self._clock_since(now):
-            self._clock_heard = (self.state.clock, now)
+        self._apply(now)
         self._settle(now)
 
     def picture(self) -> tuple[Picture, Iterator[bytes]] | None:
@@ -235,9 +235,15 @@
         """The fleet's clock by what was heard of it: never ahead, since an entry is proposed before it is applied here."""
         return self._clock_heard[0] + int((now - self._clock_heard[1]) * 1000)
 
-    def _apply(self) -> None:
+    def _hear_clock(self, e: Entry, now: float) -> None:
+        """Each leader's clock may run behind its predecessor's: what was heard of those says nothing of this one's."""
+        if e.kind != NOOP and (e.term != self._clock_term or e.at > self._clock_since(now)):
+            self._clock_heard, self._clock_term = (e.at, now), e.term
+
+    def _apply(self, now: float) -> None:
         while self.state.index < self.raft.commit:
             e = self.raft.log.get(self.state.index + 1)
+            self._hear_clock(e, now)
             out = self.state.apply(e.index, e.at, e.data if e.kind == COMMAND else b"")
             if self.state.turned == e.index:
                 self._news.append(e)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,7 @@
 from mallowvalve.law.cut import dump
 from mallowvalve.law.state import Change, State, Tick, encode
 from mallowvalve.law.wire import Took, Want
-from mallowvalve.tie.plain import Count
+from mallowvalve.tie.plain import Count, Take
 from mallowvalve.vote.wire import (
     COMMAND, NOOP, Append, Appended, Entry, Envelope, Group, Install, Picture, Voice, Voters,
 )
@@ -169,3 +169,34 @@
     assert not heard(Append(2, 1, 1, [Entry(2, 2, NOOP, 20, b"")], 0, 2))
     assert heard(Append(2, 2, 2, [], 2, 3)) and c.state.plain.numbers == {"n": 1}
     assert not c.current(3.0)
+
+
+def test_a_lock_outlives_leaders_whose_clocks_run_one_behind_the_other():
+    """Heard at once of one leader, late of the next, whose clock so runs behind: its own leases are what must not end early."""
+    c = Core("a", A, EU, random.Random(1))
+    c.start(founding(G, Voters({"a": A, "b": B}), None), None, [], 0.0)
+
+    def heard(term, prev, prev_term, e, at):
+        c.receive(Envelope(G, "b", "a", B, Append(term, prev, prev_term, [e], e.index, e.index)), at)
+        c.saved(c.ready(at), at)
+
+    heard(2, 0, 0, Entry(1, 2, COMMAND, 5000, encode(Count("n"))), 5.0)
+    heard(3, 1, 2, Entry(2, 3, NOOP, 5000, b""), 5.5)
+    behind = 800
+    heard(3, 2, 3, Entry(3, 3, COMMAND, 6000 - behind, encode(Take("l", "x", 2000))), 6.0)
+    at = 7.5
+    c.tick(at)
+    c.saved(c.ready(at), at)
+    for pre in (True, False):
+        c.receive(Envelope(G, "b", "a", B, Voice(c.raft.term + pre, pre, True)), at)
+        c.saved(c.ready(at), at)
+    c.receive(Envelope(G, "b", "a", B, Appended(c.raft.term, True, 4, c.raft.seq)), at)
+    c.saved(c.ready(at), at)
+    assert c.leads
+    c.propose(encode(Take("l", "y", 2000)), "early", 20.0, 7.9)
+    c.propose(encode(Take("l", "y", 2000)), "late", 20.0, 8.1)
+    c.saved(c.ready(8.1), 8.1)
+    c.receive(Envelope(G, "b", "a", B, Appended(c.raft.term, True, 6, c.raft.seq)), 8.1)
+    c.saved(c.ready(8.1), 8.1)
+    said = {t: msgspec.msgpack.decode(took.body)[0] for t, took in step(c, 8.2) if t in ("early", "late")}
+    assert said == {"early": "held", "late": "ok"}
