--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mallowvalve.bond.wire import encode as bond_encode
+from mallowvalve.law import cut
 from sim.joiners import play
 from sim.target import Led, bond, sizes
 
@@ -63,6 +64,7 @@
     assert play(3, 0.02, 0.02, 20, 10.0)[0] == 3
 
 
-def test_many_joiners_at_once_all_get_the_settings_of_a_machine_whose_log_goes_on():
+def test_many_joiners_at_once_all_get_the_settings_of_a_machine_whose_log_goes_on(monkeypatch):
+    monkeypatch.setattr(cut, "SLICE", 2000)
     done, made, _ = play(40, 0.02, 0.02, 20, 5.0)
     assert done == 40 and made < 10
