--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -5,6 +5,8 @@
 import random
 from types import SimpleNamespace
 
+import pytest
+
 from mallowvalve.bond.detector import fresh_record
 from mallowvalve.kind import Address, Locality
 from mallowvalve.law.core import Core, founding
@@ -45,20 +47,13 @@
         c.want(Want(a, 7, "flow", LOC, G, held, 0, now, "settings", 1.0), a, now)
 
 
-def test_all_proxies_that_come_at_once_get_their_seats_at_once():
-    c = leader("held")
-    wants(c, 8.0)
-    step(c, 8.0)
-    step(c, 8.2)
-    assert len(c.state.params.roster) == 82
-
-
-def test_where_majorities_count_seats_are_given_one_at_a_time():
-    c = leader("force")
+@pytest.mark.parametrize(("settings", "seats"), [("held", 82), ("force", 1)])
+def test_proxies_that_come_at_once_get_seats_at_once_except_where_majorities_count(settings, seats):
+    c = leader(settings)
     wants(c, 8.0)
     step(c, 8.0)
     step(c, 8.2)
-    assert len(c.state.params.roster) == 1
+    assert len(c.state.params.roster) == seats
 
 
 def test_seats_that_nobody_holds_any_more_go_together():
