--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -10,6 +10,7 @@
 from mallowvalve.control import lease, reconfiguration
 from mallowvalve.control.acknowledgement import Replicas
 from mallowvalve.control.brought_state import BroughtState
+from mallowvalve.control.feeding import Feeds, Source
 from mallowvalve.control.fleet_clock import FleetClock
 from mallowvalve.control.news import News
 from mallowvalve.control.outcome import UNAPPLIED, Code
@@ -30,20 +31,18 @@
     tag_of,
     tags,
 )
-from mallowvalve.control.waiting import CommitNote, Parked, Pending, Read, Reads, turns_settings, waits_for
+from mallowvalve.control.waiting import CommitNote, Pending, Read, Reads, turns_settings, waits_for
 from mallowvalve.control.wire import Fed, Took, Want, Who
 from mallowvalve.metrics import Counts
 from mallowvalve.raft.log import Log
-from mallowvalve.raft.messages import COMMAND, Entry, Envelope, Hard, Snapshot, Voters
+from mallowvalve.raft.messages import COMMAND, Entry, Envelope, Hard, Snapshot
 from mallowvalve.raft.progress import Ready, Times
 from mallowvalve.raft.raft import Raft
 from mallowvalve.settings import Acks
 from mallowvalve.types import Address, Locality
 
 TOLD = tags((Change, Evacuate, Enrol, Strike, Seats))
-HOLD_MOST = 1.0
 TOLD_PACES = 3
-FEED, GATHER_MOST = 0.0015, 0.15
 
 
 class Core:
@@ -63,7 +62,7 @@
         "clock",
         "_pending",
         "_waiting",
-        "_parked",
+        "feeds",
         "_reads",
         "_led",
         "_brought",
@@ -75,8 +74,6 @@
         "_times",
         "_note",
         "_seating",
-        "_looked",
-        "_look_at",
     )
 
     def __init__(
@@ -99,13 +96,12 @@
         self.replicas = Replicas(locality)
         self._pending: dict[int, Pending] = {}
         self._waiting: deque[tuple[int, Pending]] = deque()
-        self._parked: dict[Address, Parked] = {}
+        self.feeds = Feeds(addr)
         self._reads = Reads()
         self._led = False
         self._brought = BroughtState()
         self._ticked = self._grown = -1e9
         self._seating = 0
-        self._looked, self._look_at = (0, 0), -1e9
         self._base_index = 0
         self._acks, self._times = acks, msgspec.structs.replace(times, told=TOLD_PACES * times.pace)
         self._news = News(0)
@@ -157,9 +153,7 @@
     def timer(self, now: float) -> float:
         if self.raft is None:
             return now + 0.1
-        return min(
-            self._note.at or now + 0.1, now + 0.1, self.raft.timer(), self._look_at if self._parked else now + 0.1
-        )
+        return min(self._note.at or now + 0.1, now + 0.1, self.raft.timer(), self.feeds.look_at)
 
     def tick(self, now: float) -> None:
         if self.raft is None:
@@ -215,12 +209,8 @@
         if not self.leads:
             self.replies.append((token, Fed(self.leader())))
             return
-        old = self._parked.pop(w.addr, None)
-        if old is not None:
-            self.replies.append((old.token, Fed(self.addr)))
         self.replicas.heard(w, self.raft.group, self.raft.rounds.seq + 1, now)
-        self._parked[w.addr] = Parked(token, w, now)
-        self._look_at = now
+        self.replies += self.feeds.park(w, token, now)
 
     def ready(self, now: float) -> Ready | None:
         return self.raft.ready(now) if self.raft else None
@@ -298,7 +288,8 @@
         self.replicas.watch(self.state.settings, now)
         self._answer_waiting(now)
         self.replies += self._reads.answer(self.raft.rounds.confirmed, self.state, self.raft.term, now)
-        self._answer_wants(now)
+        source = Source(self.raft, self.state, self._news, self.replicas, self.clock.read(now))
+        self.replies += self.feeds.answer(source, now)
         self._housekeep(now)
 
     def _answer_waiting(self, now: float) -> None:
@@ -322,53 +313,6 @@
             return False
         return p.waits == "held" or self.replicas.in_force(p.outcome.revision, now)
 
-    def _answer_wants(self, now: float) -> None:
-        """One that was fed news a moment ago is fed the next with what else comes by then: `FEED` seconds for each replica."""
-        news = (self.state.turned, self.state.index if any(p.want.parts == "all" for p in self._parked.values()) else 0)
-        if news == self._looked and now < self._look_at:
-            return
-        self._looked, self._look_at = news, now + HOLD_MOST
-        gather = min(GATHER_MOST, FEED * len(self.replicas.heard_of))
-        for a, p in list(self._parked.items()):
-            w, part = p.want, p.want.parts == "settings"
-            same = w.group == self.raft.group
-            newest = self.state.turned if part else self.state.index
-            due = p.at + min(w.hold, HOLD_MOST) if w.index >= newest else self.replicas.told_at(a) + gather
-            if same and now < due:
-                self._look_at = min(self._look_at, due)
-                continue
-            del self._parked[a]
-            sure = self.replicas.sure(a, self.raft.rounds.confirmed)
-            entries, upto = [], self.state.index
-            lacking = not same or w.index < (self._news.dropped if part else self.raft.log.base)
-            if not lacking and part:
-                entries, upto = self._news.since(w.index, self.state.index)
-            elif not lacking:
-                entries = [e for e in self.raft.log.since(w.index) if e.index <= self.state.index]
-            self.replicas.fed(a, now, w.index < newest <= upto)
-            self.replies.append(
-                (
-                    p.token,
-                    Fed(
-                        self.addr,
-                        self.raft.group,
-                        lacking,
-                        entries,
-                        upto,
-                        self.state.settings.revision,
-                        sure,
-                        self._voters_since(w, lacking),
-                        self.state.clock,
-                        self.clock.read(now),
-                    ),
-                )
-            )
-
-    def _voters_since(self, w: Want, lacking: bool) -> Voters | None:
-        """The voters, where the replica may not know them yet."""
-        told = w.hold > 0 and not lacking and w.index >= self.raft.log.voters_index
-        return None if told else self.raft.log.voters_at(self.state.index)
-
     def _housekeep(self, now: float) -> None:
         if now - self._ticked > 1.0 and self.state.coordination.restless():
             self._ticked = now
@@ -390,6 +334,5 @@
         for p in [*self._pending.values(), *(p for _, p in self._waiting)]:
             self.replies.append((p.token, Took("undecided")))
         self.replies += self._reads.fail()
-        for p in self._parked.values():
-            self.replies.append((p.token, Fed(None)))
-        self._pending, self._waiting, self._parked = {}, deque(), {}
+        self.replies += self.feeds.drop()
+        self._pending, self._waiting = {}, deque()
--- a/mallowvalve/control/waiting.py
+++ b/mallowvalve/control/waiting.py
@@ -1,4 +1,4 @@
-"""What waits at a leader: commands for their acknowledgement, reads for a quorum, replicas for news."""
+"""What waits at a leader: commands for their acknowledgement, reads for a quorum."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import msgspec
 
 from mallowvalve.control.state import COORDINATION, SETTINGS, Outcome, State, tag_of, tags
-from mallowvalve.control.wire import Took, Want
+from mallowvalve.control.wire import Took
 from mallowvalve.settings import Acks
 
 NOTE_AFTER = 0.03
@@ -56,12 +56,6 @@
         return False
 
 
-class Parked(msgspec.Struct):
-    token: Any
-    want: Want
-    at: float
-
-
 class Read(msgspec.Struct):
     token: Any
     need: int
--- a/sim/target.py
+++ b/sim/target.py
@@ -250,7 +250,7 @@
 
     def parked(self) -> int:
         """Replicas whose question waits for news."""
-        return len(self.c._parked)
+        return len(self.c.feeds)
 
     def change(self, i: int, limit: float) -> list:
         """One change proposed and fed to all whose questions wait; what else was answered."""
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -104,11 +104,11 @@
     go_on(c, 8.0, 8.3)
     wants(c, 8.4)
     step(c, 8.4)
-    looks = c._look_at
+    looks = c.feeds.look_at
     for n in range(50):
         c.propose(encode(Tick()), n, 20.0, 8.45 + n / 1000)
         step(c, 8.45 + n / 1000)
-    assert c._look_at == looks and len(c._parked) == 82
+    assert c.feeds.look_at == looks and len(c.feeds) == 82
     assert set(MANY) <= fed(c, 9.41)
 
 
