A member is reached where it says it is, not where an old configuration has it

Ruled out: frames too large (appends are bounded at 512 entries and 1 MB), the verdicts, the swap's rule (the three learners stood at index 0, /leader of each showed no leader). The simulator hid it: its core machines told everybody that they were there, the daemon only its leader. Both ask Core.here_goes_to now. Conclusion: a member's own newest word decides where its messages go; the configuration only for those not heard yet. raft_unaddressed counts what could not be sent.

--- a/mallowvalve/control/bootstrap_task.py
+++ b/mallowvalve/control/bootstrap_task.py
@@ -199,8 +199,7 @@
 
     def say_here(self) -> None:
         body = wire.encode(msgspec.structs.replace(self.control.who(), seeds=[], voters=None))
-        leader = self.control.core.leader()
-        for a in [leader] if leader is not None else [r.addr for r in self.control.node.membership.alive("control")]:
-            if a != self.control.node.settings.transport:
-                self.control.node.transport.cast(a, "here", body)
+        alive = [r.addr for r in self.control.node.membership.alive("control")]
+        for a in self.control.core.here_goes_to(alive):
+            self.control.node.transport.cast(a, "here", body)
         self.control.put(lambda now: self.control.core.here(self.control.who(), now))
--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -12,6 +12,7 @@
 from mallowvalve.control.brought_state import BroughtState
 from mallowvalve.control.feeding import Feeds, Source
 from mallowvalve.control.fleet_clock import FleetClock
+from mallowvalve.control.member_addresses import MemberAddresses
 from mallowvalve.control.news import News
 from mallowvalve.control.outcome import UNAPPLIED, Code
 from mallowvalve.control.snapshot import cut, cut_settings, load
@@ -74,6 +75,7 @@
         "_times",
         "_note",
         "_seating",
+        "_addresses",
     )
 
     def __init__(
@@ -93,6 +95,7 @@
         self.replies: list[tuple[Any, Took | Fed]] = []
         self.members = reconfiguration.Members()
         self.seen = self.members.seen
+        self._addresses = MemberAddresses()
         self.replicas = Replicas(locality)
         self._pending: dict[int, Pending] = {}
         self._waiting: deque[tuple[int, Pending]] = deque()
@@ -139,15 +142,25 @@
     def leader(self) -> Address | None:
         if self.raft is None or not self.raft.leader:
             return None
-        return self.raft.log.voters.address(self.raft.leader)
+        return self.address_of(self.raft.leader)
+
+    def address_of(self, member: str) -> Address | None:
+        """Where the member is reached; None if nothing tells where it is."""
+        return self._addresses.of(member, self.raft.log.voters)
 
     def who(self, role: str, seeds: list[Address]) -> Who:
         r, m, i = self.raft, self.members, self.state.index if self.state else 0
         held = (False, r.group, i, r.log.voters_at(i), self.leader()) if r else (True, None, 0, None, None)
         return Who(role, self.id, self.addr, self.locality, seeds, *held, boot=m.boot, leaving=m.leaving)
 
+    def here_goes_to(self, control: list[Address]) -> list[Address]:
+        """Who is told that this process is here: the leader, or where none is known every control process."""
+        leader = self.leader()
+        return [a for a in ([leader] if leader is not None else control) if a != self.addr]
+
     def here(self, w: Who, now: float) -> None:
         if w.role == "control" and (w.group is None or self.raft and w.group == self.raft.group):
+            self._addresses.hear(w.id, w.addr)
             self.members.hear(w, now)
 
     def timer(self, now: float) -> float:
@@ -166,6 +179,7 @@
         if self.raft is None or e.group != self.raft.group or e.to != self.id:
             self.counts.add("raft_foreign")
             return
+        self._addresses.hear(e.sender, e.address)
         self.raft.receive(e.sender, e.body, now)
 
     def gone(self, a: Address, now: float) -> None:
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -346,16 +346,13 @@
         self.node.counts.add("snapshots_taken")
 
     def _send(self, group: Group, out: list) -> None:
-        raft = self.core.raft
-        for to, m in out:
-            m = announced(m)
-            a = raft.log.voters.address(to)
-            s = self.core.seen.get(to)
-            a = a or (s.addr if s else None)
-            if a is not None:
-                self.node.transport.cast(
-                    a, "raft", encode(Envelope(group, self.core.id, to, self.node.settings.transport, m))
-                )
+        for to, message in out:
+            address = self.core.address_of(to)
+            if address is None:
+                self.node.counts.add("raft_unaddressed")
+                continue
+            e = Envelope(group, self.core.id, to, self.node.settings.transport, announced(message))
+            self.node.transport.cast(address, "raft", encode(e))
 
     def _log(self) -> None:
         decided, self.core.decided = self.core.decided, []
--- a/sim/control.py
+++ b/sim/control.py
@@ -29,12 +29,13 @@
 class ControlNode(Node):
     role = "control"
     acks, times = Acks(), Times()
+    segment_bytes = 20_000
 
     def __init__(self, world: World, addr: Address, locality: Locality, seeds: list[Address], disk: SimDisk, peers):
         super().__init__(world, addr)
         self.locality, self.seeds, self.disk, self.peers = locality, seeds, disk, peers
         self.rng = random.Random(world.rng.random())
-        self.disk_log = DiskLog.open(disk, "sim", self._fresh_id(), segment_bytes=20_000).unwrap()
+        self.disk_log = DiskLog.open(disk, "sim", self._fresh_id(), segment_bytes=self.segment_bytes).unwrap()
         loaded = store.load(self.disk_log).unwrap()
         self.core = Core(self.disk_log.identity.id, addr, locality, self.rng, self.acks, self.times)
         self.core.members.boot = self.life
@@ -185,12 +186,9 @@
 
     def _send(self, group: Group, out: list) -> None:
         for to, m in out:
-            m = announced(m)
-            a = self.core.raft.log.voters.address(to)
-            s = self.core.seen.get(to)
-            a = a or (s.addr if s else None)
+            a = self.core.address_of(to)
             if a is not None:
-                self.cast(a, "raft", encode(Envelope(group, self.core.id, to, self.addr, m)))
+                self.cast(a, "raft", encode(Envelope(group, self.core.id, to, self.addr, announced(m))))
 
     def _detect(self) -> None:
         """The failure detector's part: a process that is gone or frozen for `DETECT` seconds has failed (the real one's p95)."""
@@ -255,9 +253,8 @@
             self.call(a, "who", b"", 0.3, lambda d: self._heard(d, asked))
         self.wake(0.45, self._judge)
         body = wire.encode(self._who())
-        for a in sorted(asked):
-            if a != self.addr:
-                self.cast(a, "here", body)
+        for a in sorted(self.core.here_goes_to(self._others())):
+            self.cast(a, "here", body)
         me = self._who()
         self._put(lambda: self.core.here(me, self.now))
 
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -9,6 +9,7 @@
 from mallowvalve.raft.messages import Group, Snapshot, Voters
 from mallowvalve.raft.progress import Progress
 from mallowvalve.types import Address, Locality
+from sim.control import ControlNode
 from sim.disk import SimDisk
 from sim.fleet import Fleet
 
@@ -102,6 +103,35 @@
     lose_in_turn(settled_fleet(seed, cores), killed, times)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_every_core_machine_is_replaced_in_turn_while_the_log_goes_back_to_the_first_voters(seed, monkeypatch):
+    """A learner that begins at the founding's snapshot knows none of today's members, its leader among them."""
+    monkeypatch.setattr(ControlNode, "segment_bytes", 1 << 30)
+    f = settled_fleet(seed, 6)
+    for a in list(f.core):
+        f.replace(a)
+        whole = f.run_until(lambda a=a: commits(f) and len(voters(f)) == 5 and a not in voters(f), BACK)
+        assert whole, f"{len(f.core)} machines, {voters(f)} vote after {a} was replaced"
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_of_three_voters_agree_though_one_came_back_with_its_disk_at_another_address(seed):
+    """The configuration names an address that nobody has, and without a leader nothing can write the new one."""
+    f = settled_fleet(seed, 3)
+    leader = f.leader().addr
+    moved_voter, stays = (a for a in f.core if a != leader)
+    f.kill(leader)
+    f.kill(moved_voter)
+    f.core.remove(leader)
+    f.core.remove(moved_voter)
+    there = Address("10.0.1.77", 7000)
+    f.place[there], f.disks[there] = f.place[moved_voter], f.disks.pop(moved_voter)
+    f.core.append(there)
+    f.start(there)
+    assert f.run_until(lambda: commits(f), BACK), "no leader"
+    assert f.run_until(lambda: there in voters(f) and stays in voters(f), BACK)
+
+
 A, B, C, D, E, F, H = (Address("10.0.0.1", p) for p in range(1, 8))
 ALL = dict(zip("abcdefh", (A, B, C, D, E, F, H)))
 EU = Locality("eu", "eu-a")
