--- a/sim/control.py
+++ b/sim/control.py
@@ -253,7 +253,8 @@
             self.call(a, "who", b"", 0.3, lambda d: self._heard(d, asked))
         self.wake(0.45, self._judge)
         body = wire.encode(self._who())
-        for a in sorted(self.core.here_goes_to(self._others())):
+        control = [a for a in self.peers() if isinstance(self.world.nodes[a], ControlNode)]
+        for a in sorted(self.core.here_goes_to(control)):
             self.cast(a, "here", body)
         me = self._who()
         self._put(lambda: self.core.here(me, self.now))
