A connection's frames are one compressed stream

Three in five of a frame between core machines is the same in each: group, members, address, kind. Each frame was compressed by itself, and only from half a kilobyte on. Now each direction of a connection is one deflate stream, flushed at each write, with a window of 2 KB (some 20 KB a connection). What unfolds is judged by its length after each megabyte at most. The transport's version is 5.

--- a/mallowvalve/transport/frame.py
+++ b/mallowvalve/transport/frame.py
@@ -1,20 +1,29 @@
-"""Frames on the wire: a length of four bytes, then one msgpack array, compressed where that helps."""
+"""Frames on the wire: each a length of four bytes and a msgpack array, all of a connection in one compressed stream.
+
+The greeting that opens a connection is not compressed. What follows it, in each direction, is one raw deflate stream
+(RFC 1951) that is flushed after each write, so that a frame is compressed by what the frames before it have in common
+with it: group, members and addresses are in every one of them.
+"""
 
 from __future__ import annotations
 
 import enum
 import struct
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 from result import Err, Ok, Result
 
 from mallowvalve.types import Address
 
-VERSION = 4
+VERSION = 5
 LARGEST = 64 << 20
-"""The largest body of a frame, in bytes, compressed or not."""
-PRESSED, PRESS_FROM, GAIN = 1 << 31, 512, 0.9
+"""The largest body of a frame, in bytes, before it is compressed."""
+LEVEL, WINDOW_BITS, MEMORY_LEVEL = 1, 11, 3
+"""The stream's settings: a window of 2 KB spans several frames; both directions take some 20 KB a connection."""
+UNFOLD_MOST = 1 << 20
+"""How much is decompressed at once (bytes), before it is cut into frames and their lengths are judged."""
 _LENGTH = struct.Struct("!I")
 
 
@@ -48,69 +57,112 @@
 _hello = msgspec.msgpack.Decoder(Hello).decode
 
 
-def seal(message: Frame | Hello) -> bytes:
-    """Frames of half a KB and more travel compressed where that helps; the length's highest bit says so."""
+def framed(message: Frame | Hello) -> bytes:
+    """A message behind its length, not compressed."""
     body = pack(message)
-    if len(body) >= PRESS_FROM and isinstance(message, Frame):
-        pressed = zlib.compress(body, 1)
-        if len(pressed) < GAIN * len(body):
-            return _LENGTH.pack(len(pressed) | PRESSED) + pressed
     return _LENGTH.pack(len(body)) + body
 
 
-def _unpress(pressed: bytes) -> bytes | None:
-    decompressor = zlib.decompressobj()
-    try:
-        body = decompressor.decompress(pressed, LARGEST)
-    except zlib.error:
-        return None
-    return body if decompressor.eof and not decompressor.unused_data else None
+def greeting(hello: Hello) -> bytes:
+    """The bytes that open a connection."""
+    return framed(hello)
+
+
+class Sealer:
+    """The sender's side of one direction of one connection."""
+
+    __slots__ = ("_stream",)
+
+    def __init__(self) -> None:
+        """A stream of its own: what it makes can be read only from its beginning, and in its order."""
+        self._stream = zlib.compressobj(LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL)
+
+    def seal(self, frames: Iterable[Frame]) -> bytes:
+        """The bytes of these frames, which the other side can read whole once it has them all."""
+        parts = [self._stream.compress(framed(frame)) for frame in frames]
+        return b"".join(parts) + self._stream.flush(zlib.Z_SYNC_FLUSH)
 
 
 class Cutter:
     """Cuts the bytes of one connection into messages. The first is a `Hello`, unless it is `greeted` already."""
 
-    __slots__ = ("_buffer", "_greeted", "fleet")
+    __slots__ = ("_buffer", "_greeted", "_stream", "fleet")
 
     def __init__(self, fleet: str, greeted: bool = False):
         """Only a `Hello` of this fleet and version is taken."""
         self._buffer = bytearray()
         self._greeted = greeted
+        self._stream = zlib.decompressobj(-WINDOW_BITS)
         self.fleet = fleet
 
     def feed(self, data: bytes) -> Result[list[Frame | Hello], Refusal]:
         """The messages that are whole with these bytes; after an error the connection is of no more use."""
-        self._buffer += data
         out: list[Frame | Hello] = []
-        while len(self._buffer) >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer)
-            is_pressed = length & PRESSED
-            length &= ~PRESSED
-            if length > LARGEST:
-                return Err(Refusal.OVERSIZE)
-            end = _LENGTH.size + length
-            if len(self._buffer) < end:
-                break
-            body: bytes | None = bytes(self._buffer[_LENGTH.size : end])
-            del self._buffer[:end]
-            if is_pressed and body is not None:
-                body = _unpress(body)
-            if body is None:
-                return Err(Refusal.GARBAGE)
-            message = self._open(body)
-            if isinstance(message, Err):
-                return message
-            out.append(message.ok_value)
-        return Ok(out)
-
-    def _open(self, body: bytes) -> Result[Frame | Hello, Refusal]:
+        if not self._greeted:
+            self._buffer += data
+            opened = self._open()
+            if isinstance(opened, Err):
+                return opened
+            if opened.ok_value is None:
+                return Ok(out)
+            out.append(opened.ok_value)
+            data = bytes(self._buffer)
+            self._buffer.clear()
+        return self._unfold(data, out)
+
+    def _open(self) -> Result[Hello | None, Refusal]:
+        """Takes the greeting; None while it is not whole."""
+        body = self._next_body()
+        if isinstance(body, Err):
+            return body
+        if body.ok_value is None:
+            return Ok(None)
         try:
-            if self._greeted:
-                return Ok(_frame(body))
-            hello = _hello(body)
+            hello = _hello(body.ok_value)
         except msgspec.DecodeError:
             return Err(Refusal.GARBAGE)
         if hello.version != VERSION or hello.fleet != self.fleet:
             return Err(Refusal.FOREIGN)
         self._greeted = True
         return Ok(hello)
+
+    def _unfold(self, data: bytes, out: list[Frame | Hello]) -> Result[list[Frame | Hello], Refusal]:
+        while data:
+            try:
+                self._buffer += self._stream.decompress(data, UNFOLD_MOST)
+            except zlib.error:
+                return Err(Refusal.GARBAGE)
+            if self._stream.eof:
+                return Err(Refusal.GARBAGE)
+            data = self._stream.unconsumed_tail
+            refused = self._cut(out)
+            if refused is not None:
+                return Err(refused)
+        return Ok(out)
+
+    def _cut(self, out: list[Frame | Hello]) -> Refusal | None:
+        """Moves the whole frames of the buffer to `out`."""
+        while True:
+            body = self._next_body()
+            if isinstance(body, Err):
+                return body.err_value
+            if body.ok_value is None:
+                return None
+            try:
+                out.append(_frame(body.ok_value))
+            except msgspec.DecodeError:
+                return Refusal.GARBAGE
+
+    def _next_body(self) -> Result[bytes | None, Refusal]:
+        """Takes the next body out of the buffer; None while it is not whole."""
+        if len(self._buffer) < _LENGTH.size:
+            return Ok(None)
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if length > LARGEST:
+            return Err(Refusal.OVERSIZE)
+        end = _LENGTH.size + length
+        if len(self._buffer) < end:
+            return Ok(None)
+        body = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        return Ok(body)
--- a/mallowvalve/transport/line.py
+++ b/mallowvalve/transport/line.py
@@ -10,7 +10,7 @@
 from mallowvalve.fault import Faults
 from mallowvalve.metrics import Counts
 from mallowvalve.transport.calls import Calls, Failure
-from mallowvalve.transport.frame import Cutter, Frame, Hello, seal
+from mallowvalve.transport.frame import Cutter, Frame, Hello, Sealer, greeting
 from mallowvalve.types import Address
 
 OUTBOX = 4096
@@ -34,7 +34,7 @@
 class Line:
     """Frames to one peer in the order in which they were put; connections are made when there is something to send."""
 
-    __slots__ = ("to", "hello", "counts", "faults", "used", "_pause", "_calls", "_wake", "_writer", "_sock")
+    __slots__ = ("to", "hello", "counts", "faults", "used", "_pause", "_calls", "_wake", "_writer", "_sock", "_sealer")
 
     def __init__(self, to: Address, hello: Hello, counts: Counts, faults: Faults):
         """Nothing is connected before the first frame."""
@@ -47,6 +47,7 @@
         self._pause = REDIAL
         self._wake = Event()
         self._sock: socket.socket | None = None
+        self._sealer = Sealer()
         self._writer = gevent.spawn(self._write)
 
     def cast(self, kind: str, body: bytes) -> None:
@@ -91,13 +92,14 @@
             self._pause = min(2 * self._pause, REDIAL_MOST)
             return
         connection = self._calls.connection
-        sealed = [seal(frame) for frame in self._calls.take(BATCH)]
-        if self._sock is None or not sealed:
+        frames = self._calls.take(BATCH)
+        if self._sock is None or not frames:
             return
-        self.counts.add("transport_frames", len(sealed))
-        self.counts.add("transport_bytes", sum(map(len, sealed)))
+        data = self._sealer.seal(frames)
+        self.counts.add("transport_frames", len(frames))
+        self.counts.add("transport_bytes", len(data))
         try:
-            self._sock.sendall(b"".join(sealed))
+            self._sock.sendall(data)
         except OSError:
             self._lost(connection)
 
@@ -106,10 +108,11 @@
             sock = socket.create_connection(self.to.pair, timeout=DIAL_LIMIT)
             sock.settimeout(None)
             tune(sock)
-            sock.sendall(seal(self.hello))
+            sock.sendall(greeting(self.hello))
         except OSError:
             return False
         self._sock = sock
+        self._sealer = Sealer()
         self._pause = REDIAL
         gevent.spawn(self._listen, sock, self._calls.opened())
         return True
--- a/mallowvalve/transport/task.py
+++ b/mallowvalve/transport/task.py
@@ -24,7 +24,7 @@
 from mallowvalve.fault import Faults
 from mallowvalve.metrics import Counts
 from mallowvalve.transport.calls import Failure
-from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, seal
+from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, Sealer
 from mallowvalve.transport.line import OUTBOX, READ_BYTES, Line, tune
 from mallowvalve.types import Address
 
@@ -101,9 +101,10 @@
             writer.kill()
 
     def _write(self, sock: socket.socket, outbox: Queue) -> None:
+        sealer = Sealer()
         try:
             while True:
-                data = seal(outbox.get())
+                data = sealer.seal([outbox.get()])
                 self.counts.add("transport_frames")
                 self.counts.add("transport_bytes", len(data))
                 sock.sendall(data)
--- a/sim/target.py
+++ b/sim/target.py
@@ -16,7 +16,7 @@
 from mallowvalve.membership.wire import ALIVE, VERSION, Ack, Head, Ping, Record, Tell
 from mallowvalve.membership.wire import encode as membership_encode
 from mallowvalve.raft.messages import COMMAND, Entry, Group, Voters
-from mallowvalve.transport.frame import Frame, seal
+from mallowvalve.transport.frame import Frame, framed
 from mallowvalve.types import Address, Locality
 from mallowvalve.upstreams.board import Aged, Board, Heartbeat
 from mallowvalve.upstreams.registry import Registered, Registry, Upstream
@@ -124,7 +124,8 @@
 
 
 def frame(kind: str, body: bytes, answer: bool = False) -> int:
-    return len(seal(Frame(kind, 100_000, answer, body)))
+    """The bytes of a frame before its connection's stream compresses it."""
+    return len(framed(Frame(kind, 100_000, answer, body)))
 
 
 def entry(data: bytes) -> Entry:
@@ -265,7 +266,7 @@
                 done.append(token)
                 continue
             self.fed_entries += len(f.entries)
-            self.sent += len(seal(Frame("want", 1, True, wire.encode(f))))
+            self.sent += len(framed(Frame("want", 1, True, wire.encode(f))))
             w = self.wants[token]
             self.wants[token] = msgspec.structs.replace(w, index=f.index, revision=f.revision, stamp=self.now)
         return done
--- a/tests/test_press.py
+++ b/tests/test_press.py
@@ -1,4 +1,4 @@
-from __future__ import annotations
+"""Frames in the compressed stream of a connection."""
 
 import os
 import zlib
@@ -6,35 +6,93 @@
 import pytest
 
 from mallowvalve.transport import frame
-from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, seal
+from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, Sealer, framed, greeting
 from mallowvalve.types import Address
 
-HELLO = seal(Hello(VERSION, "f", Address("10.0.0.1", 1)))
+HELLO = greeting(Hello(VERSION, "f", Address("10.0.0.1", 1)))
 LONG = Frame("want", 7, True, b"route-name,prefix,service," * 2000)
+SHORT = Frame("x", 8, False, b"short")
 
 
 def test_a_long_frame_travels_small_and_comes_out_whole_in_any_cut():
-    data = HELLO + seal(LONG) + seal(Frame("x", 8, False, b"short"))
+    data = HELLO + Sealer().seal([LONG, SHORT])
     assert len(data) < len(LONG.body) / 20
     for step in (1, 7, len(data)):
         c, out = Cutter("f"), []
         for i in range(0, len(data), step):
             out += c.feed(data[i : i + step]).ok_value
-        assert out[1:] == [LONG, Frame("x", 8, False, b"short")]
+        assert out[1:] == [LONG, SHORT]
 
 
-def test_what_does_not_shrink_and_what_is_short_goes_as_it_is():
-    for m in (Frame("x", 1, False, os.urandom(5000)), Frame("x", 1, False, b"a" * 100)):
-        assert not seal(m)[0] & 0x80 and Cutter("f", greeted=True).feed(seal(m)).ok_value == [m]
+def test_each_write_can_be_read_whole_once_it_is_there():
+    sealer, cutter = Sealer(), Cutter("f", greeted=True)
+    for n in range(300):
+        some = [Frame("x", 2 * n, False, os.urandom(n)), Frame("y", 2 * n + 1, True, b"")]
+        assert cutter.feed(sealer.seal(some)).ok_value == some
 
 
-@pytest.mark.parametrize("bad", [b"no zlib", zlib.compress(b"x" * 9)[:-1], zlib.compress(b"x") + b"y"])
+def test_frames_that_resemble_each_other_shrink_to_less_than_half_and_random_ones_hardly_grow():
+    def written(bodies):
+        sealer = Sealer()
+        frames = [Frame("raft", n, False, body) for n, body in enumerate(bodies)]
+        return sum(len(sealer.seal([f])) for f in frames), sum(len(framed(f)) for f in frames)
+
+    alike, plain = written([b"group-of-members-0123456789abcdef" * 4 + os.urandom(12) for _ in range(100)])
+    assert alike < plain / 2
+    odd, plain = written([os.urandom(2000) for _ in range(20)])
+    assert odd < plain * 1.02
+
+
+def test_a_stream_is_read_from_its_beginning_only():
+    sealer = Sealer()
+    sealer.seal([LONG])
+    r = Cutter("f", greeted=True).feed(sealer.seal([LONG]))
+    assert r.is_err() and r.err_value == "garbage"
+
+
+def stream(data, end=zlib.Z_SYNC_FLUSH):
+    z = zlib.compressobj(1, zlib.DEFLATED, -11)
+    return z.compress(data) + z.flush(end)
+
+
+@pytest.mark.parametrize("bad", [b"\xff no zlib", zlib.compress(b"x" * 9), stream(b"\x00\x00\x00\x01\xc1")])
 def test_what_does_not_unfold_is_garbage(bad):
-    data = (len(bad) | 1 << 31).to_bytes(4, "big") + bad
-    assert Cutter("f", greeted=True).feed(data).err_value == "garbage"
+    assert Cutter("f", greeted=True).feed(bad).err_value == "garbage"
+
 
+def test_a_stream_that_ends_is_garbage():
+    whole = stream(framed(SHORT), zlib.Z_FINISH)
+    assert Cutter("f", greeted=True).feed(whole).err_value == "garbage"
 
-def test_what_unfolds_beyond_the_largest_is_garbage(monkeypatch):
+
+def test_what_unfolds_beyond_the_largest_is_refused_before_it_is_unfolded(monkeypatch):
     monkeypatch.setattr(frame, "LARGEST", 1000)
-    z = zlib.compress(b"x" * 5000)
-    assert Cutter("f", greeted=True).feed((len(z) | 1 << 31).to_bytes(4, "big") + z).err_value == "garbage"
+    cutter = Cutter("f", greeted=True)
+    assert cutter.feed(stream(framed(Frame("x", 1, False, b"x" * 5000)))).err_value == "oversize"
+    unfolded = []
+    monkeypatch.setattr(frame, "LARGEST", 64 << 20)
+    monkeypatch.setattr(frame, "UNFOLD_MOST", 4096)
+    cutter = Cutter("f", greeted=True)
+    cutter._stream = Noting(cutter._stream, unfolded)
+    assert cutter.feed(stream(b"\x7f\xff\xff\xff" + b"\0" * 10_000_000)).err_value == "oversize"
+    assert sum(unfolded) <= 4096
+
+
+class Noting:
+    """A stream that notes how much it unfolded."""
+
+    def __init__(self, whole, unfolded):
+        self.whole, self.unfolded = whole, unfolded
+
+    def decompress(self, data, most):
+        out = self.whole.decompress(data, most)
+        self.unfolded.append(len(out))
+        return out
+
+    @property
+    def eof(self):
+        return self.whole.eof
+
+    @property
+    def unconsumed_tail(self):
+        return self.whole.unconsumed_tail
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,3 +1,5 @@
+import zlib
+
 import gevent
 import pytest
 from gevent import socket
@@ -8,7 +10,7 @@
 from mallowvalve.metrics import Counts
 from mallowvalve.transport import line
 from mallowvalve.transport.calls import Failure
-from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, seal
+from mallowvalve.transport.frame import VERSION, Cutter, Frame, Hello, Sealer, greeting
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 
@@ -54,14 +56,25 @@
         assert results[-1].unwrap() == b"here"
 
 
+GREETED = greeting(Hello(VERSION, "f", Address("1.1.1.1", 1)))
+
+
+def deflated(data):
+    """As a connection's stream carries it, flushed but not ended."""
+    stream = zlib.compressobj(1, zlib.DEFLATED, -11)
+    return stream.compress(data) + stream.flush(zlib.Z_SYNC_FLUSH)
+
+
 @pytest.mark.parametrize(
     "data,count",
     [
         (b"GET / HTTP/1.1\r\n\r\n", "transport_oversize"),
         (b"\x00\x00\x00\x03abc", "transport_garbage"),
-        (seal(Hello(VERSION, "other", Address("1.1.1.1", 1))), "transport_foreign"),
-        (seal(Hello(VERSION + 1, "f", Address("1.1.1.1", 1))), "transport_foreign"),
-        (seal(Hello(VERSION, "f", Address("1.1.1.1", 1))) + b"\x00\x00\x00\x02\xc1\xc1", "transport_garbage"),
+        (greeting(Hello(VERSION, "other", Address("1.1.1.1", 1))), "transport_foreign"),
+        (greeting(Hello(VERSION + 1, "f", Address("1.1.1.1", 1))), "transport_foreign"),
+        (GREETED + b"\xff no deflate", "transport_garbage"),
+        (GREETED + deflated(b"\x00\x00\x00\x02\xc1\xc1"), "transport_garbage"),
+        (GREETED + deflated(b"\x7f\xff\xff\xff"), "transport_oversize"),
     ],
 )
 def test_garbage_and_foreign_frames_are_counted_and_dropped(two, data, count):
@@ -83,10 +96,8 @@
 
 
 def test_frames_cut_anywhere_come_out_whole():
-    data = (
-        seal(Hello(VERSION, "f", Address("1.1.1.1", 1)))
-        + seal(Frame("a", 1, False, b"x" * 100))
-        + seal(Frame("b", 2, True, b""))
+    data = greeting(Hello(VERSION, "f", Address("1.1.1.1", 1))) + Sealer().seal(
+        [Frame("a", 1, False, b"x" * 100), Frame("b", 2, True, b"")]
     )
     for step in (1, 3, 50):
         c, out = Cutter("f"), []
@@ -147,10 +158,11 @@
 def test_a_frame_that_comes_twice_on_a_connection_is_handled_once(two):
     x, y = two
     got = kept_bodies(y)
-    first, second = seal(Frame("offer", 1, False, b"a")), seal(Frame("offer", 2, False, b"b"))
+    first, second = Frame("offer", 1, False, b"a"), Frame("offer", 2, False, b"b")
     with socket.create_connection(y.me.pair, timeout=5) as s:
         s.sendall(
-            seal(Hello(VERSION, "f", x.me)) + first + first + second + first + seal(Frame("offer", 3, True, b"c"))
+            greeting(Hello(VERSION, "f", x.me))
+            + Sealer().seal([first, first, second, first, Frame("offer", 3, True, b"c")])
         )
         data, cutter, answers = b"", Cutter("f", greeted=True), []
         while len(answers) < 2:
