Raft, coordination and configuration: docstrings, checked types, codes as enumerations

Said and Word carry enumerations for their codes, encoded as the same words. Functions that did several things in one line are written out (Raft.ready, Items._put, Items._whole).

--- a/mallowvalve/configuration/build.py
+++ b/mallowvalve/configuration/build.py
@@ -1,3 +1,5 @@
+"""Checks a configuration document and compiles it to the tree that requests are routed by."""
+
 from __future__ import annotations
 
 from result import Err, Ok, Result
@@ -13,6 +15,7 @@
 
 
 def build(data: object) -> Result[Tree, Findings]:
+    """The tree of a decoded document, or all that is wrong with it, each with its place."""
     r = finding.read(Doc, data, "")
     if isinstance(r, Err):
         return r
@@ -36,7 +39,8 @@
 
 
 def _regions(doc: Doc) -> Findings:
-    out, owner = [], {}
+    out: Findings = []
+    owner: dict[str, str] = {}
     for n, r in doc.regions.items():
         if not r.zones:
             out.append(Finding(f"regions.{n}.zones", "at least one"))
--- a/mallowvalve/configuration/item_request.py
+++ b/mallowvalve/configuration/item_request.py
@@ -30,15 +30,19 @@
 
 
 class Gone(msgspec.Struct, frozen=True, kw_only=True):
+    """A dropped item of a named kind."""
+
     name: str
     version: int
 
 
 class GoneLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """The limits, dropped."""
+
     version: int
 
 
-class Any(msgspec.Struct, frozen=True, kw_only=True):
+class OtherItem(msgspec.Struct, frozen=True, kw_only=True):
     """What an item of a kind that the product does not use must say."""
 
     version: int
@@ -46,13 +50,15 @@
 
 
 class CallDoc(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a call, by kind: items to set and to drop."""
+
     set: dict[str, msgspec.Raw] = {}
     drop: dict[str, msgspec.Raw] = {}
 
 
 _call = msgspec.json.Decoder(CallDoc).decode
 _raws = msgspec.json.Decoder(list[msgspec.Raw]).decode
-_any = msgspec.json.Decoder(Any).decode
+_other_item = msgspec.json.Decoder(OtherItem).decode
 
 
 def read(body: bytes) -> Result[Amend, Findings]:
@@ -94,11 +100,17 @@
         return []
 
 
-def _gone(kind: str, raw: bytes, place: str, found: Findings) -> Gone | GoneLimits | None:
-    shape = Gone if kind in PARTS else GoneLimits if kind == LIMITS else Any
+def _gone(kind: str, raw: bytes, place: str, found: Findings) -> Gone | GoneLimits | OtherItem | None:
+    shape: type[Gone | GoneLimits | OtherItem] = OtherItem
+    if kind in PARTS:
+        shape = Gone
+    elif kind == LIMITS:
+        shape = GoneLimits
     data = finding.parse_json(raw, place)
-    doc = finding.read_into(found, shape, _known(shape, data.ok_value), place) if data.is_ok() else None
-    if doc is not None and kind in PARTS:
+    if isinstance(data, Err):
+        return None
+    doc: Gone | GoneLimits | OtherItem | None = finding.read_into(found, shape, _known(shape, data.ok_value), place)
+    if isinstance(doc, Gone):
         _name(doc.name, f"{place}.name", found)
     return doc if doc is not None and _version(doc.version, place, found) else None
 
@@ -109,9 +121,11 @@
     newest: dict[str, HostRoute] = {}
     for i in items:
         if i.kind == "routes" and i.doc is not None:
-            r = decode(i).ok_value
-            if r.name not in newest or r.version > newest[r.name].version:
-                newest[r.name] = r
+            route = decode(i).ok()
+            if not isinstance(route, HostRoute):
+                continue
+            if route.name not in newest or route.version > newest[route.name].version:
+                newest[route.name] = route
     owner: dict[tuple[str, str], str] = {}
     for r in newest.values():
         had = owner.setdefault((plain_host(r.host), r.prefix), r.name)
@@ -120,29 +134,33 @@
     return found
 
 
-def _read(kind: str, raw: bytes, place: str, found: Findings) -> Doc | None:
+def _read(kind: str, raw: bytes, place: str, found: Findings) -> Doc | OtherItem | None:
     before = len(found)
     try:
-        doc = DOCS.get(kind, _any)(raw)
+        doc: Doc | OtherItem = DOCS[kind](raw) if kind in DOCS else _other_item(raw)
     except (msgspec.DecodeError, RecursionError) as e:
         data = finding.parse_json(raw, place)
-        if data.is_ok():
-            shape = KINDS.get(kind, Any)
+        if isinstance(data, Ok):
+            shape: type[Doc | OtherItem] = KINDS.get(kind, OtherItem)
             finding.read_into(found, shape, _known(shape, data.ok_value), place)
         if len(found) == before:
             found.append(Finding(place, f"not understood: {e}"))
         return None
     if not _version(doc.version, place, found):
         return None
-    if kind not in KINDS:
-        return doc
-    if kind != LIMITS:
-        _name(doc.name, f"{place}.name", found)
-    _checks[kind](doc, place, found)
+    match doc:
+        case HostRoute():
+            _name(doc.name, f"{place}.name", found)
+            _route_found(doc, place, found)
+        case ServiceItem():
+            _name(doc.name, f"{place}.name", found)
+            _service_found(doc, place, found)
+        case Limits():
+            _limits_found(doc, place, found)
     return doc if len(found) == before else None
 
 
-def _known(kind: type, data: object) -> object:
+def _known(kind: type[msgspec.Struct], data: object) -> object:
     """Without the fields that the product does not know: those are passed over."""
     if not isinstance(data, dict):
         return data
@@ -190,12 +208,9 @@
     _not_negative(s, ("connections", "cold_s", "cold_per_s"), place, found)
 
 
-def _limits_found(l: Limits, place: str, found: Findings) -> None:
-    _not_negative(l, ("header_bytes", "body_bytes", "header_ms", "idle_ms"), place, found)
+def _limits_found(limits: Limits, place: str, found: Findings) -> None:
+    _not_negative(limits, ("header_bytes", "body_bytes", "header_ms", "idle_ms"), place, found)
 
 
 def _not_negative(doc: Doc, names: tuple[str, ...], place: str, found: Findings) -> None:
     found += [Finding(f"{place}.{n}", "must not be negative") for n in names if getattr(doc, n) < 0]
-
-
-_checks = {"routes": _route_found, "services": _service_found, LIMITS: _limits_found}
--- a/mallowvalve/configuration/items.py
+++ b/mallowvalve/configuration/items.py
@@ -16,6 +16,8 @@
 
 
 class Part(msgspec.Struct, frozen=True):
+    """One service of a split route, with its share."""
+
     service: str
     weight: float
 
@@ -52,6 +54,8 @@
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a client may send, and for how long it may take or rest (bytes, ms)."""
+
     version: int
     header_bytes: int = 16384
     body_bytes: int = 1 << 20
@@ -72,6 +76,8 @@
 
 
 class Amend(msgspec.Struct, frozen=True, array_like=True, tag="amend"):
+    """One call's items, set or dropped; all of them are taken, or none."""
+
     items: list[Item]
     ask: str = ""
 
@@ -90,7 +96,8 @@
 
     __slots__ = ("rows", "revision", "hosts", "routes", "services", "limits", "_deep")
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing is set."""
         self.rows: dict[tuple[str, str], Item] = {}
         self.revision = 0
         self.hosts: dict[str, dict[str, HostRoute]] = {}
@@ -156,15 +163,14 @@
 
     def _put(self, i: Item, doc: Doc | None) -> None:
         self.rows[i.kind, i.name] = i
-        if i.kind == "services":
-            if doc is None:
-                self.services.pop(i.name, None)
-            else:
-                self.services[i.name] = doc
-        elif i.kind == LIMITS:
-            self.limits = doc or Limits(version=i.version)
+        if i.kind == LIMITS:
+            self.limits = doc if isinstance(doc, Limits) else Limits(version=i.version)
         elif i.kind == "routes":
-            self._route(i.name, doc)
+            self._route(i.name, doc if isinstance(doc, HostRoute) else None)
+        elif isinstance(doc, ServiceItem):
+            self.services[i.name] = doc
+        elif i.kind == "services":
+            self.services.pop(i.name, None)
 
     def _route(self, name: str, r: HostRoute | None) -> None:
         old = self.routes.pop(name, None)
@@ -204,11 +210,11 @@
             if i.doc is None or i.kind not in KINDS:
                 continue
             doc = decode(i)
-            if doc.is_err():
+            if isinstance(doc, Err):
                 found += doc.err_value
             elif newest.get(key) is i:
                 docs[key] = doc.ok_value
-            else:
+            elif isinstance(doc.ok_value, HostRoute):
                 found += self._strange(doc.ok_value, given)
         if not found:
             found = self._whole(newest, docs)
@@ -229,22 +235,22 @@
         given = {n for k, n in docs if k == "services"}
         moved = {n for k, n in newest if k == "routes"}
         places: dict[tuple[str, str], str] = {}
-        for (k, n), r in docs.items():
-            if k != "routes":
+        for (_, n), r in docs.items():
+            if not isinstance(r, HostRoute):
                 continue
             for s in services_of(r):
                 if s in gone or s not in given and s not in self.services:
                     found.append(Finding(f"routes.{n}.service", f"no service {s!r}"))
             at = plain_host(r.host), r.prefix
             other = self.hosts.get(at[0], {}).get(r.prefix)
-            if at in places or other is not None and other.name not in moved:
-                found.append(
-                    Finding(f"routes.{n}.prefix", f"{places.get(at) or other.name!r} has this host and prefix already")
-                )
+            standing = repr(other.name) if other is not None and other.name not in moved else None
+            owner = places.get(at) or standing
+            if owner is not None:
+                found.append(Finding(f"routes.{n}.prefix", f"{owner} has this host and prefix already"))
             places[at] = repr(n)
-        for n, r in self.routes.items() if gone else ():
+        for n, route in self.routes.items() if gone else ():
             if n not in moved:
-                found += [Finding(f"services.{s}", f"{n!r} still names it") for s in services_of(r) if s in gone]
+                found += [Finding(f"services.{s}", f"{n!r} still names it") for s in services_of(route) if s in gone]
         return sorted(set(found))
 
 
@@ -258,13 +264,14 @@
 
 
 Doc = HostRoute | ServiceItem | Limits
-KINDS = {"routes": HostRoute, "services": ServiceItem, LIMITS: Limits}
+KINDS: dict[str, type[Doc]] = {"routes": HostRoute, "services": ServiceItem, LIMITS: Limits}
 DOCS = {k: msgspec.json.Decoder(t).decode for k, t in KINDS.items()}
 
 
 def decode(i: Item) -> Result[Doc, Findings]:
+    """The item's document as a checked struct, or what is wrong with it."""
     try:
-        return Ok(DOCS[i.kind](i.doc))
+        return Ok(DOCS[i.kind](i.doc or b""))
     except (msgspec.DecodeError, RecursionError, KeyError) as e:
         return Err([Finding(f"{i.kind}.{i.name}", f"not understood: {e}")])
 
@@ -308,4 +315,7 @@
 
 
 def services_of(r: HostRoute) -> list[str]:
-    return [p.service for p in r.split] if r.split else [r.service]
+    """The services that a route sends to."""
+    if r.split:
+        return [part.service for part in r.split]
+    return [r.service] if r.service is not None else []
--- a/mallowvalve/control/http_coordination.py
+++ b/mallowvalve/control/http_coordination.py
@@ -9,13 +9,19 @@
 from mallowvalve.control.replica_task import ATTEMPT
 from mallowvalve.control.state import encode
 from mallowvalve.control.wire import Took
-from mallowvalve.coordination.state import Lock, Next, Put, Renew, Said, Unlock
+from mallowvalve.coordination.state import Lock, Next, Put, Renew, Said, SaidCode, Unlock
 from mallowvalve.finding import Finding
 
 LIMIT = 3.0
 WATCH_MOST = 25.0
 VALUE_MOST = 65536
-STATUS = {"ok": 200, "held": 409, "conflict": 409, "lost": 410, "missing": 404}
+STATUS = {
+    SaidCode.OK: 200,
+    SaidCode.HELD: 409,
+    SaidCode.CONFLICT: 409,
+    SaidCode.LOST: 410,
+    SaidCode.MISSING: 404,
+}
 _said = msgspec.msgpack.Decoder(Said).decode
 
 
@@ -34,7 +40,7 @@
             return self.reject(req, resp, t)
         s = _said(t.body)
         body = {"code": s.code, "revision": t.revision}
-        if s.code == "held":
+        if s.code is SaidCode.HELD:
             body |= {"holder": s.holder, "retry_ms": s.number}
             resp.set_header("Retry-After", str(max(1, s.number // 1000)))
         else:
--- a/mallowvalve/control/http_plain.py
+++ b/mallowvalve/control/http_plain.py
@@ -12,7 +12,7 @@
 from mallowvalve.control.state import State, encode
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import Took
-from mallowvalve.coordination.plain import Count, Extend, Free, Plain, Put, Take, Word, Write, group_of
+from mallowvalve.coordination.plain import Count, Extend, Free, Plain, Put, Take, Word, WordCode, Write, group_of
 from mallowvalve.finding import Finding, Findings
 
 LIMIT, ATTEMPT = 0.85, 0.6
@@ -119,7 +119,7 @@
             self._say(resp, w, {})
 
     def _say(self, resp, w: Word, body: dict) -> None:
-        web.say(resp, body) if w.code == "ok" else web.say(resp, {"code": w.code}, 409)
+        web.say(resp, body) if w.code is WordCode.OK else web.say(resp, {"code": w.code}, 409)
 
 
 class Numbers(Page):
@@ -149,7 +149,7 @@
         d = self.read_as(WriteDoc, req, resp, name)
         w = self.run(req, resp, Write(name, d.value, d.base)) if d is not None else None
         if w is not None:
-            web.say(resp, {"revision": w.number}, 200 if w.code == "ok" else 412)
+            web.say(resp, {"revision": w.number}, 200 if w.code is WordCode.OK else 412)
 
 
 class Bell:
--- a/mallowvalve/control/state.py
+++ b/mallowvalve/control/state.py
@@ -8,7 +8,7 @@
 from mallowvalve.control.outcome import Code, Outcome
 from mallowvalve.control.sessions import Sessions, body_at, encode_clock, unseal
 from mallowvalve.coordination.plain import Count, Extend, Free, Plain, Take, Write
-from mallowvalve.coordination.state import Coordination, Lock, Next, Put, Renew, Said, Unlock
+from mallowvalve.coordination.state import Coordination, Lock, Next, Put, Renew, Said, SaidCode, Unlock
 from mallowvalve.finding import Finding
 from mallowvalve.ledger.asks import Asked, Asks
 from mallowvalve.ledger.ledger import Claim, Done, Forfeit, Ledger, Lose, Release
@@ -198,7 +198,7 @@
             or self.coordination.holds(c.name, c.holder, number_of(said))
         ):
             return said
-        return Outcome(Code.LOST, said.revision, encode(Said("lost")))
+        return Outcome(Code.LOST, said.revision, encode(Said(SaidCode.LOST)))
 
     def _do(self, c: Command) -> Outcome:
         match c:
--- a/mallowvalve/coordination/plain.py
+++ b/mallowvalve/coordination/plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import hashlib
 import math
 from collections import deque
@@ -19,12 +20,16 @@
 
 
 class Take(msgspec.Struct, frozen=True, array_like=True, tag="take"):
+    """Take a lock for `hold_ms`, or hold it longer."""
+
     name: str
     holder: str
     hold_ms: float
 
 
 class Extend(msgspec.Struct, frozen=True, array_like=True, tag="extend"):
+    """Hold a lock longer, under a token of the hold."""
+
     name: str
     holder: str
     token: int
@@ -32,25 +37,40 @@
 
 
 class Free(msgspec.Struct, frozen=True, array_like=True, tag="free"):
+    """Give a lock back; without effect unless `token` is the newest of the hold."""
+
     name: str
     holder: str
     token: int
 
 
 class Count(msgspec.Struct, frozen=True, array_like=True, tag="count"):
+    """Draw the next number of a name."""
+
     name: str
 
 
 class Write(msgspec.Struct, frozen=True, array_like=True, tag="write"):
+    """Put a key; `base` is the revision that it must have (0: none), or None for any."""
+
     name: str
     value: str
     base: int | None = None
 
 
+class WordCode(enum.StrEnum):
+    """What became of a command: `HELD` by another holder, `LOST` to its holder, in `CONFLICT` with what is there."""
+
+    OK = "ok"
+    HELD = "held"
+    LOST = "lost"
+    CONFLICT = "conflict"
+
+
 class Word(msgspec.Struct, frozen=True, array_like=True):
-    """`code` is ok, held, lost or conflict; `number` the token, the value or the revision."""
+    """The outcome of a command; `number` is the token, the value or the revision."""
 
-    code: str
+    code: WordCode
     number: int = 0
 
 
@@ -63,6 +83,8 @@
 
 
 class Put(msgspec.Struct, frozen=True, array_like=True):
+    """A put that took effect; `at` is the fleet's clock (ms)."""
+
     revision: int
     at: int
     name: str
@@ -79,6 +101,8 @@
 
 
 class PlainSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The whole state, or one part of it on its way."""
+
     token: int = 0
     locks: dict[str, Hold] = {}
     numbers: dict[str, int] = {}
@@ -88,24 +112,33 @@
     kept: list[Kept] = []
 
 
+EMPTY = PlainSnapshot()
+
+
 class Group:
+    """The keys that are alike up to the first dot: their revision, and their puts that are still known."""
+
     __slots__ = ("revision", "events")
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing was put yet."""
         self.revision = 0
         self.events: deque[Put] = deque()
 
     @property
     def compacted(self) -> int:
+        """The revision up to which puts are no longer known."""
         return self.events[0].revision - 1 if self.events else self.revision
 
 
 def group_of(name: str) -> str:
+    """The group of a key, with its dot."""
     head, dot, _ = name.partition(".")
     return head + dot
 
 
 def mark_of(value: str) -> str:
+    """What tells a value from others: itself, or its digest if it is long."""
     if len(value) <= SHORT:
         return value
     return hashlib.blake2b(value.encode(), digest_size=SHORT).hexdigest()
@@ -128,7 +161,8 @@
         "_swept",
     )
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing is held."""
         self.token = 0
         self.locks: dict[str, Hold] = {}
         self.numbers: dict[str, int] = {}
@@ -142,6 +176,7 @@
         self._swept = 0
 
     def apply(self, c: Take | Extend | Free | Count | Write, clock: int) -> Word:
+        """Applies a command; the outcome depends on the state and the fleet's clock (ms) alone."""
         if clock - self._swept >= SWEEP_MS:
             self.lapse(clock)
         match c:
@@ -153,7 +188,7 @@
                 return self._free(c, clock)
             case Count():
                 n = self.numbers[c.name] = self.numbers.get(c.name, 0) + 1
-                return Word("ok", n)
+                return Word(WordCode.OK, n)
             case Write():
                 return self._write(c, clock)
 
@@ -166,9 +201,11 @@
         self._forget(clock)
 
     def restless(self) -> bool:
+        """Whether time alone will change something."""
         return bool(self.locks)
 
     def revision(self, group: str) -> int:
+        """The revision of a group; 0 if nothing was put in it."""
         g = self.groups.get(group)
         return g.revision if g else 0
 
@@ -188,46 +225,48 @@
     def _take(self, c: Take, clock: int) -> Word:
         h = self._held(c.name, clock)
         if h is not None and h.holder != c.holder:
-            return Word("held")
+            return Word(WordCode.HELD)
         self.token += 1
-        until, before = until_of(clock, c.hold_ms), ()
+        until = until_of(clock, c.hold_ms)
+        before: tuple[int, ...] = ()
         if h is not None:
-            until, before = max(until, h.until), h.tokens[1 - TOKENS_MOST :]
+            until = max(until, h.until)
+            before = h.tokens[1 - TOKENS_MOST :]
         self.locks[c.name] = Hold(c.holder, (*before, self.token), until)
-        return Word("ok", self.token)
+        return Word(WordCode.OK, self.token)
 
     def _extend(self, c: Extend, clock: int) -> Word:
         h = self._held(c.name, clock)
         if h is None or h.holder != c.holder or c.token not in h.tokens:
-            return Word("lost")
+            return Word(WordCode.LOST)
         self.locks[c.name] = Hold(h.holder, h.tokens, max(h.until, until_of(clock, c.hold_ms)))
-        return Word("ok", c.token)
+        return Word(WordCode.OK, c.token)
 
     def _free(self, c: Free, clock: int) -> Word:
         h = self._held(c.name, clock)
         if h is not None and (h.holder, h.tokens[-1]) == (c.holder, c.token):
             del self.locks[c.name]
-        return Word("ok", c.token)
+        return Word(WordCode.OK, c.token)
 
     def _write(self, c: Write, clock: int) -> Word:
         self._forget(clock)
         value, revision = self.cells.get(c.name, (None, 0))
         if value == c.value:
-            return Word("ok", revision)
+            return Word(WordCode.OK, revision)
         key = c.name, mark_of(c.value)
         said = self._said.get(key)
         if said:
-            return Word("ok", said)
+            return Word(WordCode.OK, said)
         if said == 0 or c.base not in (None, revision):
             self._keep(key, clock, 0)
-            return Word("conflict", revision)
+            return Word(WordCode.CONFLICT, revision)
         g = self.groups.setdefault(group_of(c.name), Group())
         g.revision += 1
         self.cells[c.name] = c.value, g.revision
         self._keep(key, clock, g.revision)
         self._record(g, Put(g.revision, clock, c.name, c.value))
         self._trim(clock)
-        return Word("ok", g.revision)
+        return Word(WordCode.OK, g.revision)
 
     def _keep(self, key: tuple[str, str], clock: int, revision: int) -> None:
         if key in self._said:
@@ -254,6 +293,7 @@
             self.groups[group_of(p.name)].events.popleft()
 
     def snapshot(self) -> PlainSnapshot:
+        """A copy of the whole state."""
         return PlainSnapshot(
             self.token,
             self.locks.copy(),
@@ -288,10 +328,10 @@
     yield PlainSnapshot(p.token)
     for field in ("locks", "numbers", "cells", "revisions"):
         for some in _slices(getattr(p, field).items(), rows, size):
-            yield PlainSnapshot(**{field: dict(some)})
+            yield msgspec.structs.replace(EMPTY, **{field: dict(some)})
     for field in ("history", "kept"):
         for some in _slices(getattr(p, field), rows, size):
-            yield PlainSnapshot(**{field: some})
+            yield msgspec.structs.replace(EMPTY, **{field: some})
 
 
 def _slices(items: Iterable, rows: int, size: int) -> Iterator[list]:
--- a/mallowvalve/ledger/asks.py
+++ b/mallowvalve/ledger/asks.py
@@ -1,3 +1,5 @@
+"""What was said to commands that came under a key of their caller, so that a repeat is answered alike."""
+
 from __future__ import annotations
 
 import msgspec
@@ -6,6 +8,8 @@
 
 
 class Asked(msgspec.Struct, array_like=True, frozen=True):
+    """The outcome of one command at `at` (ms, fleet clock); `digest` tells the command from others."""
+
     at: int
     digest: str
     code: str
@@ -18,19 +22,23 @@
 
     __slots__ = ("rows",)
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing was said yet."""
         self.rows: dict[str, Asked] = {}
 
     def look(self, key: str, digest: str) -> Asked | None:
+        """What was said under the key; with the code `reused` if that was another command; None if nothing."""
         a = self.rows.get(key)
         if a is None or a.digest == digest:
             return a
         return msgspec.structs.replace(a, code="reused", body=b"")
 
     def keep(self, key: str, a: Asked) -> None:
+        """Stores what was said to a command just applied."""
         self.rows[key] = a
 
     def forget(self, at: int) -> None:
+        """Drops what is older than `KEEP_MS`."""
         while self.rows:
             key, a = next(iter(self.rows.items()))
             if a.at + KEEP_MS > at:
--- a/mallowvalve/raft/contact.py
+++ b/mallowvalve/raft/contact.py
@@ -1,6 +1,6 @@
 """A follower's proof of contact with a majority, counted from its own question by its own clock.
 
-Ongaro's dissertation, 6.4, lets a leader answer reads after a round of heartbeats that was sent after the question. Here
+Ongaro's dissertation, 6.4, lets a leader answer reads after a round of heartbeats sent after the question. Here
 a follower's every answer to an append is such a question: it carries a stamp of the follower's steady clock, and the
 leader echoes the newest stamp that it had when it sent a round which a majority has confirmed since. No two clocks are
 compared, and how long a message was held on its way makes the proof older, never younger.
@@ -20,11 +20,12 @@
     __slots__ = ("_sure", "_waiting")
 
     def __init__(self) -> None:
+        """No stamp has come yet."""
         self._sure = NO_STAMP
         self._waiting: deque[tuple[int, float]] = deque()
 
     def ask(self, stamp: float, need: int) -> None:
-        """A stamp came; `need` is the first round that will be sent after it. Beyond the most, the newest isn't kept."""
+        """A stamp came; `need` is the first round that will be sent after it. With too many, it isn't kept."""
         if len(self._waiting) < MOST_QUESTIONS:
             self._waiting.append((need, stamp))
 
@@ -36,11 +37,12 @@
 
 
 class Contact:
-    """What a follower knows of its own stamps; one from before this life of the machine, or from the future, is no proof."""
+    """What a follower knows of its own stamps; one from before its present life, or from the future, is no proof."""
 
     __slots__ = ("at", "_born")
 
     def __init__(self, now: float) -> None:
+        """Nothing is proved yet; `now` is when this life of the machine began (s)."""
         self.at, self._born = NO_STAMP, now
 
     def hear(self, sure: float, now: float) -> None:
--- a/mallowvalve/raft/election.py
+++ b/mallowvalve/raft/election.py
@@ -51,6 +51,7 @@
 
     @property
     def leads(self) -> bool:
+        """Whether this member is the leader of its term."""
         return self.role == LEADER
 
     def _lead(self, now: float) -> None:
--- a/mallowvalve/raft/handover.py
+++ b/mallowvalve/raft/handover.py
@@ -11,6 +11,7 @@
     __slots__ = ("_to", "_until")
 
     def __init__(self) -> None:
+        """None is under way."""
         self._to, self._until = "", NEVER
 
     def begin(self, to: str, until: float) -> None:
--- a/mallowvalve/raft/messages.py
+++ b/mallowvalve/raft/messages.py
@@ -1,3 +1,5 @@
+"""What members of a Raft group send each other, and what they store. Times in entries are the fleet's clock (ms)."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -11,11 +13,15 @@
 
 
 class Group(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """A founding of the cluster: `generation` rises with each, `nonce` tells two of one generation apart."""
+
     generation: int
     nonce: str
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """One entry of the log; `kind` is NOOP, COMMAND or VOTERS, `at` the leader's fleet clock (ms)."""
+
     index: int
     term: int
     kind: int
@@ -34,9 +40,11 @@
     old: dict[str, Address] = {}
 
     def address(self, id: str) -> Address | None:
+        """The address of a member by this configuration; None if it is not part of it."""
         return self.voters.get(id) or self.old.get(id) or self.learners.get(id)
 
     def everyone(self) -> dict[str, Address]:
+        """All members by their addresses, learners among them."""
         return {**self.learners, **self.old, **self.voters}
 
     def electors(self) -> dict[str, Address]:
@@ -80,6 +88,8 @@
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
+    """The state up to an index, in pieces that are loaded in their order."""
+
     group: Group
     index: int
     term: int
@@ -97,6 +107,8 @@
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """RequestVote; `pre` for a pre-vote, `forced` where the leader itself handed over."""
+
     term: int
     pre: bool
     last_index: int
@@ -105,6 +117,8 @@
 
 
 class Voice(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """The answer to `Ask`."""
+
     term: int
     pre: bool
     granted: bool
@@ -133,12 +147,16 @@
 
 
 class Install(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """InstallSnapshot: on the wire it only names the snapshot, whose pieces are fetched."""
+
     term: int
     snapshot: Snapshot
     seq: int
 
 
 class Elect(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """TimeoutNow: the receiver is to campaign at once."""
+
     term: int
 
 
@@ -146,6 +164,8 @@
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message between two members; `address` is where its sender is reached."""
+
     group: Group
     sender: str
     to: str
--- a/mallowvalve/raft/progress.py
+++ b/mallowvalve/raft/progress.py
@@ -24,14 +24,19 @@
 
 
 class Progress:
+    """What a leader knows of one member: `match` is what it has stored, `next` what to send it next."""
+
     __slots__ = ("next", "match", "seq", "floor", "heard", "snapshot_at", "questions")
 
     def __init__(self, next: int, now: float):
+        """A member that was heard `now` (s); `next` is the index to try first."""
         self.next, self.match, self.seq, self.floor, self.heard, self.snapshot_at = next, 0, 0, 0, now, -1e9
         self.questions = Questions()
 
 
 class Ready(msgspec.Struct):
+    """What to do next, in this order: send `early`, store `hard`, `entries` and `install`, then send `late`."""
+
     hard: Hard | None
     entries: list[Entry]
     install: Snapshot | None
--- a/mallowvalve/raft/raft.py
+++ b/mallowvalve/raft/raft.py
@@ -1,3 +1,5 @@
+"""A member of a Raft group: replication, commits and changes of membership (Ongaro's dissertation, 3 and 4)."""
+
 from __future__ import annotations
 
 import random
@@ -34,6 +36,8 @@
 
 
 class Raft(Election):
+    """The state machine. Its user calls `receive` and `tick`, then does what `ready` says and reports it by `saved`."""
+
     __slots__ = (
         "commit",
         "rounds",
@@ -94,6 +98,7 @@
 
     @property
     def settled(self) -> bool:
+        """Whether it leads and an entry of its own term is committed, so that it knows all former commits."""
         return self.leads and self.commit >= self._term_start
 
     @property
@@ -102,6 +107,7 @@
         return self._term_start
 
     def timer(self) -> float:
+        """When `tick` is due next (s)."""
         if not self.leads:
             return self._election_at
         return min(self._heartbeat_at, self._all_at, self._paced_at if self.nudge else NEVER)
@@ -111,9 +117,11 @@
         return self.rounds.asked_at() if self.leads else self._contact.at
 
     def progress(self) -> dict[str, Progress]:
+        """What this leader knows of each member, by id."""
         return self._progress
 
     def tick(self, now: float) -> None:
+        """Time went on to `now` (s)."""
         self._now = now
         if self.leads:
             self._tick_leader(now)
@@ -121,6 +129,7 @@
             self._campaign(now, pre=True)
 
     def receive(self, src: str, m: Message, now: float) -> None:
+        """A message came from the member `src` at `now` (s)."""
         self._now = now
         quiet = isinstance(m, Ask) and m.pre or isinstance(m, Voice) and m.pre and m.granted
         if isinstance(m, Ask) and not m.pre and not m.forced and m.term > self.term and self._loyal(now):
@@ -155,6 +164,7 @@
         self._election_at = min(self._election_at, now + self.times.election * (DOUBT + DOUBT * self.rng.random()))
 
     def propose(self, kind: int, data: bytes, at: int) -> int | None:
+        """Appends an entry and returns its index; None where this member does not lead or takes nothing now."""
         if not self.leads or self.halted or kind == COMMAND and self._handing.under_way(self._now):
             return None
         if kind == VOTERS and (self.log.voters_index > self.commit or not self.settled):
@@ -171,6 +181,7 @@
         return self.propose(VOTERS, encode(step), at) if step is not None else None
 
     def ask_quorum(self) -> int:
+        """The number of a round that will be sent after this moment, for a read that waits for it."""
         self.nudge = True
         return self.rounds.seq + 1
 
@@ -193,24 +204,34 @@
             self._late.append((to, Elect(self.term)))
 
     def ready(self, now: float) -> Ready:
+        """What is to be stored and sent now; `saved` must follow before the next call."""
         self._now = now
         if self.leads and (self.nudge and now >= self._paced_at or now >= min(self._heartbeat_at, self._all_at)):
             self._broadcast(now)
+        ready = Ready(self._hard_to_store(), self._fresh, self._install, self._early, self._late, self.log.last)
+        self._fresh = []
+        self._install = None
+        self._early = []
+        self._late = []
+        return ready
+
+    def _hard_to_store(self) -> Hard | None:
+        """The hard state, unless it is stored already and nothing else is to be stored now."""
         hard = self.hard()
-        same = (hard.term, hard.vote) == self._hard
-        if same and not self._fresh and not self.mark and self._install is None:
-            hard = None
-        else:
-            self._hard, self.mark, self.marked = (hard.term, hard.vote), False, hard.commit
-        r = Ready(hard, self._fresh, self._install, self._early, self._late, self.log.last)
-        self._fresh, self._install, self._early, self._late = [], None, [], []
-        return r
+        changed = (hard.term, hard.vote) != self._hard
+        if not (changed or self._fresh or self.mark or self._install is not None):
+            return None
+        self._hard = (hard.term, hard.vote)
+        self.mark = False
+        self.marked = hard.commit
+        return hard
 
     def hard(self) -> Hard:
         """What must be on disk before anything else is said."""
         return Hard(self.group, self.term, self.vote, self.commit)
 
     def saved(self, r: Ready) -> None:
+        """What `ready` returned is on disk."""
         if r.entries and r.last <= self.log.last and self.log.term(r.last) == r.entries[-1].term:
             self._saved = max(self._saved, r.last)
         if self.leads:
@@ -256,11 +277,13 @@
                 p.snapshot_at = now
                 self._early.append((i, Install(self.term, self.log.snapshot, self.rounds.seq)))
             return
-        es = self.log.since(p.next - 1)
+        previous = p.next - 1
+        entries = self.log.since(previous)
         sure = p.questions.sure(self.rounds.confirmed)
-        m = Append(self.term, p.next - 1, self.log.term(p.next - 1), es, self.commit, self.rounds.seq, sure)
-        if es:
-            p.next = es[-1].index + 1
+        previous_term = self.log.term(previous) or 0
+        m = Append(self.term, previous, previous_term, entries, self.commit, self.rounds.seq, sure)
+        if entries:
+            p.next = entries[-1].index + 1
         self._early.append((i, m))
 
     def _hear_leader(self, src: str, m: Append | Install, now: float) -> None:
@@ -321,7 +344,7 @@
         self._hand_on(src)
 
     def _go_on(self, p: Progress) -> None:
-        """Answers to what was sent before this reaction cause no other: else laggards multiply each other's messages."""
+        """Answers to what was sent before this cause no further one: else laggards multiply each other's messages."""
         p.floor = self.rounds.seq + 1
         self.nudge = True
 
--- a/mallowvalve/raft/rounds.py
+++ b/mallowvalve/raft/rounds.py
@@ -13,6 +13,7 @@
     __slots__ = ("seq", "confirmed", "_sent", "_began", "_began_at")
 
     def __init__(self) -> None:
+        """No round was sent yet."""
         self.seq = self.confirmed = self._began = 0
         self._sent: deque[tuple[int, float]] = deque()
         self._began_at = -1e9
@@ -24,6 +25,7 @@
         self._began_at = now
 
     def send(self, now: float) -> None:
+        """A round leaves now (s)."""
         self.seq += 1
         self._sent.append((self.seq, now))
 
@@ -38,5 +40,5 @@
         return next((t for s, t in reversed(self._sent) if s <= self.confirmed), self._began_at)
 
     def asked_at(self) -> float:
-        """As `confirmed_at`, but the votes, which may have been held on their way, confirm nothing: never before a round."""
+        """As `confirmed_at`, but never before a round: votes may have been held on their way, and confirm nothing."""
         return self.confirmed_at() if self.confirmed > self._began else NO_STAMP
