A member that was frozen while it caught up is given that time

The check counted time in which it could do nothing; it now counts the time in which the machine ran, against the same 12 s, and a planted case of 13 s so counted is found.

--- a/sim/worst_days.py
+++ b/sim/worst_days.py
@@ -119,7 +119,11 @@
         how = f.rng.choice(("restarted", "wiped", "frozen"))
         if how == "frozen":
             f.world.freeze(a)
+            frozen_at = f.world.now
             f.run(1 + 5 * f.rng.random())
+            for c in f.orders.catch_ups:
+                if c.machine == a and c.ended is None:
+                    c.frozen_s += f.world.now - frozen_at
             committed = max(map(f._index, f.core))
             f.world.thaw(a)
             c = CatchUp(a, how, f.world.now, committed)
