--- a/mallowvalve/control/acknowledgement.py
+++ b/mallowvalve/control/acknowledgement.py
@@ -1,3 +1,5 @@
+"""What the leader knows of the replicas, and when a change is in force on all of them (docs/design/in-force.md)."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -19,9 +21,13 @@
 FORGOTTEN = 60.0
 STEPS = 256
 PRUNE = 1.0
+REVISIONS_KEPT = 256
+"""For how many revisions it is remembered when a majority held them."""
 
 
 class Heard(msgspec.Struct):
+    """What a replica last asked, and when (s); `asks` are the rounds that confirm its stamps."""
+
     want: Want
     at: float
     name: str
@@ -30,19 +36,25 @@
     told_at: float = -1e9
 
     def holds(self, group: Group | None, index: int) -> bool:
+        """Whether it holds the state of this group up to the index."""
         return self.want.group == group and self.want.index >= index
 
     def counts(self, settings: bool) -> bool:
+        """Whether it holds what is asked about: one that follows the settings alone holds nothing else."""
         return settings or self.want.parts == "all"
 
     def prompt(self, now: float) -> bool:
+        """Whether it answers at once, so that an acknowledgement waits for it."""
         return now - self.at < REACHED and (self.fed_at is None or now - self.fed_at < PROMPT)
 
 
 class Replicas:
+    """All replicas that asked this leader; a new leader knows none."""
+
     __slots__ = ("locality", "heard_of", "_settings", "_majority_at", "_calm", "_group", "_struck", "_began", "_pruned")
 
     def __init__(self, locality: Locality):
+        """`locality` is the leader's own."""
         self.locality = locality
         self.heard_of: dict[Address, Heard] = {}
         self._settings = Settings()
@@ -54,12 +66,14 @@
         self._pruned = -1e9
 
     def begin(self, now: float) -> None:
+        """Leadership begins now (s): nothing is known of any replica."""
         self.heard_of, self._majority_at = {}, {}
         self._struck = {}
         self._calm = now + WINDOW + SLACK
         self._began = now
 
     def heard(self, w: Want, group: Group, need: int, now: float) -> None:
+        """A replica asked; its stamp is confirmed by the round `need` or a later one."""
         self._group = group
         h = self.heard_of.get(w.addr)
         if h is None or h.want.boot != w.boot:
@@ -68,6 +82,7 @@
         h.asks = [*h.asks[-16:], (need, w.stamp)]
 
     def fed(self, a: Address, now: float, news: bool = True) -> None:
+        """The replica was answered, with news or without."""
         h = self.heard_of.get(a)
         if h is not None:
             h.fed_at = now
@@ -79,6 +94,7 @@
         return h.told_at if h is not None else -1e9
 
     def sure(self, a: Address, confirmed: int) -> float:
+        """The newest stamp of the replica whose round is confirmed; below 0 if there is none."""
         h = self.heard_of.get(a)
         return max((s for n, s in h.asks if n <= confirmed), default=-1.0) if h else -1.0
 
@@ -97,6 +113,7 @@
         return copies >= min(COPIES, len(near))
 
     def watch(self, s: Settings, now: float) -> None:
+        """Takes over the settings as they are now, and notes when a majority of the roster holds them."""
         if s.revision != self._settings.revision:
             for a in self._settings.roster.keys() - s.roster.keys():
                 self._struck[a] = now + WINDOW + SLACK
@@ -109,10 +126,11 @@
             return
         if not s.roster or 2 * len(self._holders(s.revision)) > len(s.roster):
             self._majority_at[s.revision] = now
-        if len(self._majority_at) > 256:
+        if len(self._majority_at) > REVISIONS_KEPT:
             del self._majority_at[next(iter(self._majority_at))]
 
     def in_force(self, revision: int, now: float) -> bool:
+        """Whether no proxy admits requests by settings older than the revision."""
         s = self._settings
         if revision > s.revision:
             return False
@@ -145,10 +163,10 @@
         if now < self._calm + GONE:
             return
         for text in sorted(s.roster):
-            a = Address.read(text).ok_value
-            h = self.heard_of.get(a)
-            if h is None or now - h.at > GONE:
-                yield Strike(a, s.roster[text].boot)
+            address = Address.read(text).unwrap()
+            last = self.heard_of.get(address)
+            if last is None or now - last.at > GONE:
+                yield Strike(address, s.roster[text].boot)
 
     def _holders(self, revision: int) -> list[Address]:
         out = []
--- a/mallowvalve/control/bootstrap.py
+++ b/mallowvalve/control/bootstrap.py
@@ -1,3 +1,5 @@
+"""How a core machine starts: it founds a group, joins one, or gives up a state that another group has replaced."""
+
 from __future__ import annotations
 
 import msgspec
@@ -20,14 +22,20 @@
 
 
 class Start(msgspec.Struct, frozen=True):
+    """Join the source's group, from its newest stored snapshot."""
+
     source: Who
 
 
 class Wipe(msgspec.Struct, frozen=True):
+    """Forget the own state: it belongs to a group that another one has replaced."""
+
     pass
 
 
 class Wait(msgspec.Struct, frozen=True):
+    """Do nothing yet."""
+
     why: str
 
 
@@ -40,10 +48,12 @@
     __slots__ = ("_key", "_since")
 
     def __init__(self):
+        """Nothing was decided yet."""
         self._key: object = None
         self._since = 0.0
 
     def hear(self, v: Decision, now: float) -> Decision | None:
+        """A decision, once it has been the same for long enough (s); None before."""
         key = (v.generation, v.voters) if isinstance(v, Found) else type(v)
         if key != self._key:
             self._key, self._since = key, now
@@ -123,6 +133,7 @@
 
 
 def heard_enough(base: State, answers: list[Who]) -> bool:
+    """Whether enough of the roster answered to found anew: no acknowledged settings are held by the rest alone."""
     roster = base.settings.roster
     heard = {str(w.addr) for w in answers}
     return not roster or 2 * len(heard & roster.keys()) > len(roster)
--- a/mallowvalve/control/bootstrap_task.py
+++ b/mallowvalve/control/bootstrap_task.py
@@ -1,3 +1,5 @@
+"""The daemon's side of a start: asks other processes, and does what `bootstrap.decide` says."""
+
 from __future__ import annotations
 
 import itertools
@@ -44,10 +46,12 @@
     __slots__ = ("control", "_judge", "_holders")
 
     def __init__(self, control):
+        """For one control process, whose loop runs `run`."""
         self.control, self._judge = control, Judge()
         self._holders: dict[Address, float] = {}
 
     def run(self) -> None:
+        """Asks around for as long as the process lives; seldom while a leader is known."""
         for turn in itertools.count():
             if self.control.core.leader() is not None and turn % CALM:
                 self.say_here()
@@ -72,7 +76,7 @@
             self._holders[w.addr] = clock.now()
 
     def _ask_all(self, calm: bool = False) -> list[wire.Who]:
-        """In calm times all control processes and a few others: too few to found anew on, enough to hear of a newer group."""
+        """In calm times all control processes and a few others: too few to found on, enough to hear of a new group."""
         p = self.control.node.settings
         alive, self._holders = (
             self.control.node.membership.alive(),
@@ -152,7 +156,7 @@
         if w is None:
             return None
         what = NOW if w.whole else SETTINGS
-        r = self.control.puller.pull(w.addr, what, lambda l: (l.group, l.index) >= (w.group, w.index))
+        r = self.control.puller.pull(w.addr, what, lambda offered: (offered.group, offered.index) >= (w.group, w.index))
         return r.ok_value[1] if r.is_ok() else None
 
     def _begin(self, p: Snapshot, s: State | None) -> None:
@@ -198,6 +202,7 @@
         change("left_core", seconds=round(clock.now() - begun, 2), why=leave.why)
 
     def say_here(self) -> None:
+        """Tells the leader, or whoever may know one, that this process is here."""
         body = wire.encode(msgspec.structs.replace(self.control.who(), seeds=[], voters=None))
         alive = [r.addr for r in self.control.node.membership.alive("control")]
         for a in self.control.core.here_goes_to(alive):
--- a/mallowvalve/control/brought_state.py
+++ b/mallowvalve/control/brought_state.py
@@ -13,6 +13,7 @@
     __slots__ = ("_held",)
 
     def __init__(self) -> None:
+        """None is waiting."""
         self._held: tuple[Group, int, State] | None = None
 
     def put(self, snapshot: Snapshot, state: State) -> None:
--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -1,3 +1,5 @@
+"""One control process's state machine: Raft, the replicated state, and those who wait for its answers."""
+
 from __future__ import annotations
 
 import random
@@ -47,6 +49,8 @@
 
 
 class Core:
+    """Its user calls it with what comes, then does what `ready` says and passes on `replies`. No sockets, no clocks."""
+
     __slots__ = (
         "id",
         "addr",
@@ -87,6 +91,7 @@
         acks: Acks = Acks(),
         times: Times = Times(),
     ):
+        """A blank process: `start` gives it a group."""
         self.id, self.addr, self.locality, self.rng = id, addr, locality, rng
         self.raft: Raft | None = None
         self.state: State | None = None
@@ -114,6 +119,7 @@
     def start(
         self, snapshot: Snapshot, hard: Hard | None, entries: list[Entry], now: float, ready: State | None = None
     ) -> None:
+        """Begins from what is stored; `ready` is the snapshot's state where it was loaded already."""
         hard = hard if hard is not None and hard.group == snapshot.group else Hard(snapshot.group, 0, "")
         self.raft = Raft(self.id, Log(snapshot, entries), hard.term, hard.vote, self.rng, now, self._times, hard.commit)
         self.state = ready or load(snapshot.state, snapshot.group.generation)
@@ -126,6 +132,7 @@
         self.decided = []
 
     def stop(self, new_id: str) -> None:
+        """Forgets its group; it goes on as a blank process under a new id."""
         self.raft = self.state = None
         self.id = new_id
         self._fail_all()
@@ -137,9 +144,11 @@
 
     @property
     def unborn(self) -> bool:
+        """Whether its group has committed nothing since its founding."""
         return self.raft is not None and self.raft.commit <= self._base_index
 
     def leader(self) -> Address | None:
+        """The leader's address; None where none is known."""
         if self.raft is None or not self.raft.leader:
             return None
         return self.address_of(self.raft.leader)
@@ -149,6 +158,7 @@
         return self._addresses.of(member, self.raft.log.voters)
 
     def who(self, role: str, seeds: list[Address]) -> Who:
+        """What this process says of itself to those who ask."""
         r, m, i = self.raft, self.members, self.state.index if self.state else 0
         held = (False, r.group, i, r.log.voters_at(i), self.leader()) if r else (True, None, 0, None, None)
         return Who(role, self.id, self.addr, self.locality, seeds, *held, boot=m.boot, leaving=m.leaving)
@@ -159,16 +169,19 @@
         return [a for a in ([leader] if leader is not None else control) if a != self.addr]
 
     def here(self, w: Who, now: float) -> None:
+        """Another process said that it is here (s)."""
         if w.role == "control" and (w.group is None or self.raft and w.group == self.raft.group):
             self._addresses.hear(w.id, w.addr)
             self.members.hear(w, now)
 
     def timer(self, now: float) -> float:
+        """When `tick` is due next (s)."""
         if self.raft is None:
             return now + 0.1
         return min(self._note.at or now + 0.1, now + 0.1, self.raft.timer(), self.feeds.look_at)
 
     def tick(self, now: float) -> None:
+        """Time went on to `now` (s)."""
         if self.raft is None:
             return
         self.raft.tick(now)
@@ -176,6 +189,7 @@
         self._settle(now)
 
     def receive(self, e: Envelope, now: float) -> None:
+        """A Raft message came; one of another group or for another member is dropped."""
         if self.raft is None or e.group != self.raft.group or e.to != self.id:
             self.counts.add("raft_foreign")
             return
@@ -188,21 +202,23 @@
             self.raft.doubt(now)
 
     def propose(self, data: bytes, token: Any, limit: float, now: float) -> None:
+        """Offers a command; what becomes of it is replied to the token, by `limit` (s) at the latest."""
         if not self.leads:
-            self.replies.append((token, Took("leader", leader=self.leader())))
+            self.replies.append((token, Took(Code.LEADER, leader=self.leader())))
             return
         if not is_command(data):
             self.replies.append((token, Took(Code.INVALID, body=NOT_UNDERSTOOD)))
             return
         index = self.raft.propose(COMMAND, data, self.clock.read(now))
         if index is None:
-            self.replies.append((token, Took("leader")))
+            self.replies.append((token, Took(Code.LEADER)))
             return
         self._pending[index] = Pending(token, self.raft.term, limit, turns_settings(data), waits_for(data, self._acks))
 
     def read(self, token: Any, limit: float, now: float) -> None:
+        """Replies to the token once a majority has confirmed this leader after the question, or at `limit` (s)."""
         if not self.leads:
-            self.replies.append((token, Took("leader", leader=self.leader())))
+            self.replies.append((token, Took(Code.LEADER, leader=self.leader())))
             return
         self._reads.add(Read(token, self.raft.ask_quorum(), self.raft.commit, limit))
 
@@ -220,6 +236,7 @@
         return lease.holds(kind, self.contact(), now)
 
     def want(self, w: Want, token: Any, now: float) -> None:
+        """A replica asks for news; the reply goes to the token."""
         if not self.leads:
             self.replies.append((token, Fed(self.leader())))
             return
@@ -227,9 +244,11 @@
         self.replies += self.feeds.park(w, token, now)
 
     def ready(self, now: float) -> Ready | None:
+        """What is to be stored and sent now; `saved` must follow before the next call."""
         return self.raft.ready(now) if self.raft else None
 
     def saved(self, r: Ready, now: float) -> None:
+        """What `ready` returned is on disk."""
         if r.install is not None:
             self.state = self._brought.take(r.install)
             self._news = News(self.state.turned)
@@ -258,6 +277,7 @@
         return Snapshot(self.raft.group, i, self.raft.log.term(i), self.raft.log.voters_at(i), [])
 
     def base(self) -> Snapshot | None:
+        """The snapshot at which the log begins."""
         return self.raft.log.snapshot if self.raft is not None else None
 
     def bring(self, p: Snapshot, s: State) -> None:
@@ -265,6 +285,7 @@
         self._brought.put(p, s)
 
     def compact(self, p: Snapshot) -> None:
+        """The log begins at this snapshot from now on."""
         self.raft.log.compact(p)
         self._news.compact(p.index)
 
@@ -282,7 +303,7 @@
             if p is None:
                 continue
             if p.term != e.term:
-                self.replies.append((p.token, Took("replaced")))
+                self.replies.append((p.token, Took(Code.REPLACED)))
                 continue
             p.outcome, p.need = out, self.state.turned if p.settings else e.index
             self._waiting.append((e.index, p))
@@ -313,12 +334,12 @@
             if self._acknowledged(p, now):
                 self.replies.append((p.token, Took(o.code, o.revision, o.body, term=p.term)))
             elif now >= p.limit:
-                self.replies.append((p.token, Took("undecided", o.revision)))
+                self.replies.append((p.token, Took(Code.UNDECIDED, o.revision)))
             else:
                 keep.append((index, p))
         self._waiting = keep
         for i in [i for i, p in self._pending.items() if now >= p.limit]:
-            self.replies.append((self._pending.pop(i).token, Took("undecided")))
+            self.replies.append((self._pending.pop(i).token, Took(Code.UNDECIDED)))
 
     def _acknowledged(self, p: Pending, now: float) -> bool:
         if p.waits == "commit" or p.outcome.code in UNAPPLIED:
@@ -346,7 +367,7 @@
 
     def _fail_all(self) -> None:
         for p in [*self._pending.values(), *(p for _, p in self._waiting)]:
-            self.replies.append((p.token, Took("undecided")))
+            self.replies.append((p.token, Took(Code.UNDECIDED)))
         self.replies += self._reads.fail()
         self.replies += self.feeds.drop()
         self._pending, self._waiting = {}, deque()
--- a/mallowvalve/control/fleet_clock.py
+++ b/mallowvalve/control/fleet_clock.py
@@ -14,6 +14,7 @@
     __slots__ = ("_base", "_began_at", "_heard", "_term")
 
     def __init__(self) -> None:
+        """Nothing was heard of the fleet's time yet."""
         self._base, self._began_at = 0, 0.0
         self._heard: tuple[int, float] | None = None
         self._term = 0
@@ -33,7 +34,7 @@
     def since(self, now: float) -> int:
         """The fleet's clock by what was heard of it, 0 before that.
 
-        Never ahead, since an entry is proposed before it is applied here: what rests on it ends too soon, never too late.
+        Never ahead, since an entry is proposed before it is applied here: what rests on it ends too soon if at all.
         """
         if self._heard is None:
             return 0
--- a/mallowvalve/control/http_coordination.py
+++ b/mallowvalve/control/http_coordination.py
@@ -1,3 +1,5 @@
+"""Locks, numbers and watched keys over HTTP, for callers that bring a `Mallow-Key` with each command."""
+
 from __future__ import annotations
 
 import gevent
@@ -6,6 +8,7 @@
 from mallowvalve import clock, web
 from mallowvalve.control import page_offer
 from mallowvalve.control.api import Api
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.replica_task import ATTEMPT
 from mallowvalve.control.state import encode
 from mallowvalve.control.wire import Took
@@ -15,6 +18,8 @@
 LIMIT = 3.0
 WATCH_MOST = 25.0
 VALUE_MOST = 65536
+HOLDER_MOST = 200
+HOLD_LEAST_MS, HOLD_MOST_MS = 100, 600_000
 STATUS = {
     SaidCode.OK: 200,
     SaidCode.HELD: 409,
@@ -26,6 +31,8 @@
 
 
 class CoordinationDoc(msgspec.Struct):
+    """The body of any of these calls; each uses the fields that it needs."""
+
     holder: str = ""
     ttl_ms: int = 10000
     token: int = 0
@@ -34,7 +41,10 @@
 
 
 class Coordination(Api):
+    """What these pages share."""
+
     def run(self, req, resp, c) -> None:
+        """Offers a command and answers with what became of it."""
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT)
         if not t.body:
             return self.reject(req, resp, t)
@@ -49,12 +59,15 @@
 
 
 class Locks(Coordination):
+    """Take, renew and free locks."""
+
     def on_post(self, req, resp, name: str, act: str) -> None:
+        """One of the three acts, by the path."""
         d = web.read_as(CoordinationDoc, req, resp)
         key = self.key(req, resp) if d is not None and self.named(req, resp, name) else None
         if key is None:
             return
-        if not d.holder or len(d.holder) > 200 or not 100 <= d.ttl_ms <= 600_000:
+        if not d.holder or len(d.holder) > HOLDER_MOST or not HOLD_LEAST_MS <= d.ttl_ms <= HOLD_MOST_MS:
             found = [Finding("holder, ttl_ms", "want a holder of at most 200 characters and 100 to 600000 ms")]
             return web.turn_away(req, resp, 400, found)
         match act:
@@ -69,14 +82,20 @@
 
 
 class Numbers(Coordination):
+    """Numbers that only rise."""
+
     def on_post(self, req, resp, name: str) -> None:
+        """The next number of a name."""
         key = self.key(req, resp) if self.named(req, resp, name) else None
         if key is not None:
             self.run(req, resp, Next(name, key))
 
 
 class Keys(Coordination):
+    """Keys with values."""
+
     def on_get(self, req, resp, name: str) -> None:
+        """A confirmed read."""
         if self.confirm(req, resp) is None:
             return
         st = self.task.core.state
@@ -85,6 +104,7 @@
         web.say(resp, body, 200 if had else 404)
 
     def on_put(self, req, resp, name: str) -> None:
+        """Puts a value."""
         d = web.read_as(CoordinationDoc, req, resp, 1 << 20)
         if d is None:
             return
@@ -93,6 +113,7 @@
         self._put(req, resp, name, d.value, d.base)
 
     def on_delete(self, req, resp, name: str) -> None:
+        """Deletes a key."""
         self._put(req, resp, name, None, None)
 
     def _put(self, req, resp, name: str, value: str | None, base: int | None) -> None:
@@ -102,7 +123,10 @@
 
 
 class Watch(Api):
+    """Changes of keys since a revision."""
+
     def on_get(self, req, resp) -> None:
+        """Answers as soon as there are some, or after the caller's wait."""
         since = req.get_param_as_int("since", required=True, min_value=0)
         prefix = req.get_param("prefix") or ""
         end = clock.now() + min(WATCH_MOST, (req.get_param_as_int("wait_ms") or 0) / 1000)
@@ -111,7 +135,7 @@
         while True:
             st = self.task.core.state
             if st is None:
-                return self.reject(req, resp, Took("leader"))
+                return self.reject(req, resp, Took(Code.LEADER))
             events = st.coordination.since(since, prefix)
             if events is None:
                 found = [Finding("since", f"compacted up to {st.coordination.compacted}")]
@@ -133,6 +157,7 @@
 
 
 def add_routes(app, task) -> None:
+    """Adds these pages."""
     app.add_route("/locks/{name}/{act}", Locks(task))
     app.add_route("/numbers/{name}", Numbers(task))
     app.add_route("/keys/{name}", Keys(task))
--- a/mallowvalve/control/http_items.py
+++ b/mallowvalve/control/http_items.py
@@ -33,19 +33,25 @@
 
 
 class ItemApi(Api):
+    """What these pages share."""
+
     def offer(self, req, resp, c: Amend | Evacuate, effect: float | None = None) -> None:
+        """Offers a command; it takes effect within `effect` seconds or never, where that is given."""
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT, effect)
         if t.code == Code.INVALID:
             return web.turn_away(req, resp, 400, _findings(t.body))
         if t.code == Code.CONFLICT:
             return web.turn_away(req, resp, 409, _findings(t.body))
-        if t.code != "ok":
+        if t.code != Code.OK:
             return self.reject(req, resp, t)
         web.say(resp, {"revision": t.revision})
 
 
 class ItemsView(ItemApi):
+    """All items."""
+
     def on_get(self, req, resp) -> None:
+        """A confirmed read of all items, laid out as they are sent."""
         if self.confirm(req, resp) is None:
             return
         items = self.task.core.state.items
@@ -77,13 +83,18 @@
 
 
 class EvacuatedZone(ItemApi):
+    """One zone's evacuation."""
+
     def on_post(self, req, resp, zone: str) -> None:
+        """Nothing more is to be sent to the zone."""
         self.turn(req, resp, zone, True)
 
     def on_delete(self, req, resp, zone: str) -> None:
+        """The zone is given back."""
         self.turn(req, resp, zone, False)
 
     def turn(self, req, resp, zone: str, on: bool) -> None:
+        """Evacuates the zone or gives it back, if the caller still waits after `STANDS`."""
         if zone not in self.task.node.settings.zones:
             s = self.confirm(req, resp)
             if s is None:
@@ -96,5 +107,6 @@
 
 
 def add_routes(app, task) -> None:
+    """Adds these pages."""
     app.add_route("/items", ItemsView(task))
     app.add_route("/evacuations/{zone}", EvacuatedZone(task))
--- a/mallowvalve/control/http_operators.py
+++ b/mallowvalve/control/http_operators.py
@@ -1,3 +1,5 @@
+"""The operators' pages: the configuration document, plans, evacuations, the roster, who leads."""
+
 from __future__ import annotations
 
 import hashlib
@@ -10,6 +12,7 @@
 from mallowvalve import clock, web
 from mallowvalve.control import http_coordination, http_items
 from mallowvalve.control.api import Api
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.state import Change, Evacuate, Settings, Strike, encode, key_of
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import Took
@@ -21,22 +24,29 @@
 
 
 class ConfigDoc(msgspec.Struct):
+    """A whole document; `base` is the revision that it replaces, or None for any."""
+
     doc: dict
     base: int | None = None
 
 
 class PatchDoc(msgspec.Struct):
+    """A JSON patch on the document of the revision `base`."""
+
     patch: list[dict]
     base: int
 
 
 class PlanDoc(msgspec.Struct):
+    """A document or a patch whose effect is asked about."""
+
     doc: dict | None = None
     patch: list[dict] | None = None
     base: int | None = None
 
 
 def patched(s: Settings, patch: list[dict]) -> Result[dict, Findings]:
+    """The document with the patch on it, or what is wrong with the patch."""
     try:
         doc = jsonpatch.apply_patch(msgspec.json.decode(s.doc), patch)
     except (jsonpatch.JsonPatchException, jsonpatch.JsonPointerException, TypeError, KeyError) as e:
@@ -45,19 +55,24 @@
 
 
 class Config(Api):
+    """The configuration document."""
+
     def on_get(self, req, resp) -> None:
+        """A confirmed read of the document."""
         s = self.confirm(req, resp)
         if s is None:
             return
         web.say(resp, {"revision": s.doc_revision, "doc": msgspec.json.decode(s.doc), "evacuated": sorted(s.evacuated)})
 
     def on_put(self, req, resp) -> None:
+        """Replaces the document."""
         d = web.read_as(ConfigDoc, req, resp, CONFIG_BYTES)
         key = self.key(req, resp) if d is not None else None
         if key is not None:
             self.apply(req, resp, Change(d.base, msgspec.json.encode(d.doc), key), d.doc)
 
     def on_patch(self, req, resp) -> None:
+        """Changes the document by a JSON patch."""
         d = web.read_as(PatchDoc, req, resp, CONFIG_BYTES)
         key = self.key(req, resp) if d is not None else None
         s = self.confirm(req, resp) if key is not None else None
@@ -68,13 +83,14 @@
         if self.task.core.state.asks.look(key_of(c), digest) is not None:
             return self.offer(req, resp, c)
         if d.base != s.doc_revision:
-            return self.reject(req, resp, Took("conflict", s.doc_revision))
+            return self.reject(req, resp, Took(Code.CONFLICT, s.doc_revision))
         doc = patched(s, d.patch)
         if doc.is_err():
             return web.turn_away(req, resp, 422, doc.err_value)
         self.apply(req, resp, msgspec.structs.replace(c, doc=msgspec.json.encode(doc.ok_value)), doc.ok_value)
 
     def apply(self, req, resp, c: Change, doc: dict) -> None:
+        """Checks the document, then offers the change."""
         built = self.task.check(doc)
         if built.is_err():
             return web.turn_away(req, resp, 422, built.err_value)
@@ -85,6 +101,7 @@
     """What a change would move; it changes nothing."""
 
     def on_post(self, req, resp) -> None:
+        """What the change would move."""
         d = web.read_as(PlanDoc, req, resp, CONFIG_BYTES)
         if d is None:
             return
@@ -96,7 +113,7 @@
         if s is None:
             return
         if d.base not in (None, s.doc_revision):
-            return self.reject(req, resp, Took("conflict", s.doc_revision))
+            return self.reject(req, resp, Took(Code.CONFLICT, s.doc_revision))
         doc = Ok(d.doc) if d.patch is None else patched(s, d.patch)
         new = doc.and_then(self.task.check)
         if new.is_err():
@@ -108,12 +125,17 @@
 
 
 class EvacuateDoc(msgspec.Struct):
+    """A zone or region, to be emptied or given back."""
+
     zone: str
     evacuated: bool
 
 
 class Evacuations(Api):
+    """Evacuations of zones and regions."""
+
     def on_post(self, req, resp) -> None:
+        """Empties a zone, or gives it back."""
         d = web.read_as(EvacuateDoc, req, resp)
         key = self.key(req, resp) if d is not None else None
         s = self.confirm(req, resp) if key is not None else None
@@ -129,11 +151,16 @@
 
 
 class StrikeDoc(msgspec.Struct):
+    """A proxy's address."""
+
     proxy: str
 
 
 class Strikes(Api):
+    """Takes proxies off the roster."""
+
     def on_post(self, req, resp) -> None:
+        """Strikes a proxy that will not come back."""
         d = web.read_as(StrikeDoc, req, resp)
         key = self.key(req, resp) if d is not None else None
         s = self.confirm(req, resp) if key is not None else None
@@ -149,11 +176,16 @@
 
 
 class RiskDoc(msgspec.Struct):
+    """The words by which an operator takes the risk."""
+
     accept: str
 
 
 class FoundAnew(Api):
+    """A founding by an operator's word, in place of proof that the old voters are gone for good."""
+
     def on_post(self, req, resp) -> None:
+        """Founds anew from the newest state that answers."""
         d = web.read_as(RiskDoc, req, resp)
         if d is None:
             return
@@ -169,7 +201,10 @@
 
 
 class Leader(Api):
+    """Who leads, and who votes, by what this process knows."""
+
     def on_get(self, req, resp) -> None:
+        """Answers without asking anybody."""
         c = self.task.core
         r = c.raft
         if r is None:
@@ -193,6 +228,7 @@
 
 
 def add_routes(app: falcon.App, task: ControlTask) -> None:
+    """Adds these pages, and those of items and of coordination."""
     app.add_route("/config", Config(task))
     app.add_route("/plan", Plans(task))
     app.add_route("/evacuations", Evacuations(task))
--- a/mallowvalve/control/http_plain.py
+++ b/mallowvalve/control/http_plain.py
@@ -9,6 +9,7 @@
 from mallowvalve import clock, web
 from mallowvalve.control import page_offer
 from mallowvalve.control.lease import BOUNDS, Answer
+from mallowvalve.control.outcome import NOT_TAKEN, Code
 from mallowvalve.control.state import State, encode
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import Took
@@ -25,31 +26,41 @@
 
 
 class TakeDoc(msgspec.Struct):
+    """The body that takes a lock (ms)."""
+
     holder: str
     hold_ms: float
 
 
 class ExtendDoc(msgspec.Struct):
+    """The body that holds a lock longer (ms)."""
+
     holder: str
     token: int
     hold_ms: float
 
 
 class FreeDoc(msgspec.Struct):
+    """The body that gives a lock back."""
+
     holder: str
     token: int
 
 
 class WriteDoc(msgspec.Struct):
+    """The body that puts a key."""
+
     value: str
     base: int | None = None
 
 
 def names(text: str) -> bool:
+    """Whether the text may be a name."""
     return 0 < len(text) <= NAME_MOST and text.isprintable()
 
 
 def check(name: str, d: msgspec.Struct | None = None) -> Findings:
+    """What is wrong with a name and a body."""
     found = []
     if not names(name):
         found.append(Finding("name", f"want 1 to {NAME_MOST} printable characters"))
@@ -66,10 +77,14 @@
 
 
 class Page:
+    """What these pages share."""
+
     def __init__(self, task: ControlTask):
+        """Pages of one control process."""
         self.task = task
 
     def read_as(self, kind: type, req, resp, name: str):
+        """The checked body, or None once the findings were answered."""
         d = web.read_as(kind, req, resp, BODY_MOST)
         if d is None:
             return None
@@ -79,40 +94,45 @@
     def run(self, req, resp, c: Take | Extend | Free | Count | Write) -> Word | None:
         """What was said to the command, or None once the trouble was answered; may offer it more than once."""
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT)
-        return _word(t.body) if t.code == "ok" else self.reject(resp, t)
+        return _word(t.body) if t.code == Code.OK else self.reject(resp, t)
 
     def confirm(self, resp) -> Plain | None:
         """The state with all that was acknowledged before this call, or None once the trouble was answered."""
-        end, t = clock.now() + LIMIT, Took("leader")
+        end, t = clock.now() + LIMIT, Took(Code.LEADER)
         while (left := end - clock.now()) > 0:
             t = self.task.read(min(left, ATTEMPT))
             s: State | None = self.task.core.state
-            if t.code == "ok" and s is not None:
+            if t.code == Code.OK and s is not None:
                 return s.plain
             gevent.sleep(min(PAUSE, max(0.0, end - clock.now())))
         return self.reject(resp, t)
 
     def reject(self, resp, t: Took) -> None:
         """503 only where the offer came back as never taken: whatever may still take effect is a 504."""
-        if t.code in ("leader", "replaced"):
+        if t.code in NOT_TAKEN:
             return web.reject(resp, 503, web.NOT_RUN, [Finding("control", "no leader just now")], 1)
         web.reject(resp, 504, web.UNDECIDED, [Finding("control", "not confirmed in time: say it again")], 1)
 
 
 class Locks(Page):
+    """Locks by name."""
+
     def on_post(self, req, resp, name: str) -> None:
+        """Takes a lock, or holds it longer for its holder."""
         d = self.read_as(TakeDoc, req, resp, name)
         w = self.run(req, resp, Take(name, d.holder, d.hold_ms)) if d is not None else None
         if w is not None:
             self._say(resp, w, {"token": w.number})
 
     def on_put(self, req, resp, name: str) -> None:
+        """Holds a lock longer, under its token."""
         d = self.read_as(ExtendDoc, req, resp, name)
         w = self.run(req, resp, Extend(name, d.holder, d.token, d.hold_ms)) if d is not None else None
         if w is not None:
             self._say(resp, w, {})
 
     def on_delete(self, req, resp, name: str) -> None:
+        """Gives a lock back; the answer is the same whether it was held or not."""
         d = self.read_as(FreeDoc, req, resp, name)
         w = self.run(req, resp, Free(name, d.holder, d.token)) if d is not None else None
         if w is not None:
@@ -123,7 +143,10 @@
 
 
 class Numbers(Page):
+    """Numbers that only rise."""
+
     def on_post(self, req, resp, name: str) -> None:
+        """The next number of a name."""
         found = check(name)
         if found:
             return web.reject(resp, 400, web.NOT_RUN, found)
@@ -133,7 +156,10 @@
 
 
 class Cells(Page):
+    """Keys with values."""
+
     def on_get(self, req, resp, name: str) -> None:
+        """A confirmed read."""
         found = check(name)
         if found:
             return web.reject(resp, 400, web.NOT_RUN, found)
@@ -146,6 +172,7 @@
         web.say(resp, {"value": had[0], "revision": had[1]})
 
     def on_put(self, req, resp, name: str) -> None:
+        """Puts a value, on a revision if one is given."""
         d = self.read_as(WriteDoc, req, resp, name)
         w = self.run(req, resp, Write(name, d.value, d.base)) if d is not None else None
         if w is not None:
@@ -158,6 +185,7 @@
     __slots__ = ("_task", "_waits", "_job")
 
     def __init__(self, task: ControlTask):
+        """Nobody waits yet."""
         self._task = task
         self._waits: dict[Event, tuple[str, int]] = {}
         self._job = None
@@ -193,11 +221,15 @@
 
 
 class Watch(Page):
+    """The puts of a group after a revision."""
+
     def __init__(self, task: ControlTask):
+        """Pages of one control process."""
         super().__init__(task)
         self.bell = Bell(task)
 
     def on_get(self, req, resp, name: str) -> None:
+        """Answers as soon as there are some, or after the caller's wait."""
         end = clock.now() + min(WATCH_MOST, req.get_param_as_int("wait_ms", min_value=0, default=0) / 1000)
         after = req.get_param_as_int("after", min_value=0, max_value=NUMBER_MOST, default=0)
         found = check(name)
@@ -244,11 +276,12 @@
             self.bell.wait(group, after, min(BOUNDS[Answer.WATCH].seconds, end - clock.now()))
             s: State | None = self.task.core.state
             if s is None:
-                return self.reject(resp, Took("leader"))
+                return self.reject(resp, Took(Code.LEADER))
             plain = s.plain
 
 
 def event(p: Put) -> dict:
+    """A put as watchers are told of it."""
     return {"name": p.name, "value": p.value, "revision": p.revision}
 
 
--- a/mallowvalve/control/http_upstreams.py
+++ b/mallowvalve/control/http_upstreams.py
@@ -104,7 +104,7 @@
 
 
 def heartbeat_at(controls: list[Record], me: Record, at: Locality, instance: str) -> Address | None:
-    """Where else this upstream had better heartbeat: a control process in its own zone, or else in its region; None where it is."""
+    """Where this upstream had better heartbeat: a control process of its zone or else region; None if it is here."""
     controls = [r for r in controls if r.state == ALIVE and r.ready and r.addr != me.addr]
     for d in (0, 1):
         if me.locality.distance(at) == d:
@@ -116,10 +116,14 @@
 
 
 class Heartbeats:
+    """Heartbeats and the ends of single upstreams."""
+
     def __init__(self, task, registry):
+        """Pages of one control process and its registry."""
         self.task, self.registry = task, registry
 
     def on_put(self, req: falcon.Request, resp: falcon.Response, instance: str) -> None:
+        """A heartbeat or a notice of leaving."""
         node = self.task.node
         body = web.body_of(req, BODY_BYTES)
         if body is None:
@@ -137,6 +141,7 @@
         web.say(resp, {} if to is None else {"heartbeat_at": str(to)})
 
     def on_delete(self, req: falcon.Request, resp: falcon.Response, instance: str) -> None:
+        """The upstream's end; acknowledged for one that is not known, too."""
         if not 0 < len(instance) <= NAME or not instance.isprintable():
             return web.reject(resp, 400, web.NOT_RUN, [Finding("instance", f"want 1 to {NAME} printable characters")])
         if not self.registry.gone(Upstream(instance, "", NOWHERE, Locality("", ""), 0, "gone")):
@@ -155,9 +160,11 @@
     """The registry as this node has it."""
 
     def __init__(self, task, registry):
+        """Pages of one control process and its registry."""
         self.task, self.registry = task, registry
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers without asking anybody."""
         registry = self.registry.registry
         web.say(
             resp,
@@ -182,5 +189,6 @@
 
 
 def add_routes(app: falcon.App, task, registry) -> None:
+    """Adds these pages."""
     app.add_route("/upstreams", All(task, registry))
     app.add_route("/upstreams/{instance}", Heartbeats(task, registry))
--- a/mallowvalve/control/leave.py
+++ b/mallowvalve/control/leave.py
@@ -30,6 +30,7 @@
     __slots__ = ("me", "why")
 
     def __init__(self, me: str) -> None:
+        """`me` is the id of the member that was told to stop."""
         self.me, self.why = me, Why.WAITS
 
     def over(self, raft: Raft | None, answers: list[Who], control: list[Address]) -> bool:
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -1,3 +1,5 @@
+"""The control daemon: opens its folder and serves until it is told to stop."""
+
 from __future__ import annotations
 
 import contextlib
@@ -26,6 +28,7 @@
 
 
 def run(settings: Settings) -> Result[None, Findings]:
+    """Serves until it is told to stop; findings where the folder cannot be used."""
     try:
         faults = Faults(settings.faults, settings.name)
         with Folder(settings.data) as folder:
@@ -43,6 +46,7 @@
 
 
 def remembered(disk: Disk) -> list[Address]:
+    """The peers' addresses that were written down; none where they cannot be read."""
     if MEMORY not in disk.names():
         return []
     try:
@@ -57,13 +61,16 @@
     __slots__ = ("node", "disk", "_job", "_last")
 
     def __init__(self, node: Node, disk: Disk):
+        """Nothing was written yet by this process."""
         self.node, self.disk, self._last = node, disk, []
 
     def __enter__(self) -> Memory:
+        """Begins to look."""
         self._job = gevent.spawn(self._run)
         return self
 
     def __exit__(self, *_) -> None:
+        """Ends."""
         self._job.kill()
 
     def _run(self) -> None:
@@ -94,6 +101,7 @@
 
 
 def serve(settings: Settings, disk_log: DiskLog, loaded: store.Loaded, faults: Faults) -> None:
+    """Puts the process together, and serves until it is told to stop."""
     node = Node(settings, remembered(disk_log.disk), faults)
     task = ControlTask(node, disk_log, loaded)
     registry = RegistryTask(task)
--- a/mallowvalve/control/news.py
+++ b/mallowvalve/control/news.py
@@ -19,9 +19,11 @@
         self._entries: deque[Entry] = deque()
 
     def __len__(self) -> int:
+        """How many entries are held."""
         return len(self._entries)
 
     def add(self, e: Entry) -> None:
+        """Adds the entry that changed the settings last."""
         self._entries.append(e)
 
     def compact(self, index: int) -> None:
@@ -31,7 +33,8 @@
 
     def since(self, index: int, applied: int) -> tuple[list[Entry], int]:
         """What changed the settings part after the index, and how far one is whole with it."""
-        out, size = [], 0
+        out: list[Entry] = []
+        size = 0
         for e in self._entries:
             if e.index <= index:
                 continue
--- a/mallowvalve/control/outcome.py
+++ b/mallowvalve/control/outcome.py
@@ -1,4 +1,4 @@
-"""What is said to a command that was applied, or refused, by the replicated state."""
+"""What is said to a command: by the replicated state that applied or refused it, or by who could not offer it."""
 
 from __future__ import annotations
 
@@ -8,16 +8,40 @@
 
 
 class Code(enum.StrEnum):
-    """The codes of the state's own; the ledger and the coordination state add theirs."""
+    """Every outcome of a command, of whatever part of the state."""
 
     OK = "ok"
     GONE = "gone"
     CONFLICT = "conflict"
     INVALID = "invalid"
-    LOST = "lost"
+
+    LEADER = "leader"
+    """Nothing was taken: there is no leader here just now, or it is another process."""
+    REPLACED = "replaced"
+    """Nothing was taken: another leader's entry stands in its place."""
+    UNDECIDED = "undecided"
+    """It may have taken effect, or may yet."""
+
     LATE = "late"
     AHEAD = "ahead"
     FORGOTTEN = "forgotten"
+    REUSED = "reused"
+    """The caller's key belongs to another command."""
+
+    HELD = "held"
+    LOST = "lost"
+    MISSING = "missing"
+
+    OPEN = "open"
+    GRANTED = "granted"
+    DONE = "done"
+    RELEASED = "released"
+
+
+NOT_TAKEN = frozenset({Code.LEADER, Code.REPLACED})
+"""The command had no effect, and this very offer of it never will."""
+OFFER_AGAIN = NOT_TAKEN | {Code.UNDECIDED}
+"""Whoever offered the command may offer it again, under the same origin."""
 
 
 UNAPPLIED = frozenset({Code.INVALID, Code.LATE, Code.AHEAD, Code.FORGOTTEN})
@@ -27,6 +51,6 @@
 class Outcome(msgspec.Struct, array_like=True, frozen=True):
     """`revision` is the one to wait for before it is told; `body` is the answer's own, by kind of command."""
 
-    code: str
+    code: Code
     revision: int
     body: bytes = b""
--- a/mallowvalve/control/page_offer.py
+++ b/mallowvalve/control/page_offer.py
@@ -10,10 +10,11 @@
 import falcon
 
 from mallowvalve import web
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import Took
 
-LEFT = Took("leader")
+LEFT = Took(Code.LEADER)
 """What is said to a caller who has gone: nothing was offered."""
 
 
--- a/mallowvalve/control/reconfiguration.py
+++ b/mallowvalve/control/reconfiguration.py
@@ -14,7 +14,7 @@
   each under 0.5 s, end before. A member that was only frozen or cut off loses its seat to one that has caught up, and
   comes back as a learner by the log alone.
 
-A learner is ripe once it holds what was committed `RIPE_AGE` ago: five heartbeats, so what it lacks is on its way to it.
+A learner is ripe once it holds what was committed `RIPE_AGE` ago, five heartbeats: what it lacks is on its way to it.
 
 `FORGOTTEN` is how long a silent learner is kept: it costs one message a heartbeat, and nothing waits for it.
 """
@@ -69,6 +69,7 @@
     __slots__ = ("seen", "departed", "given_away", "boot", "leaving", "_commits")
 
     def __init__(self) -> None:
+        """Nobody was heard, and nobody is known to have gone."""
         self.seen: dict[str, Seen] = {}
         self.departed: dict[Address, int] = {}
         self.given_away: set[Address] = set()
@@ -127,6 +128,8 @@
 
     def _loss(self, raft: Raft, i: str, taken: dict[Address, str], now: float) -> Loss | None:
         address, seen = raft.log.voters.address(i), self.seen.get(i)
+        if address is None:
+            return None
         if taken.get(address, i) != i or address in self.given_away and _silent(raft, i, now, CONFIRM):
             return Loss.REPLACED
         verdict = address in self.departed and (seen is None or seen.boot in (0, self.departed[address]))
--- a/mallowvalve/control/redirect.py
+++ b/mallowvalve/control/redirect.py
@@ -1,4 +1,4 @@
-"""Where a caller goes from a control process that is out of touch with a majority: to another that is in touch, by 307."""
+"""Where a caller goes from a control process that is out of touch with a majority: by 307 to one in touch."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from mallowvalve import web
 from mallowvalve.control import lease
+from mallowvalve.control.task import ControlTask
 from mallowvalve.finding import Finding
 from mallowvalve.membership.wire import ALIVE, Record
 from mallowvalve.types import Address
@@ -24,7 +25,7 @@
     return random.choice([r for r in known if r.addr != leader] or known) if known else None
 
 
-def elsewhere(task, req: falcon.Request) -> str | None:
+def elsewhere(task: ControlTask, req: falcon.Request) -> str | None:
     """The Location for this call; None for one that was sent here by another: two out of touch never send it round."""
     membership = task.node.membership
     if req.get_param(MOVED) is not None:
@@ -35,7 +36,7 @@
     return f"http://{r.web}{req.path}?" + "&".join(filter(None, (req.query_string, f"{MOVED}=1")))
 
 
-def reject_out_of_touch(task, req: falcon.Request, resp: falcon.Response) -> None:
+def reject_out_of_touch(task: ControlTask, req: falcon.Request, resp: falcon.Response) -> None:
     """307 to one that may know, else 503 with the time after which an answer can be had here."""
     found = [Finding("control", "out of touch with a majority: not confirmed, safe to repeat")]
     to = elsewhere(task, req)
--- a/mallowvalve/control/registry_task.py
+++ b/mallowvalve/control/registry_task.py
@@ -1,14 +1,19 @@
+"""The daemon's side of the upstreams' registry."""
+
 from __future__ import annotations
 
 import gevent
 import msgspec
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
+from result import Ok
 
 from mallowvalve import clock
 from mallowvalve.control import lease
 from mallowvalve.control.lease import Answer
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.state import encode
+from mallowvalve.control.task import ControlTask
 from mallowvalve.metrics import change, vital
 from mallowvalve.types import Address
 from mallowvalve.upstreams.liveness import Heard, Liveness
@@ -22,30 +27,34 @@
 
 
 class RegistryTask:
-    """Hears upstreams at a control process: offers what changes, tells the leader whom it heard, and judges silence if it leads."""
+    """Hears upstreams: offers what changes, tells the leader whom it heard, and judges silence if it leads."""
 
     __slots__ = ("task", "liveness", "_box", "_jobs", "_judging", "_touched", "_told", "_reported")
 
-    def __init__(self, task):
+    def __init__(self, task: ControlTask) -> None:
+        """For one control process."""
         self.task = task
         self.liveness = Liveness(task.node.settings.heartbeat_ms / 1000)
         self._box: Queue = Queue()
-        self._judging = None
+        self._judging: gevent.Greenlet | None = None
         self._touched = clock.now()
         self._told: Address | None = None
         self._reported = 0.0
         task.node.transport.on("heard", self._on_heard, quick=True)
 
     def __enter__(self) -> RegistryTask:
+        """Begins to gather changes and to judge silence."""
         self._touched = clock.now()
         self._jobs = [vital(gevent.spawn(self._collect)), vital(gevent.spawn(self._run))]
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
+        """Ends; whoever still waits is not acknowledged."""
         gevent.killall(self._jobs)
 
     @property
     def registry(self) -> Registry | None:
+        """The replicated registry as this process has it; None where it is blank."""
         s = self.task.core.state
         return s.registry if s is not None else None
 
@@ -82,12 +91,12 @@
         w = AsyncResult()
         self._box.put((u, w))
         try:
-            return w.get(timeout=LIMIT)
+            return bool(w.get(timeout=LIMIT))
         except gevent.Timeout:
             return False
 
     def in_touch(self, now: float) -> bool:
-        """Whether a majority was asked, and a leader was told whom this process heard, inside the bound of a heartbeat."""
+        """Whether a majority was asked, and a leader told whom this process heard, inside the bound of a heartbeat."""
         told = self.task.core.leads or lease.holds(Answer.HEARTBEAT, self._touched, now)
         return told and self.task.core.holds(Answer.HEARTBEAT, now)
 
@@ -110,9 +119,9 @@
     def _registered(self, c: Registered, limit: float) -> bool:
         t = self.task.offer(encode(c), limit, ATTEMPT)
         self.task.node.counts.add(
-            "registry_offered" if t.code == "ok" else "registry_not_taken", len(c.changes) + len(c.forget)
+            "registry_offered" if t.code == Code.OK else "registry_not_taken", len(c.changes) + len(c.forget)
         )
-        if t.code != "ok":
+        if t.code != Code.OK:
             return False
         for u in c.changes:
             change(
@@ -153,7 +162,7 @@
         since = self._reported if to == self._told else now - self.liveness.silent
         body = encode(self.liveness.report(since, now))
         r = self.task.node.transport.call(to, "heard", body, REPORT)
-        if r.is_ok() and r.ok_value == TAKEN:
+        if isinstance(r, Ok) and r.ok_value == TAKEN:
             self._told, self._reported, self._touched = to, now, now
             return
         self._told = None
--- a/mallowvalve/control/replica.py
+++ b/mallowvalve/control/replica.py
@@ -1,3 +1,5 @@
+"""What a proxy or a directory holds of the replicated state, and whether it may act on it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
@@ -21,6 +23,8 @@
 
 
 class Replica:
+    """Asks the leader for news, or with no leader the other replicas whether they know more. No sockets, no clocks."""
+
     __slots__ = (
         "addr",
         "boot",
@@ -75,6 +79,7 @@
 
     @property
     def revision(self) -> int:
+        """The revision of the settings held; 0 where nothing is held."""
         return self.state.settings.revision if self.state else 0
 
     @property
@@ -83,6 +88,7 @@
         return self._sure
 
     def fresh(self, now: float) -> bool:
+        """Whether a majority confirmed the state within the last `WINDOW` seconds."""
         return self.state is not None and now - self._sure <= WINDOW
 
     def admits(self, now: float) -> bool:
@@ -93,6 +99,7 @@
         return seat is not None and seat.boot == self.boot
 
     def quiet(self, now: float) -> bool:
+        """Whether the leader has been silent for longer than it may keep a question."""
         return now - self._led > QUIET * self.hold
 
     def clock(self, now: float) -> int:
@@ -101,6 +108,7 @@
         return max(self.state.clock if self.state else 0, time + int((now - at) * 1000) if time else 0)
 
     def want(self, now: float, hold: float | None = None) -> Want:
+        """The question to the leader, asked now (s); `hold` as in the constructor."""
         index = self.state.index if self.state else 0
         hold = self.hold if hold is None else hold
         return Want(
@@ -117,6 +125,7 @@
         )
 
     def fed(self, f: Fed, now: float) -> None:
+        """The leader's answer came now (s)."""
         if f.group is None:
             self.leader = f.leader
             return
@@ -131,6 +140,7 @@
             self._sure = max(self._sure, f.sure)
 
     def round(self, now: float) -> Round | None:
+        """A question to all replicas on the roster, for when no leader answers; None where nothing is held."""
         if self.state is None:
             return None
         self._answers = {t: a for t, a in self._answers.items() if now - t < WINDOW}
@@ -139,12 +149,15 @@
         return Round(self.addr, now)
 
     def roster(self) -> list[Address]:
+        """The addresses of the replicas on the roster."""
         return [Address.read(a).ok_value for a in self.state.settings.roster] if self.state else []
 
     def tell(self, r: Round) -> Told:
+        """The answer to another replica's round."""
         return Told(self.addr, self.boot, r.stamp, self.group, self.revision, self.state.index if self.state else 0)
 
     def told(self, t: Told) -> bool:
+        """Another replica's answer to a round; true if it knows more, so that its state is worth fetching."""
         if t.group is None or self.state is None:
             return False
         if self._newer(t):
@@ -161,15 +174,16 @@
         """Whether a newer generation than this group's is held."""
         return self.group is not None and g.generation < self.group.generation
 
-    def lacks(self, l: Label) -> bool:
+    def lacks(self, offered: Label) -> bool:
         """Whether a snapshot under this label is worth fetching; never one of an older generation or index."""
-        if self.group is None or l.group.generation != self.group.generation:
-            newer = self.group is None or l.group.generation > self.group.generation
+        if self.group is None or offered.group.generation != self.group.generation:
+            newer = self.group is None or offered.group.generation > self.group.generation
             self.counts.add("replica_older_refused", not newer)
             return newer
-        return l.index > self.state.index or l.group != self.group and l.index == self.state.index
+        return offered.index > self.state.index or offered.group != self.group and offered.index == self.state.index
 
     def adopt(self, p: Snapshot, s: State) -> None:
+        """Takes in a fetched state, unless the own one is as new by now."""
         if not self.lacks(label(p)):
             return
         before = self.revision if self.group == p.group else -1
--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -1,3 +1,5 @@
+"""The daemon's side of a replica: follows the leader, and goes on without one."""
+
 from __future__ import annotations
 
 import random
@@ -13,6 +15,7 @@
 from mallowvalve.configuration.build import build
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control import wire
+from mallowvalve.control.outcome import OFFER_AGAIN, Code
 from mallowvalve.control.replica import HOLD, Replica
 from mallowvalve.control.sessions import Call, Session
 from mallowvalve.control.snapshot_fetch import BASE, NOW, SETTINGS, Puller
@@ -34,10 +37,11 @@
 HOLD_ON = 1.0
 LARGE = 32768
 ATTEMPT = 0.8
-AGAIN = ("leader", "replaced", "undecided")
 
 
 class ReplicaTask:
+    """Owns a `Replica`; a context manager that follows while it is open."""
+
     __slots__ = (
         "node",
         "replica",
@@ -53,6 +57,7 @@
     )
 
     def __init__(self, node: Node):
+        """For one process, whose transport it answers on."""
         self.node = node
         p = node.settings
         hold = HOLD_ON if p.serve_on else HOLD
@@ -74,28 +79,33 @@
         node.allow(lambda service: service in self.tree.doc.services)
 
     def __enter__(self) -> ReplicaTask:
+        """Begins to follow."""
         self._jobs = [vital(gevent.spawn(self._follow)), vital(gevent.spawn(self._rounds))]
         if self.node.settings.serve_on:
             self._jobs.append(vital(gevent.spawn(self._begin)))
         return self
 
     def __exit__(self, *_) -> None:
+        """Ends."""
         gevent.killall(self._jobs)
 
     @property
     def tree(self) -> Tree:
+        """The configuration that requests are routed by."""
         return self.replica.tree
 
     def admits(self) -> bool:
+        """Whether requests may be admitted by what is held."""
         return self.replica.admits(clock.now())
 
     def control(self) -> Address | None:
+        """The control process to ask: the leader, or one that may know it; None where none is known."""
         if self.replica.leader is not None:
             return self.replica.leader
         return next(iter(self._controls()), None)
 
     def _controls(self) -> list[Address]:
-        """The control processes to ask, those just found silent last; seeds too, for the membership may know nobody yet."""
+        """The control processes to ask, those just found silent last; seeds too, for membership may know nobody yet."""
         alive = [r.addr for r in self.node.membership.alive("control")]
         seeds = [a for a in self.node.settings.seeds if a not in alive]
         for some in (alive, seeds):
@@ -104,7 +114,7 @@
         return sorted([*alive, *seeds], key=lambda a: self._shunned.get(a, now) > now)
 
     def offer(self, command: bytes, limit: float) -> wire.Took:
-        """Offers a command that may be given more than once, in short attempts: a dead leader's machine answers nothing."""
+        """Offers a command in short attempts, for a dead leader's machine answers nothing; all limits in s."""
         end = clock.now() + limit
         call = Call(self._session, command, end)
         while (left := end - clock.now()) > 0:
@@ -116,16 +126,16 @@
             data = call.data(self.replica.clock(now := clock.now()), now)
             r = self.node.transport.call(to, "offer", wire.encode(wire.Offer(data, left)), left)
             if r.is_err():
-                call.heard(wire.Took("undecided"), clock.now())
+                call.heard(wire.Took(Code.UNDECIDED), clock.now())
                 self._forget(to)
                 gevent.sleep(min(0.05, left))
                 continue
             t = call.heard(wire.took(r.ok_value), clock.now())
-            if t.code not in AGAIN:
-                return call.ended(t, AGAIN)
+            if t.code not in OFFER_AGAIN:
+                return call.ended(t, OFFER_AGAIN)
             self.replica.leader = t.leader
             gevent.sleep(min(0.05, left))
-        return wire.Took("undecided")
+        return wire.Took(Code.UNDECIDED)
 
     def _forget(self, a: Address) -> None:
         if self.replica.leader == a:
@@ -189,7 +199,7 @@
             gevent.sleep(0.05)
 
     def _seek(self) -> None:
-        """Asks a few control processes at once who leads; the first that leads or names a leader that is not silent ends it."""
+        """Asks a few control processes at once who leads; the first that names a leader that is not silent ends it."""
         box: Queue = Queue()
         asked = self._controls()[:SEEK_MOST]
         for a in asked:
@@ -211,7 +221,7 @@
         gevent.sleep(0.1)
 
     def _begin(self) -> None:
-        """A proxy with nothing to go by takes the newest settings anybody answers with, and does not wait for the silent.
+        """A proxy with nothing to go by takes the newest settings that anybody has, and waits for nobody silent.
 
         It asks less and less often: where nobody has any, the whole fleet asks.
         """
@@ -223,7 +233,7 @@
             pause = min(2 * pause, ANYWHERE)
 
     def _fetch_anywhere(self) -> None:
-        """The newest settings that a control process or a peer holds, while nobody leads; never older ones than are held."""
+        """The newest settings that a control process or a peer holds, while nobody leads; never older than held."""
         now = clock.now()
         if now - self._sought < ANYWHERE:
             return
@@ -307,6 +317,7 @@
 
 
 def large_docs(entries: list[Entry]) -> list[bytes]:
+    """The configuration documents among these entries that take long to parse."""
     datas = [e.data for e in entries if e.kind == COMMAND and len(e.data) > LARGE]
     return [c.doc for c in map(command, datas) if isinstance(c, Change)]
 
--- a/mallowvalve/control/sessions.py
+++ b/mallowvalve/control/sessions.py
@@ -188,19 +188,19 @@
         Untimely at first, nothing ran, even if the state may have forgotten others of that time: the call goes on under
         a new number, by the time that the answer tells.
         """
-        self._maybe = self._maybe or t.code == "undecided"
+        self._maybe = self._maybe or t.code == Code.UNDECIDED
         if t.code not in (Code.LATE, Code.AHEAD, Code.FORGOTTEN):
             return t
         if self._maybe:
             return Took(Code.FORGOTTEN)
         self._session.told(_clock(t.body), now)
         self._sealed = b""
-        return Took("leader", leader=t.leader)
+        return Took(Code.LEADER, leader=t.leader)
 
     def is_over(self, now: float) -> bool:
         """Whether it can take no effect any more, and nothing that was offered may have."""
         return now >= self._end and not self._maybe
 
-    def ended(self, t: Took, again: tuple[str, ...]) -> Took:
+    def ended(self, t: Took, again: frozenset[Code]) -> Took:
         """The last word of a call: what may have run never ends as refused."""
-        return Took("undecided") if t.code == Code.FORGOTTEN or self._maybe and t.code in again else t
+        return Took(Code.UNDECIDED) if t.code == Code.FORGOTTEN or self._maybe and t.code in again else t
--- a/mallowvalve/control/snapshot.py
+++ b/mallowvalve/control/snapshot.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import chain
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -24,6 +25,8 @@
 
 
 class Head(msgspec.Struct, array_like=True, frozen=True):
+    """The first piece: what is small, and the counts that the other pieces rest on."""
+
     generation: int
     index: int
     clock: int
@@ -39,7 +42,7 @@
 
 HEAD, ROWS, KEPT, ASKS, KEYS, EVENTS, ITEMS, REGISTRY, PLAIN, SETTINGS_SESSIONS, SESSIONS = range(11)
 _kind = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
-_part = {
+_part: dict[int, Callable[[msgspec.Raw], Any]] = {
     k: msgspec.msgpack.Decoder(t).decode
     for k, t in {
         HEAD: Head,
@@ -106,16 +109,19 @@
 
 
 def dump(s: State) -> list[bytes]:
+    """The whole state in pieces."""
     return list(cut(s))
 
 
 def founding(group: Group, voters: Voters, base: State | None) -> Snapshot:
+    """The snapshot that a new group begins from: a base's state, or an empty one."""
     state = State(group.generation) if base is None else base
     state.generation = group.generation
     return Snapshot(group, state.index, 0, voters, dump(state))
 
 
 def load(pieces: list[bytes], generation: int | None = None) -> State:
+    """The state of these pieces; UnwrapError if they are no whole state."""
     w = Loader(generation)
     for p in pieces:
         w.feed(p).unwrap()
@@ -135,7 +141,7 @@
         yield part
 
 
-def _large(r) -> int:
+def _large(r: Any) -> int:
     v = r[1] if isinstance(r, tuple) else getattr(r, "outcome", r)
     body = (
         v[0]
@@ -146,13 +152,17 @@
 
 
 class Loader:
+    """Builds a state from its pieces, which must come in their order."""
+
     __slots__ = ("_generation", "_state")
 
     def __init__(self, generation: int | None = None):
+        """`generation` replaces the one that the pieces name, where it is given."""
         self._generation = generation
         self._state: State | None = None
 
     def feed(self, piece: bytes) -> Result[None, str]:
+        """Takes in the next piece, or says what is wrong with it."""
         try:
             kind, raw = _kind(piece)
             part = _part[kind](raw)
@@ -186,6 +196,7 @@
         return Ok(None)
 
     def done(self) -> Result[State, str]:
+        """The state, once all pieces were taken in."""
         return Err("no head") if self._state is None else Ok(self._state)
 
     def _begin(self, h: Head) -> Result[None, str]:
--- a/mallowvalve/control/snapshot_fetch.py
+++ b/mallowvalve/control/snapshot_fetch.py
@@ -1,3 +1,5 @@
+"""The daemon's side of snapshots on their way: hands out this node's, and fetches others'."""
+
 from __future__ import annotations
 
 import zlib
@@ -6,7 +8,7 @@
 import gevent
 import msgspec
 from gevent.lock import RLock
-from result import Err, Result
+from result import Err, Ok, Result
 
 from mallowvalve import clock
 from mallowvalve.control.snapshot_transfer import Gather, Label, Piece, Shelf, label, read_label, read_piece, read_want
@@ -44,6 +46,7 @@
         base: Callable[[], Snapshot | None] = lambda: None,
         settings: Callable[[], Made | None] = lambda: None,
     ):
+        """`now`, `base` and `settings` make the snapshots that are handed out."""
         self.transport, self._now, self._base, self._settings = transport, now, base, settings
         self._shelf, self._lock = Shelf(), RLock()
         transport.on("label", lambda s, b: encode(self._label(b)))
@@ -54,21 +57,21 @@
         self,
         to: Address,
         what: bytes,
-        wanted: Callable[[Label], bool] = lambda l: True,
+        wanted: Callable[[Label], bool] = lambda named: True,
     ) -> Result[tuple[Snapshot, State], str]:
         """A settings part is small, and whoever wants it has others to ask: a silent one is soon given up."""
         quick = what == SETTINGS
         if quick:
             r = self.transport.call(to, "whole", what, QUICK_LABEL)
-            l, had = read_whole(r.ok_value) if r.is_ok() else (None, [])
+            named, had = read_whole(r.ok_value) if isinstance(r, Ok) else (None, [])
         else:
             r = self.transport.call(to, "label", what, LABEL_LIMIT)
-            l, had = read_label(r.ok_value) if r.is_ok() else None, []
-        if l is None or not wanted(l):
+            named, had = read_label(r.ok_value) if isinstance(r, Ok) else None, []
+        if named is None or not wanted(named):
             return Err("has none that is wanted")
-        g, failed = Gather(l), 0
+        g, failed = Gather(named), 0
         for n, data in enumerate(had):
-            g.take(Piece(l.group, l.index, n, zlib.crc32(data), data, l.settings))
+            g.take(Piece(named.group, named.index, n, zlib.crc32(data), data, named.settings))
         while (w := g.want()) is not None:
             why = self._piece(to, g, encode(w), QUICK_PIECE if quick else PIECE_LIMIT)
             if why is None:
@@ -85,7 +88,7 @@
 
     def _piece(self, to: Address, g: Gather, want: bytes, limit: float) -> str | None:
         r = self.transport.call(to, "piece", want, limit)
-        if r.is_err():
+        if isinstance(r, Err):
             gevent.sleep(0.1)
             return r.err_value
         p = read_piece(r.ok_value)
--- a/mallowvalve/control/snapshot_transfer.py
+++ b/mallowvalve/control/snapshot_transfer.py
@@ -37,6 +37,8 @@
 
 
 class Label(msgspec.Struct, array_like=True, frozen=True):
+    """Names a snapshot and says of how many pieces it is."""
+
     group: Group
     index: int
     term: int
@@ -46,6 +48,8 @@
 
 
 class Want(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for piece `n` of a snapshot."""
+
     group: Group
     index: int
     n: int
@@ -53,6 +57,8 @@
 
 
 class Piece(msgspec.Struct, array_like=True, frozen=True):
+    """A piece and its checksum."""
+
     group: Group
     index: int
     n: int
@@ -62,6 +68,7 @@
 
 
 def label(p: Snapshot, settings: bool = False) -> Label:
+    """The label of a snapshot whose pieces are made."""
     return Label(p.group, p.index, p.term, p.voters, len(p.state), settings)
 
 
@@ -75,11 +82,13 @@
 
     __slots__ = ("_kept", "_cut")
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing is handed out yet."""
         self._kept: dict[tuple[Group, int, bool], tuple[Snapshot, float]] = {}
         self._cut: dict[tuple[Group, int, bool], float] = {}
 
     def put(self, p: Snapshot, now: float, settings: bool = False) -> Label:
+        """Hands out this snapshot from now on (s); returns its label."""
         self.forget(now)
         self._kept.pop((p.group, p.index, settings), None)
         while len(self._kept) >= KEPT:
@@ -99,6 +108,7 @@
         return None
 
     def cut(self, w: Want, now: float) -> Piece | None:
+        """The piece that is asked for; None where the snapshot is no longer held, or has no such piece."""
         kept = self._kept.get((w.group, w.index, w.settings))
         if kept is None or not 0 <= w.n < len(kept[0].state):
             return None
@@ -114,6 +124,7 @@
         )
 
     def forget(self, now: float) -> None:
+        """Drops snapshots that nobody has asked for in a while."""
         for k in [k for k, (_, at) in self._kept.items() if now - at > IDLE]:
             del self._kept[k]
 
@@ -124,6 +135,7 @@
     __slots__ = ("index", "overtaken")
 
     def __init__(self) -> None:
+        """None is being fetched."""
         self.index = self.overtaken = 0
 
     def announced(self, index: int) -> bool:
@@ -145,15 +157,19 @@
 
     __slots__ = ("label", "pieces", "_loader", "_failed")
 
-    def __init__(self, l: Label):
-        self.label = l
+    def __init__(self, named: Label):
+        """No piece has come yet."""
+        self.label = named
         self.pieces: list[bytes] = []
-        self._loader = Loader(l.group.generation)
+        self._loader = Loader(named.group.generation)
         self._failed = 0
 
     def want(self) -> Want | None:
-        l = self.label
-        return Want(l.group, l.index, len(self.pieces), l.settings) if len(self.pieces) < l.count else None
+        """What to ask for next; None once all pieces are there."""
+        named = self.label
+        return (
+            Want(named.group, named.index, len(self.pieces), named.settings) if len(self.pieces) < named.count else None
+        )
 
     def lost(self) -> bool:
         """One more answer did not come; true once it is time to give up."""
@@ -161,30 +177,32 @@
         return self._failed > AGAIN
 
     def take(self, p: Piece) -> Result[None, Refused]:
-        l = self.label
-        if (p.group, p.index, p.settings) != (l.group, l.index, l.settings):
-            text = f"piece of {p.group.generation}/{p.index}, want {l.group.generation}/{l.index}"
+        """Takes in a piece, or refuses it; after a refusal the same one is asked for again."""
+        named = self.label
+        if (p.group, p.index, p.settings) != (named.group, named.index, named.settings):
+            text = f"piece of {p.group.generation}/{p.index}, want {named.group.generation}/{named.index}"
             return Err(Refused(Refusal.FOREIGN, text))
         if p.n != len(self.pieces):
             return Err(Refused(Refusal.OUT_OF_TURN, f"piece {p.n}, want {len(self.pieces)}"))
         if zlib.crc32(p.data) != p.crc:
             return Err(Refused(Refusal.DAMAGED, f"piece {p.n} is damaged"))
         r = self._loader.feed(p.data)
-        if r.is_err():
+        if isinstance(r, Err):
             return Err(Refused(Refusal.NOT_UNDERSTOOD, f"piece {p.n}: {r.err_value}"))
         self.pieces.append(p.data)
         self._failed = 0
         return Ok(None)
 
     def done(self) -> Result[tuple[Snapshot, State], Refused]:
+        """The snapshot and its state, or what is wrong with them as a whole."""
         if self.want() is not None:
             return Err(Refused(Refusal.CUT_SHORT, f"{len(self.pieces)} of {self.label.count} pieces"))
-        l, s = self.label, self._loader.done()
-        if s.is_err():
-            return Err(Refused(Refusal.CUT_SHORT, str(s.err_value)))
-        if s.ok_value.index != l.index:
-            return Err(Refused(Refusal.FOREIGN, f"a state of index {s.ok_value.index}, labelled {l.index}"))
-        return Ok((Snapshot(l.group, l.index, l.term, l.voters, self.pieces), s.ok_value))
+        named, s = self.label, self._loader.done()
+        if isinstance(s, Err):
+            return Err(Refused(Refusal.CUT_SHORT, s.err_value))
+        if s.ok_value.index != named.index:
+            return Err(Refused(Refusal.FOREIGN, f"a state of index {s.ok_value.index}, labelled {named.index}"))
+        return Ok((Snapshot(named.group, named.index, named.term, named.voters, self.pieces), s.ok_value))
 
 
 read_label, read_want, read_piece = (msgspec.msgpack.Decoder(k).decode for k in (Label | None, Want, Piece | None))
--- a/mallowvalve/control/state.py
+++ b/mallowvalve/control/state.py
@@ -1,6 +1,9 @@
+"""The replicated state, and the commands that change it: the same entries give the same state on every node."""
+
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 
 import msgspec
 
@@ -17,6 +20,8 @@
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True, tag="change"):
+    """Replaces the configuration document; `base` is the revision it must replace, or None for any."""
+
     base: int | None
     doc: bytes
     ask: str = ""
@@ -24,18 +29,24 @@
 
 
 class Evacuate(msgspec.Struct, frozen=True, array_like=True, tag="evacuate"):
+    """Empties a zone or region (`on`), or gives it back."""
+
     zone: str
     on: bool
     ask: str = ""
 
 
 class Enrol(msgspec.Struct, frozen=True, array_like=True, tag="enrol"):
+    """Gives a proxy's process a seat on the roster."""
+
     addr: Address
     boot: int
     locality: Locality
 
 
 class Strike(msgspec.Struct, frozen=True, array_like=True, tag="strike"):
+    """Takes a proxy's process off the roster."""
+
     addr: Address
     boot: int
     ask: str = ""
@@ -48,6 +59,8 @@
 
 
 class Tick(msgspec.Struct, frozen=True, array_like=True, tag="tick"):
+    """Time went on: what has run out is forgotten."""
+
     pass
 
 
@@ -85,16 +98,21 @@
     return data[at + 2 : at + 2 + (data[at + 1] & 0x1F)] if len(data) > at + 1 else b""
 
 
-def tags(kinds: tuple[type, ...]) -> frozenset[bytes]:
-    return frozenset(k.__struct_config__.tag.encode() for k in kinds)
+def tags(kinds: tuple[type[msgspec.Struct], ...]) -> frozenset[bytes]:
+    """The tags by which encoded commands of these kinds are told."""
+    return frozenset(str(k.__struct_config__.tag).encode() for k in kinds)
 
 
 class Seat(msgspec.Struct, array_like=True, frozen=True):
+    """A proxy's process on the roster."""
+
     boot: int
     locality: Locality
 
 
 class Settings(msgspec.Struct, array_like=True):
+    """The configuration document, evacuations and the roster, with their revisions."""
+
     doc: bytes = b"{}"
     doc_revision: int = 0
     evacuated: dict[str, int] = {}
@@ -103,6 +121,7 @@
 
 
 def digest_of(c: Command) -> str:
+    """What tells a command from others under the same key of a caller."""
     if isinstance(c, Change) and c.digest:
         return c.digest
     return hashlib.blake2b(encode(msgspec.structs.replace(c, ask="")), digest_size=16).hexdigest()
@@ -112,15 +131,19 @@
 
 
 def number_of(o: Outcome) -> int:
+    """The number in the outcome of a coordination command."""
     return _said(o.body).number
 
 
 def key_of(c: Command) -> str:
+    """The caller's key of a command, by its kind and name; empty if it has none."""
     ask = getattr(c, "ask", "")
     return f"{type(c).__name__}:{getattr(c, 'name', '')}:{ask}" if ask else ""
 
 
 class State:
+    """All replicated state; only `apply` changes it."""
+
     __slots__ = (
         "generation",
         "index",
@@ -137,6 +160,7 @@
     )
 
     def __init__(self, generation: int):
+        """The empty state of a generation."""
         self.generation, self.index, self.clock = generation, 0, 0
         self.settings, self.ledger, self.coordination, self.asks = Settings(), Ledger(), Coordination(), Asks()
         self.items, self.registry, self.plain = Items(), Registry(), Plain()
@@ -144,9 +168,11 @@
 
     @property
     def revision(self) -> int:
+        """The revision of the entry applied last."""
         return self.revision_at(self.index)
 
     def revision_at(self, index: int) -> int:
+        """The revision of an entry."""
         return int(Revision.make(self.generation, index))
 
     @property
@@ -161,6 +187,7 @@
         self.index, self.clock = max(self.index, other.index), max(self.clock, other.clock)
 
     def apply(self, index: int, at: int, data: bytes) -> Outcome:
+        """Applies the entry at an index, with its time (ms, fleet clock); the outcome is for whoever proposed it."""
         self.index = index
         self.clock = max(self.clock, at)
         if not data:
@@ -186,7 +213,7 @@
         digest = digest_of(c)
         had = self.asks.look(key, digest)
         if had is not None:
-            return self._again(c, Outcome(had.code, had.revision, had.body))
+            return self._again(c, Outcome(Code(had.code), had.revision, had.body))
         out = self._do(c)
         self.asks.keep(key, Asked(self.clock, digest, out.code, out.revision, out.body))
         return out
@@ -226,9 +253,9 @@
                 return Outcome(Code.OK, self.revision)
             case Claim() | Done() | Release() | Forfeit() | Lose():
                 v = self.ledger.apply(c, self.clock, self.revision)
-                return Outcome(v.state, self.revision, encode(v))
+                return Outcome(Code(v.state), self.revision, encode(v))
         said = self.coordination.apply(c, self.revision, self.clock)
-        return Outcome(said.code, self.revision, encode(said))
+        return Outcome(Code(said.code), self.revision, encode(said))
 
     def _change(self, c: Change) -> Outcome:
         s = self.settings
@@ -283,7 +310,7 @@
         if seat is not None:
             self.ledger.apply(Lose(f"{addr}#{seat.boot}"), self.clock)
 
-    def _set(self, act) -> Outcome:
+    def _set(self, act: Callable[[Settings], object]) -> Outcome:
         act(self.settings)
         self.settings.revision = self.revision
         return Outcome(Code.OK, self.revision)
--- a/mallowvalve/control/store.py
+++ b/mallowvalve/control/store.py
@@ -1,3 +1,5 @@
+"""What a control process keeps in its disk log, and how that is read back at a start."""
+
 from __future__ import annotations
 
 import msgspec
@@ -15,12 +17,15 @@
 
 
 class Loaded(msgspec.Struct):
+    """What was stored; all None and empty for a blank process."""
+
     snapshot: Snapshot | None
     hard: Hard | None
     entries: list[Entry]
 
 
 def load(disk_log: DiskLog) -> Result[Loaded, Findings]:
+    """Reads all back; findings where it cannot be understood."""
     if disk_log.snapshot is None:
         return Err([Finding("log", "entries without a snapshot")]) if disk_log.batches else Ok(Loaded(None, None, []))
     try:
@@ -62,19 +67,23 @@
 
 
 def items(r: Ready) -> list[bytes]:
+    """What a step of Raft stores, as one batch."""
     out = [HARD + encode(r.hard)] if r.hard is not None else []
     return out + [ENTRY + encode(e) for e in r.entries]
 
 
 def head(hard: Hard, tail: list[Entry]) -> list[bytes]:
+    """What a log begins with that follows a snapshot."""
     return [HARD + encode(hard)] + [ENTRY + encode(e) for e in tail]
 
 
 def parts(p: Snapshot) -> list[bytes]:
+    """A snapshot as it is stored, its head first."""
     return [encode(replace(p, state=[])), *p.state]
 
 
 def snapshot_in(parts: list[bytes]) -> Snapshot:
+    """The snapshot of stored parts."""
     return replace(snapshot_of(parts[0]), state=parts[1:])
 
 
@@ -89,6 +98,7 @@
 
 
 def turn(disk_log: DiskLog, p: Snapshot, first: list[bytes], stored: str | None = None) -> None:
+    """Makes the log begin at this snapshot."""
     whole, name = parts(p), stored or disk_log.reserve()
     if stored is None:
         disk_log.put(name, whole)
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -1,3 +1,5 @@
+"""The daemon's side of a control process: its disk, its transport and its loop around `Core`."""
+
 from __future__ import annotations
 
 import random
@@ -17,7 +19,7 @@
 from mallowvalve.control import store, wire
 from mallowvalve.control.bootstrap_task import FoundTask
 from mallowvalve.control.core import Core
-from mallowvalve.control.replica_task import AGAIN
+from mallowvalve.control.outcome import OFFER_AGAIN, Code
 from mallowvalve.control.sessions import Call, Session
 from mallowvalve.control.snapshot_fetch import BASE, Puller, fill
 from mallowvalve.control.snapshot_transfer import Fetching
@@ -33,9 +35,13 @@
 
 STORE_AGAIN = 2.0
 VERDICTS = 0.25
+ACTS_AT_ONCE = 512
+"""How much of what came is acted on before the outcome is stored and sent."""
 
 
 class ControlTask:
+    """Owns a `Core`; a context manager that runs while it is open."""
+
     __slots__ = (
         "node",
         "core",
@@ -58,6 +64,7 @@
     )
 
     def __init__(self, node: Node, disk_log: DiskLog, loaded: store.Loaded):
+        """For one process, from what it had stored."""
         self.node, self.disk_log = node, disk_log
         p = node.settings
         self.core = Core(
@@ -95,6 +102,7 @@
         on("here", lambda s, b: self.put(lambda now: self.core.here(wire.who(b), now)), quick=True)
 
     def __enter__(self) -> ControlTask:
+        """Begins to run."""
         jobs = (self._run, self.founder.run, self._watch)
         self._jobs = [vital(gevent.spawn(job)) for job in jobs]
         return self
@@ -107,6 +115,7 @@
             w.set(None)
 
     def tree(self) -> Tree:
+        """The configuration as this process has it."""
         s = self.core.state
         if s is None:
             return EMPTY
@@ -116,6 +125,7 @@
         return self._tree[1]
 
     def check(self, doc: dict) -> Result[Tree, Findings]:
+        """Compiles a document beside the loop; the tree, or what is wrong with it."""
         return gevent.get_hub().threadpool.apply(build, (doc,))
 
     def offer(self, command: bytes, limit: float, attempt: float = 60.0, effect: float | None = None) -> wire.Took:
@@ -124,28 +134,28 @@
         All in s. It takes effect within `effect` or never; the rest of the limit is for its acknowledgement.
         """
         begun = clock.now()
-        end, call, t = begun + limit, Call(self._session, command, begun + (effect or limit)), wire.Took("leader")
-        while t.code in AGAIN and (left := end - (now := clock.now())) > 0 and not self._over:
+        end, call, t = begun + limit, Call(self._session, command, begun + (effect or limit)), wire.Took(Code.LEADER)
+        while t.code in OFFER_AGAIN and (left := end - (now := clock.now())) > 0 and not self._over:
             data = call.data(self.core.clock.since(now), now)
             t = call.heard(self._offer_once(data, min(left, attempt)), clock.now())
-            if t.code not in AGAIN or call.is_over(clock.now()):
+            if t.code not in OFFER_AGAIN or call.is_over(clock.now()):
                 break
             gevent.sleep(min(0.05, max(0.0, end - clock.now())))
-        return call.ended(t, AGAIN)
+        return call.ended(t, OFFER_AGAIN)
 
     def _offer_once(self, command: bytes, limit: float) -> wire.Took:
         """A control process that is blank or whose disk refuses holds no command back: another one is asked."""
         other = self._other() if self.core.raft is None or self.stalled else None
         own = other is None and not self.stalled
-        t = self._offer(wire.Offer(command, limit)) if own else wire.Took("leader", leader=other)
-        if t.code != "leader" or t.leader is None or t.leader == self.node.settings.transport:
+        t = self._offer(wire.Offer(command, limit)) if own else wire.Took(Code.LEADER, leader=other)
+        if t.code != Code.LEADER or t.leader is None or t.leader == self.node.settings.transport:
             return t
         to, self._hint = t.leader, None
         r = self.node.transport.call(to, "offer", wire.encode(wire.Offer(command, limit)), limit)
         if r.is_err():
-            return wire.Took("undecided")
+            return wire.Took(Code.UNDECIDED)
         t = wire.took(r.ok_value)
-        self._hint = t.leader if t.code in AGAIN else to
+        self._hint = t.leader if t.code in OFFER_AGAIN else to
         return t
 
     def _other(self) -> Address | None:
@@ -153,27 +163,28 @@
         return self._hint if self._hint in controls else random.choice(controls) if controls else None
 
     def read(self, limit: float) -> wire.Took:
+        """Asks whoever leads for a confirmed revision and waits until it is applied here, `limit` seconds at most."""
         if self.stalled:
-            return wire.Took("leader", leader=self._other())
+            return wire.Took(Code.LEADER, leader=self._other())
         end = clock.now() + limit
         t = self._read(limit)
-        if t.code != "leader" or t.leader is None or t.leader == self.node.settings.transport:
+        if t.code != Code.LEADER or t.leader is None or t.leader == self.node.settings.transport:
             return t
         r = self.node.transport.call(t.leader, "read", b"", limit)
         if r.is_err():
-            return wire.Took("undecided")
+            return wire.Took(Code.UNDECIDED)
         t = wire.took(r.ok_value)
-        while t.code == "ok" and (self.core.state is None or self.core.state.revision < t.revision):
+        while t.code == Code.OK and (self.core.state is None or self.core.state.revision < t.revision):
             if clock.now() > end or self._over:
-                return wire.Took("undecided")
+                return wire.Took(Code.UNDECIDED)
             gevent.sleep(0.01)
         return t
 
     def _read(self, limit: float) -> wire.Took:
         if self._over:
-            return wire.Took("leader")
+            return wire.Took(Code.LEADER)
         t = self._do(lambda t, now: self.core.read(t, now + limit, now), limit + 0.5)
-        return t or wire.Took("undecided")
+        return t or wire.Took(Code.UNDECIDED)
 
     def hand_over(self) -> None:
         """Begins to leave: another is to lead, and this one's seat is free for whoever holds all."""
@@ -196,9 +207,9 @@
 
     def _offer(self, o: wire.Offer) -> wire.Took:
         if self._over:
-            return wire.Took("leader")
+            return wire.Took(Code.LEADER)
         t = self._do(lambda t, now: self.core.propose(o.command, t, now + o.limit, now), o.limit + 0.5)
-        return t or wire.Took("undecided")
+        return t or wire.Took(Code.UNDECIDED)
 
     def _do(self, act, limit: float):
         w = AsyncResult()
@@ -212,6 +223,7 @@
             self._waits.discard(w)
 
     def put(self, act) -> None:
+        """Has the loop call `act` with the time (s)."""
         self._box.put(act)
 
     def _want(self, w: wire.Want) -> wire.Fed:
@@ -233,7 +245,9 @@
     def _install(self, e: Envelope) -> None:
         """Fetches an announced snapshot by pieces, stores it beside the log, and only then shows it to the machine."""
         try:
-            r = self.puller.pull(e.address, BASE, lambda l: l.group == e.group and l.index >= e.body.snapshot.index)
+            r = self.puller.pull(
+                e.address, BASE, lambda offered: offered.group == e.group and offered.index >= e.body.snapshot.index
+            )
             if r.is_err():
                 return self.node.counts.add("snapshots_not_fetched")
             p, s = r.ok_value
@@ -265,6 +279,7 @@
                 return change("snapshot_not_stored", error=str(e), bytes=sum(map(len, p.state)))
 
     def who(self) -> wire.Who:
+        """What this process says of itself."""
         return self.core.who("control", self.node.settings.seeds)
 
     def _run(self) -> None:
@@ -280,7 +295,7 @@
         out: list = []
         try:
             out.append(self._box.get(timeout=wait))
-            while len(out) < 512:
+            while len(out) < ACTS_AT_ONCE:
                 out.append(self._box.get_nowait())
         except Empty:
             pass
@@ -307,6 +322,7 @@
             w.set(body)
 
     def persist(self, act) -> None:
+        """Writes to disk off the loop, again and again until the disk takes it."""
         pool = gevent.get_hub().threadpool
         while True:
             try:
@@ -362,7 +378,7 @@
             fields = {f: str(getattr(c, f)) for f in c.__struct_fields__ if f not in ("doc", "digest")}
             change(f"decided_{type(c).__name__.lower()}", said=o.code, revision=o.revision, term=term, **fields)
         role = r.role if r else "blank"
-        if role == self._role_said or role == "pre":
+        if role in (self._role_said, "pre"):
             return
         self._role_said = role
         change("raft_role", role=role, term=term, generation=r.group.generation if r else 0)
--- a/mallowvalve/control/waiting.py
+++ b/mallowvalve/control/waiting.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.state import COORDINATION, SETTINGS, Outcome, State, tag_of, tags
 from mallowvalve.control.wire import Took
 from mallowvalve.settings import Acks
@@ -27,6 +28,8 @@
 
 
 class Pending(msgspec.Struct):
+    """A command in the log; its token is answered by `limit` (s) at the latest."""
+
     token: Any
     term: int
     limit: float
@@ -42,6 +45,7 @@
     __slots__ = ("at",)
 
     def __init__(self) -> None:
+        """None is due."""
         self.at: float | None = None
 
     def due(self, turned: int, marked: int, now: float) -> bool:
@@ -57,6 +61,8 @@
 
 
 class Read(msgspec.Struct):
+    """A read that waits for the round `need`, and for the index to be applied."""
+
     token: Any
     need: int
     index: int
@@ -69,19 +75,21 @@
     __slots__ = ("_rows",)
 
     def __init__(self) -> None:
+        """Nobody waits."""
         self._rows: list[Read] = []
 
     def add(self, r: Read) -> None:
+        """One more waits."""
         self._rows.append(r)
 
     def answer(self, confirmed: int, state: State, term: int, now: float) -> list[tuple[Any, Took]]:
-        """Answers to the reads whose round is confirmed in `term` and whose index is applied, and to those out of time."""
+        """Answers to the reads whose round is confirmed in `term` and index applied, and to those out of time."""
         out, keep = [], []
         for r in self._rows:
             if r.need <= confirmed and r.index <= state.index:
-                out.append((r.token, Took("ok", state.revision_at(r.index), term=term)))
+                out.append((r.token, Took(Code.OK, state.revision_at(r.index), term=term)))
             elif now >= r.limit:
-                out.append((r.token, Took("undecided")))
+                out.append((r.token, Took(Code.UNDECIDED)))
             else:
                 keep.append(r)
         self._rows = keep
@@ -89,6 +97,6 @@
 
     def fail(self) -> list[tuple[Any, Took]]:
         """Answers all that wait with a want of a leader."""
-        out = [(r.token, Took("leader")) for r in self._rows]
+        out = [(r.token, Took(Code.LEADER)) for r in self._rows]
         self._rows = []
         return out
--- a/mallowvalve/control/wire.py
+++ b/mallowvalve/control/wire.py
@@ -1,7 +1,10 @@
+"""What control processes and replicas tell each other beside Raft's messages. Stamps: s of their sender's clock."""
+
 from __future__ import annotations
 
 import msgspec
 
+from mallowvalve.control.outcome import Code
 from mallowvalve.raft.messages import Entry, Group, Voters
 from mallowvalve.types import Address, Locality
 
@@ -61,11 +64,15 @@
 
 
 class Round(msgspec.Struct, array_like=True, frozen=True):
+    """Asks a replica what it holds."""
+
     sender: Address
     stamp: float
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True):
+    """What a replica holds, in answer to the stamp of a round."""
+
     sender: Address
     boot: int
     stamp: float
@@ -75,6 +82,8 @@
 
 
 class Offer(msgspec.Struct, array_like=True, frozen=True):
+    """Offers a command; the answer is wanted within `limit` (s)."""
+
     command: bytes
     limit: float
 
@@ -82,7 +91,7 @@
 class Took(msgspec.Struct, array_like=True, frozen=True):
     """`term` is the leader's term that the acknowledgement rests on; 0 where nothing was acknowledged."""
 
-    code: str
+    code: Code
     revision: int = 0
     body: bytes = b""
     leader: Address | None = None
@@ -92,8 +101,10 @@
 encode = msgspec.msgpack.Encoder().encode
 
 
-def _dec(kind):
-    return msgspec.msgpack.Decoder(kind).decode
-
-
-who, want, fed, told, offer, took, round_ = map(_dec, (Who, Want, Fed, Told, Offer, Took, Round))
+who = msgspec.msgpack.Decoder(Who).decode
+want = msgspec.msgpack.Decoder(Want).decode
+fed = msgspec.msgpack.Decoder(Fed).decode
+round_ = msgspec.msgpack.Decoder(Round).decode
+told = msgspec.msgpack.Decoder(Told).decode
+offer = msgspec.msgpack.Decoder(Offer).decode
+took = msgspec.msgpack.Decoder(Took).decode
--- a/sim/door.py
+++ b/sim/door.py
@@ -12,8 +12,7 @@
 from mallowvalve.control import http_items, http_plain, lease, registry_task, wire
 from mallowvalve.control.api import ATTEMPT, LIMIT
 from mallowvalve.control.lease import Answer as Lease
-from mallowvalve.control.outcome import Code
-from mallowvalve.control.replica_task import AGAIN
+from mallowvalve.control.outcome import NOT_TAKEN, OFFER_AGAIN, Code
 from mallowvalve.control.sessions import Call, Session
 from mallowvalve.control.state import Evacuate
 from mallowvalve.control.state import encode as encode_command
@@ -97,7 +96,7 @@
 
     def _order(self, c: Amend | Evacuate, say, effect: float | None = None) -> None:
         def took(t: Took) -> None:
-            if t.code == "ok":
+            if t.code == Code.OK:
                 say(Answer(OK))
             elif t.code == Code.INVALID:
                 say(Answer(INVALID))
@@ -118,7 +117,7 @@
         self.wake(http_items.STANDS, offered)
 
     def _rejected(self, t: Took) -> Answer:
-        return Answer(UNAVAILABLE if t.code in ("leader", "replaced") else UNDECIDED, b"", t.leader)
+        return Answer(UNAVAILABLE if t.code in NOT_TAKEN else UNDECIDED, b"", t.leader)
 
     def _settings(self) -> Answer:
         s = self.core.state
@@ -130,7 +129,7 @@
 
     def _coordinate(self, c, say) -> None:
         def took(t: Took) -> None:
-            if t.code != "ok":
+            if t.code != Code.OK:
                 return say(self._rejected(t))
             w: Word = _word(t.body)
             say(Answer(OK if w.code == "ok" else CONFLICT, t.body))
@@ -182,7 +181,7 @@
 
     def _notice(self, u: Upstream, say, noted: bool) -> None:
         def took(t: Took) -> None:
-            if t.code != "ok":
+            if t.code != Code.OK:
                 return say(self._unsure())
             if noted:
                 self.liveness.acked(u)
@@ -254,17 +253,17 @@
     def offer(self, command: bytes, limit: float, attempt: float, then: Then, effect: float | None = None) -> None:
         """As `ControlTask.offer`: to whoever leads until the limit (s); what may have run never ends as refused."""
         call = Call(self.session, command, self.now + (effect or limit))
-        self._offer_again(call, self.now + limit, attempt, Took("leader"), then)
+        self._offer_again(call, self.now + limit, attempt, Took(Code.LEADER), then)
 
     def _offer_again(self, call: Call, end: float, attempt: float, last: Took, then: Then) -> None:
         left = end - self.now
         if left <= 0:
-            return then(call.ended(last, AGAIN))
+            return then(call.ended(last, OFFER_AGAIN))
 
         def heard(answer: Took) -> None:
             t = call.heard(answer, self.now)
-            if t.code not in AGAIN or call.is_over(self.now):
-                return then(call.ended(t, AGAIN))
+            if t.code not in OFFER_AGAIN or call.is_over(self.now):
+                return then(call.ended(t, OFFER_AGAIN))
             self.wake(AGAIN_AFTER, lambda: self._offer_again(call, end, attempt, t, then))
 
         self._offer_once(call.data(self.core.clock.since(self.now), self.now), min(left, attempt), heard)
@@ -273,13 +272,13 @@
         body = wire.encode(wire.Offer(command, limit))
 
         def local(t: Took) -> None:
-            if t.code != "leader" or t.leader in (None, self.addr):
+            if t.code != Code.LEADER or t.leader in (None, self.addr):
                 return heard(t)
             self.call(t.leader, "offer", body, limit, lambda d: heard(_took(d)))
 
         if self.core.raft is None:
             others = [a for a in self.seeds if a != self.addr]
-            return local(Took("leader", leader=self.rng.choice(others)))
+            return local(Took(Code.LEADER, leader=self.rng.choice(others)))
         self._ask_own(lambda token: self.core.propose(command, token, self.now + limit, self.now), limit, local)
 
     def _ask_own(self, act: Callable, limit: float, then: Then) -> None:
@@ -292,21 +291,21 @@
                 then(t)
 
         self._put(lambda: act(lambda data: once(_took(data))))
-        self.wake(limit + SLACK, lambda: once(Took("undecided")))
+        self.wake(limit + SLACK, lambda: once(Took(Code.UNDECIDED)))
 
     def _read_once(self, limit: float, then: Then) -> None:
         """As `ControlTask.read`: confirmed by whoever leads, then waited for until it is applied here."""
         end = self.now + limit
 
         def applied(t: Took) -> None:
-            if t.code != "ok" or self.core.state is not None and self.core.state.revision >= t.revision:
+            if t.code != Code.OK or self.core.state is not None and self.core.state.revision >= t.revision:
                 return then(t)
             if self.now > end:
-                return then(Took("undecided"))
+                return then(Took(Code.UNDECIDED))
             self.wake(0.01, lambda: applied(t))
 
         def local(t: Took) -> None:
-            if t.code != "leader" or t.leader in (None, self.addr):
+            if t.code != Code.LEADER or t.leader in (None, self.addr):
                 return then(t)
             self.call(t.leader, "read", b"", limit, lambda d: applied(_took(d)))
 
@@ -314,7 +313,7 @@
 
     def _confirmed(self, limit: float, say, show: Callable[[], Answer | None]) -> None:
         def took(t: Took) -> None:
-            a = show() if t.code == "ok" and self.core.state is not None else self._rejected(t)
+            a = show() if t.code == Code.OK and self.core.state is not None else self._rejected(t)
             if a is not None:
                 say(a)
 
@@ -325,7 +324,7 @@
         left = end - self.now
 
         def took(t: Took) -> None:
-            if t.code == "ok" and self.core.state is not None:
+            if t.code == Code.OK and self.core.state is not None:
                 return say(show())
             if end - self.now <= http_plain.PAUSE:
                 return say(self._rejected(t))
@@ -357,4 +356,4 @@
 
 
 def _took(data: bytes | None) -> Took:
-    return wire.took(data) if data is not None else Took("undecided")
+    return wire.took(data) if data is not None else Took(Code.UNDECIDED)
--- a/sim/replica.py
+++ b/sim/replica.py
@@ -5,8 +5,9 @@
 from msgspec.structs import replace
 
 from mallowvalve.control import wire
+from mallowvalve.control.outcome import OFFER_AGAIN, Code
 from mallowvalve.control.replica import Replica
-from mallowvalve.control.replica_task import AGAIN, ATTEMPT
+from mallowvalve.control.replica_task import ATTEMPT
 from mallowvalve.control.snapshot_fetch import BASE, NOW
 from mallowvalve.control.snapshot_transfer import Gather, Shelf, read_label, read_piece, read_want
 from mallowvalve.types import Address, Locality
@@ -126,12 +127,12 @@
 def offer(node: Node, command: bytes, end: float, then, attempt: float = ATTEMPT) -> None:
     left = min(end - node.now, attempt)
     if left <= 0:
-        return then(wire.Took("undecided"))
+        return then(wire.Took(Code.UNDECIDED))
     to = node.control()
 
     def took(data: bytes | None) -> None:
         t = wire.took(data) if data is not None else None
-        if t is not None and t.code not in AGAIN:
+        if t is not None and t.code not in OFFER_AGAIN:
             return then(t)
         if hasattr(node, "replica"):
             node.replica.leader = t.leader if t is not None else None
--- a/sim/users.py
+++ b/sim/users.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mallowvalve.control import wire
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.replica_task import ATTEMPT
 from mallowvalve.control.state import Change, Evacuate, encode
 from mallowvalve.coordination.state import Lock, Next, Put, Said, Unlock
@@ -131,12 +132,12 @@
 
         def took(t: wire.Took) -> None:
             self.recorder.answered(place, self.now, outcome_of(t.code), t.revision)
-            if t.code == "conflict":
+            if t.code == Code.CONFLICT:
                 self.base = t.revision
-            if t.code != "conflict":
-                ok = t.code == "ok"
+            if t.code != Code.CONFLICT:
+                ok = t.code == Code.OK
                 self.history.offers.append(Offered(begun, self.now, t.revision if ok else None, doc))
-            if t.code == "ok":
+            if t.code == Code.OK:
                 self.base = t.revision
                 self.history.changes.append((begun, self.now, t.revision, doc))
             self.wake(0.5 + self.rng.random(), self._read)
@@ -147,7 +148,7 @@
         begun = self.now
 
         def took(t: wire.Took) -> None:
-            ok = t.code == "ok"
+            ok = t.code == Code.OK
             self.history.zones.append(Emptied(begun, self.now, t.revision if ok else None, zone, on))
             if ok:
                 self.history.evacuations.append((begun, self.now, t.revision))
@@ -160,7 +161,12 @@
 
         def took(data: bytes | None) -> None:
             node = self.world.nodes.get(to)
-            if data is not None and wire.took(data).code == "ok" and node is not None and node.core.state is not None:
+            if (
+                data is not None
+                and wire.took(data).code == Code.OK
+                and node is not None
+                and node.core.state is not None
+            ):
                 s = node.core.state.settings
                 none = (s.doc_revision, s.doc) == FOUNDING
                 self.history.reads.append((begun, self.now, s.doc_revision, s.doc))
@@ -264,7 +270,7 @@
         def took(data: bytes | None) -> None:
             t = wire.took(data) if data is not None else None
             node = self.world.nodes.get(to)
-            if t is None or t.code != "ok" or node is None or node.core.state is None:
+            if t is None or t.code != Code.OK or node is None or node.core.state is None:
                 self.leader = t.leader if t is not None else None
                 return self.wake(0.1, self._read)
             s = node.core.state
@@ -304,7 +310,7 @@
         def took(data: bytes | None) -> None:
             t = wire.took(data) if data is not None else None
             node = self.world.nodes.get(to)
-            if t is None or t.code != "ok" or node is None or node.core.state is None:
+            if t is None or t.code != Code.OK or node is None or node.core.state is None:
                 self.leader = t.leader if t is not None else None
                 return
             events = node.core.state.coordination.since(self.since, "")
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -8,8 +8,8 @@
 ROOT = Path(__file__).parent.parent
 FILES = [p for d in ("mallowvalve", "sim", "tests", "verification") for p in sorted((ROOT / d).rglob("*.py"))]
 MOST = 400
-EXCEPTIONS = 64
-TYPED = 70
+EXCEPTIONS = 52
+TYPED = 93
 MARKED = ["mallowvalve/__main__.py", "tests/test_again.py"]
 
 
--- a/verification/control_cluster.py
+++ b/verification/control_cluster.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from mallowvalve.control import lease
-from mallowvalve.control.replica_task import AGAIN
+from mallowvalve.control.outcome import OFFER_AGAIN, Code
 from mallowvalve.control.sessions import Call, Session, unseal
 from mallowvalve.control.state import Put, encode
 from mallowvalve.types import Revision
@@ -134,14 +134,14 @@
 
     def _heard(self, reply: Reply, now: float) -> str | None:
         caller = self.record.callers[reply.call]
-        if reply.took.code == "ok":
+        if reply.took.code == Code.OK:
             broken = self.record.answered(caller, reply.call, reply.took.revision, now)
             if broken:
                 return broken
         if reply.unheard or caller.said or reply.frame != len(caller.frames) - 1:
             return None
         took = caller.call.heard(reply.took, now)
-        if took.code not in AGAIN:
+        if took.code not in OFFER_AGAIN:
             caller.said = took.code
         return None
 
--- a/verification/control_member.py
+++ b/verification/control_member.py
@@ -9,6 +9,7 @@
 
 from mallowvalve.control import store
 from mallowvalve.control.core import Core
+from mallowvalve.control.outcome import Code
 from mallowvalve.control.snapshot import founding, load
 from mallowvalve.control.wire import Took, Who
 from mallowvalve.raft.messages import Envelope, Group, Install, Message, Snapshot, Voters
@@ -143,7 +144,7 @@
         for token, took in replies:
             if isinstance(token, Frame):
                 self.replies.append(Reply(token.call, token.frame, token.unheard, took))
-            elif took.code == "ok":
+            elif took.code == Code.OK:
                 self.answers.append(Answered(token.index, Revision(took.revision).index))
         return ready.late
 
