Out of touch for 2.5 s: calls are sent on or refused at once, not kept for their limit

Cause: of a control process that was cut off, only heartbeats were sent on by 307. Orders, reads, locks and numbers waited 0.85 to 8 s for a majority that could not answer, longer than their callers wait. Now no call that needs a majority begins to wait where none was heard for 2.5 s (the heartbeat's bound, which bridges an election): 307 to a process that says it is in touch, or 503 with Retry-After; nothing was offered, so that promise is true. A thawed process refuses so what it reads before it hears its leader again. Ruled out: a shorter bound, which would turn callers away during ordinary elections. The simulator's pages do the same.

--- a/mallowvalve/admin/call.py
+++ b/mallowvalve/admin/call.py
@@ -6,11 +6,17 @@
 import json
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import urlsplit
 
 Answer = tuple[int, Any, dict[str, str]]
 """Status, body (JSON decoded where it is JSON), headers by lower-case name."""
 
 
+REDIRECTED = 307
+REDIRECTS = 2
+"""How often a call is sent on: a control process out of touch with a majority names another one."""
+
+
 def call_at(
     host: str,
     port: int,
@@ -20,16 +26,30 @@
     headers: Mapping[str, str] | None = None,
     limit: float = 10.0,
 ) -> Answer:
-    """The answer to one call; `body` is bytes or text as it is, else encoded as JSON.
+    """The answer to one call; `body` is bytes or text as it is, else encoded as JSON. Redirections are followed.
 
-    `limit` is the longest wait for each step of the connection (s). Without an answer the status is 0 and the body says
-    what went wrong.
+    `limit` is the longest wait for each step of each connection (s). Without an answer the status is 0 and the body
+    says what went wrong.
     """
-    connection = http.client.HTTPConnection(host, port, timeout=limit)
     data = body if body is None or isinstance(body, (bytes, str)) else json.dumps(body)
     kind = {"Content-Type": "application/json"} if body is not None else {}
+    answer: Answer = (0, "", {})
+    for _ in range(REDIRECTS + 1):
+        answer = _call_once(host, port, method, path, data, {**kind, **(headers or {})}, limit)
+        to = urlsplit(answer[2].get("location", ""))
+        if answer[0] != REDIRECTED or to.hostname is None or to.port is None:
+            break
+        host, port = to.hostname, to.port
+        path = to._replace(scheme="", netloc="").geturl()
+    return answer
+
+
+def _call_once(
+    host: str, port: int, method: str, path: str, data: bytes | str | None, headers: Mapping[str, str], limit: float
+) -> Answer:
+    connection = http.client.HTTPConnection(host, port, timeout=limit)
     try:
-        connection.request(method, path, body=data, headers={**kind, **(headers or {})})
+        connection.request(method, path, body=data, headers=dict(headers))
         answer = connection.getresponse()
         raw = answer.read()
     except (OSError, http.client.HTTPException) as e:
--- a/mallowvalve/control/http_coordination.py
+++ b/mallowvalve/control/http_coordination.py
@@ -45,6 +45,8 @@
 
     def run(self, req, resp, c) -> None:
         """Offers a command and answers with what became of it."""
+        if not page_offer.may_begin(self.task, req, resp):
+            return None
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT)
         if not t.body:
             return self.reject(req, resp, t)
--- a/mallowvalve/control/http_items.py
+++ b/mallowvalve/control/http_items.py
@@ -37,6 +37,8 @@
 
     def offer(self, req, resp, c: Amend | Evacuate, effect: float | None = None) -> None:
         """Offers a command; it takes effect within `effect` seconds or never, where that is given."""
+        if not page_offer.may_begin(self.task, req, resp):
+            return None
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT, effect)
         if t.code == Code.INVALID:
             return web.turn_away(req, resp, 400, _findings(t.body))
--- a/mallowvalve/control/http_plain.py
+++ b/mallowvalve/control/http_plain.py
@@ -93,11 +93,15 @@
 
     def run(self, req, resp, c: Take | Extend | Free | Count | Write) -> Word | None:
         """What was said to the command, or None once the trouble was answered; may offer it more than once."""
+        if not page_offer.may_begin(self.task, req, resp):
+            return None
         t = page_offer.offer(self.task, req, encode(c), LIMIT, ATTEMPT)
         return _word(t.body) if t.code == Code.OK else self.reject(resp, t)
 
-    def confirm(self, resp) -> Plain | None:
+    def confirm(self, req, resp) -> Plain | None:
         """The state with all that was acknowledged before this call, or None once the trouble was answered."""
+        if not page_offer.may_begin(self.task, req, resp):
+            return None
         end, t = clock.now() + LIMIT, Took(Code.LEADER)
         while (left := end - clock.now()) > 0:
             t = self.task.read(min(left, ATTEMPT))
@@ -163,7 +167,7 @@
         found = check(name)
         if found:
             return web.reject(resp, 400, web.NOT_RUN, found)
-        plain = self.confirm(resp)
+        plain = self.confirm(req, resp)
         if plain is None:
             return
         had = plain.cells.get(name)
@@ -237,33 +241,33 @@
             found = [Finding("name", "want a group: up to and including the first dot")]
         if found:
             return web.reject(resp, 400, web.NOT_RUN, found)
-        plain = self._plain(resp, after)
+        plain = self._plain(req, resp, after)
         if plain is None:
             return
         if after == 0 and plain.revision(name):
             return web.say(resp, {"events": [], "revision": plain.revision(name)})
-        self._watch(resp, plain, name, after, end)
+        self._watch(req, resp, plain, name, after, end)
 
-    def _plain(self, resp, after: int) -> Plain | None:
+    def _plain(self, req, resp, after: int) -> Plain | None:
         """What is known here, unless it may lag behind what was acknowledged: then a quorum is asked first."""
         s: State | None = self.task.core.state
         if s is not None and after and self.task.core.current(clock.now()):
             return s.plain
-        return self.confirm(resp)
+        return self.confirm(req, resp)
 
-    def _sure(self, resp, plain: Plain, group: str, after: int, over: bool) -> Plain | None:
+    def _sure(self, req, resp, plain: Plain, group: str, after: int, over: bool) -> Plain | None:
         """What is known here; where that is no news and some may be missing, a quorum is asked first.
 
         A watcher who waits is told of a machine cut off once heartbeats are refused there too.
         """
         got, now = plain.since(group, after), clock.now()
         lags = not (self.task.core.current(now) if over else self.task.core.holds(Answer.HEARTBEAT, now))
-        return self.confirm(resp) if got is not None and not got[0] and lags else plain
+        return self.confirm(req, resp) if got is not None and not got[0] and lags else plain
 
-    def _watch(self, resp, plain: Plain, group: str, after: int, end: float) -> None:
+    def _watch(self, req, resp, plain: Plain, group: str, after: int, end: float) -> None:
         while True:
             over = clock.now() >= end or self.task.node.stopping.is_set()
-            plain = self._sure(resp, plain, group, after, over)
+            plain = self._sure(req, resp, plain, group, after, over)
             if plain is None:
                 return
             got = plain.since(group, after)
--- a/mallowvalve/control/lease.py
+++ b/mallowvalve/control/lease.py
@@ -24,6 +24,7 @@
 
     READ = "read"
     ORDER = "order"
+    CALL = "call"
     WATCH = "watch"
     HEARTBEAT = "heartbeat"
     NOTICE = "notice"
@@ -40,6 +41,10 @@
 BOUNDS: dict[Answer, Bound] = {
     Answer.READ: Bound(0.0, "linearizable: a majority confirms the leader after the read was asked"),
     Answer.ORDER: Bound(0.0, "acknowledged by what a majority has stored after it was offered"),
+    Answer.CALL: Bound(
+        2.5,
+        "begins to wait for a majority: bridges an election; past it the caller had better ask another process at once",
+    ),
     Answer.WATCH: Bound(0.5, "five heartbeats: two of them and a round trip between regions are the ordinary age"),
     Answer.NOTICE: Bound(0.5, "says what is known here of an end that was acknowledged; past it a majority is asked"),
     Answer.HEARTBEAT: Bound(
--- a/mallowvalve/control/page_offer.py
+++ b/mallowvalve/control/page_offer.py
@@ -1,4 +1,6 @@
-"""What the pages offer to the replicated state for a caller who still waits.
+"""What the pages ask of the replicated state, for callers who can be served here and still wait.
+
+A process that is out of touch with a majority could only let its callers wait for nothing: it sends them on at once.
 
 A call may lie in a connection while its process is frozen or its link silent, and be read only after its caller went
 on to another process. It would then be a new call, with a not-after of its own, and undo what the caller was told
@@ -9,7 +11,9 @@
 
 import falcon
 
-from mallowvalve import web
+from mallowvalve import clock, web
+from mallowvalve.control import redirect
+from mallowvalve.control.lease import Answer
 from mallowvalve.control.outcome import Code
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import Took
@@ -18,6 +22,14 @@
 """What is said to a caller who has gone: nothing was offered."""
 
 
+def may_begin(task: ControlTask, req: falcon.Request, resp: falcon.Response) -> bool:
+    """Whether a call that needs a majority may begin here; otherwise it was answered: 307, or 503 and when to come."""
+    if task.core.holds(Answer.CALL, clock.now()):
+        return True
+    redirect.reject_out_of_touch(task, req, resp)
+    return False
+
+
 def offer(
     task: ControlTask, req: falcon.Request, command: bytes, limit: float, attempt: float, effect: float | None = None
 ) -> Took:
--- a/mallowvalve/control/redirect.py
+++ b/mallowvalve/control/redirect.py
@@ -37,7 +37,7 @@
 
 
 def reject_out_of_touch(task: ControlTask, req: falcon.Request, resp: falcon.Response) -> None:
-    """307 to one that may know, else 503 with the time after which an answer can be had here."""
+    """307 to one that may know, else 503 with the time after which an answer can be had here; nothing was offered."""
     found = [Finding("control", "out of touch with a majority: not confirmed, safe to repeat")]
     to = elsewhere(task, req)
     if to is None:
--- a/sim/door.py
+++ b/sim/door.py
@@ -80,6 +80,14 @@
             case pages.End():
                 self._end(p.upstream, say)
 
+    def _may_begin(self, say: Callable[[Answer], None]) -> bool:
+        """As `page_offer.may_begin`: out of touch for long, it sends its callers on."""
+        if self.core.holds(Lease.CALL, self.now):
+            return True
+        others = [a for a in self.peers() if a in self.seeds and a != self.addr]
+        say(Answer(REDIRECT, b"", self.rng.choice(others)) if others else Answer(UNAVAILABLE))
+        return False
+
     # Operators.
 
     def _patch(self, c: Amend, say) -> None:
@@ -95,6 +103,9 @@
         return Answer(refusal[0]) if refusal is not None else self._order(c, say)
 
     def _order(self, c: Amend | Evacuate, say, effect: float | None = None) -> None:
+        if not self._may_begin(say):
+            return
+
         def took(t: Took) -> None:
             if t.code == Code.OK:
                 say(Answer(OK))
@@ -128,6 +139,9 @@
     # Plain coordination.
 
     def _coordinate(self, c, say) -> None:
+        if not self._may_begin(say):
+            return
+
         def took(t: Took) -> None:
             if t.code != Code.OK:
                 return say(self._rejected(t))
@@ -312,6 +326,9 @@
         self._ask_own(lambda token: self.core.read(token, self.now + limit, self.now), limit, local)
 
     def _confirmed(self, limit: float, say, show: Callable[[], Answer | None]) -> None:
+        if not self._may_begin(say):
+            return
+
         def took(t: Took) -> None:
             a = show() if t.code == Code.OK and self.core.state is not None else self._rejected(t)
             if a is not None:
@@ -321,6 +338,8 @@
 
     def _confirmed_again(self, end: float, say, show: Callable[[], Answer]) -> None:
         """As `http_plain.Page.confirm`: asked again until the limit."""
+        if not self._may_begin(say):
+            return
         left = end - self.now
 
         def took(t: Took) -> None:
--- a/tests/test_http_items.py
+++ b/tests/test_http_items.py
@@ -31,6 +31,9 @@
             self.state = self.leader
         return self.confirms
 
+    def holds(self, kind, now):
+        return True
+
     def tree(self):
         return EMPTY
 
--- a/tests/test_http_operators.py
+++ b/tests/test_http_operators.py
@@ -32,6 +32,9 @@
     def current(self, now):
         return False
 
+    def holds(self, kind, now):
+        return True
+
     def read(self, limit):
         return Took("ok", self.state.revision)
 
--- a/tests/test_http_plain.py
+++ b/tests/test_http_plain.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import gevent
 import pytest
 from falcon import testing
@@ -17,12 +19,19 @@
 
     class Node:
         def __init__(self):
-            self.stopping = Event()
+            self.stopping, self.membership = Event(), self
+            self.me = SimpleNamespace(addr=None)
+
+        def alive(self, role):
+            return []
 
     def __init__(self):
         self.node, self.core = self.Node(), self
         self.state, self.says, self.reads, self.at = State(3), None, [], 0
 
+    def leader(self):
+        return None
+
     def do(self, c):
         return self.state.apply(self.state.index + 1, self.at, c if isinstance(c, bytes) else encode(c))
 
