--- a/mallowvalve/control/page_offer.py
+++ b/mallowvalve/control/page_offer.py
@@ -23,10 +23,14 @@
 
 
 def may_begin(task: ControlTask, req: falcon.Request, resp: falcon.Response) -> bool:
-    """Whether a call that needs a majority may begin here; otherwise it was answered: 307, or 503 and when to come."""
+    """Whether a call that needs a majority may begin here; otherwise it was answered: 307, or 503 and when to come.
+
+    Nothing was offered; but of a call with a key, an earlier try elsewhere may have run.
+    """
     if task.core.holds(Answer.CALL, clock.now()):
         return True
-    redirect.reject_out_of_touch(task, req, resp)
+    keyed = req.get_header("Mallow-Key") is not None
+    redirect.reject_out_of_touch(task, req, resp, web.UNDECIDED if keyed else web.NOT_RUN)
     return False
 
 
--- a/mallowvalve/control/redirect.py
+++ b/mallowvalve/control/redirect.py
@@ -36,11 +36,13 @@
     return f"http://{r.web}{req.path}?" + "&".join(filter(None, (req.query_string, f"{MOVED}=1")))
 
 
-def reject_out_of_touch(task: ControlTask, req: falcon.Request, resp: falcon.Response) -> None:
-    """307 to one that may know, else 503 with the time after which an answer can be had here; nothing was offered."""
+def reject_out_of_touch(
+    task: ControlTask, req: falcon.Request, resp: falcon.Response, outcome: str = web.UNDECIDED
+) -> None:
+    """307 to one that may know, else 503 with the time after which an answer can be had here."""
     found = [Finding("control", "out of touch with a majority: not confirmed, safe to repeat")]
     to = elsewhere(task, req)
     if to is None:
-        return web.reject(resp, 503, web.UNDECIDED, found, lease.retry_after(task.core.leader() is not None))
-    web.reject(resp, 307, web.UNDECIDED, found)
+        return web.reject(resp, 503, outcome, found, lease.retry_after(task.core.leader() is not None))
+    web.reject(resp, 307, outcome, found)
     resp.set_header("Location", to)
--- a/tests/test_out_of_touch.py
+++ b/tests/test_out_of_touch.py
@@ -49,7 +49,9 @@
     t.controls = [control_at("10.2.0.1", US)]
     r = c.simulate_request(method, path, body=body)
     assert r.status_code == 307 and r.headers["location"] == f"http://10.2.0.1:2{path}?moved=1"
-    assert t.offered == []
+    assert t.offered == [] and r.headers[web.OUTCOME] == web.NOT_RUN
+    r = c.simulate_request(method, path, body=body, headers={"Mallow-Key": "k"})
+    assert r.status_code == 307 and r.headers[web.OUTCOME] == web.UNDECIDED
 
 
 @pytest.mark.parametrize(("method", "path", "body"), CALLS)
