--- a/sim/control.py
+++ b/sim/control.py
@@ -31,11 +31,23 @@
     acks, times = Acks(), Times()
     segment_bytes = 20_000
 
-    def __init__(self, world: World, addr: Address, locality: Locality, seeds: list[Address], disk: SimDisk, peers):
+    def __init__(
+        self,
+        world: World,
+        addr: Address,
+        locality: Locality,
+        seeds: list[Address],
+        disk: SimDisk,
+        peers,
+        segment_bytes: int | None = None,
+    ):
+        """`segment_bytes` is how large its log grows before a snapshot replaces it; by default the class's own."""
         super().__init__(world, addr)
         self.locality, self.seeds, self.disk, self.peers = locality, seeds, disk, peers
         self.rng = random.Random(world.rng.random())
-        self.disk_log = DiskLog.open(disk, "sim", self._fresh_id(), segment_bytes=self.segment_bytes).unwrap()
+        self.disk_log = DiskLog.open(
+            disk, "sim", self._fresh_id(), segment_bytes=segment_bytes or self.segment_bytes
+        ).unwrap()
         loaded = store.load(self.disk_log).unwrap()
         self.core = Core(self.disk_log.identity.id, addr, locality, self.rng, self.acks, self.times)
         self.core.members.boot = self.life
--- a/sim/core_fleet.py
+++ b/sim/core_fleet.py
@@ -30,8 +30,9 @@
 
     pools = ()
 
-    def __init__(self, seed: int, cores: int = 5, proxies: int = 2):
-        self.orders = Orders()
+    def __init__(self, seed: int, cores: int = 5, proxies: int = 2, segment_bytes: int | None = None):
+        """`segment_bytes` as `ControlNode` has it."""
+        self.orders, self.segment_bytes = Orders(), segment_bytes
         super().__init__(seed, cores, proxies, 0)
 
     def stray(self, delayed: bool) -> None:
@@ -45,7 +46,7 @@
         if self.world.up(a):
             return
         if a in self.disks:
-            DoorNode(self.world, a, self.place[a], self.seeds, self.disks[a], self._running)
+            DoorNode(self.world, a, self.place[a], self.seeds, self.disks[a], self._running, self.segment_bytes)
         else:
             ReplicaNode(self.world, a, "proxy", self.place[a], self.live_controls)
 
--- a/sim/worst_days.py
+++ b/sim/worst_days.py
@@ -108,6 +108,19 @@
     return day
 
 
+def replaced_in_turn(f: CoreFleet) -> None:
+    """Each machine of a core of six is replaced by an empty one at a new address; the log goes back to the founding."""
+    for a in list(f.core):
+        f.take_down(a, "removed")
+        f.run(0.3 + f.rng.random())
+        f.repair(a, "removed")
+        f.run(CATCH_UP_S + f.rng.random())
+
+
+replaced_in_turn.cores = 6
+replaced_in_turn.segment_bytes = 1 << 30
+
+
 def many_changes(f: CoreFleet) -> None:
     """Over 300 changes, 10 to 20 a second, while members restart, come back empty or freeze."""
     rate = 10 + 10 * f.rng.random()
@@ -163,6 +176,7 @@
         races,
         *map(_losses, (3, 5, 6, 9)),
         *map(_only_copy, (3, 5)),
+        replaced_in_turn,
         many_changes,
         silences,
     )
@@ -174,7 +188,7 @@
 def play_day(name: str, seed: int, cores: int | None = None) -> tuple[list[str], dict[str, int]]:
     """One seeded day: the findings and the figures."""
     day = DAYS[name]
-    f = CoreFleet(seed, getattr(day, "cores", None) or cores or 5)
+    f = CoreFleet(seed, getattr(day, "cores", None) or cores or 5, segment_bytes=getattr(day, "segment_bytes", None))
     f.load()
     if not f.run_until(lambda: f.confirmed() > 5, READY_S):
         return ["the core never came up"], {}
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from unittest.mock import patch
 
 from mallowvalve.control.core import Core
 from mallowvalve.control.leave import Leave
+from mallowvalve.control.member_addresses import MemberAddresses
 from mallowvalve.control.reconfiguration import Members
 from mallowvalve.control.wire import Took
 from mallowvalve.coordination.plain import Count, Take
 from mallowvalve.raft.raft import Raft
-from sim import pages
+from sim import door, pages
 from sim.door import DoorNode
 from sim.worst_days import play_day
 
@@ -67,6 +68,20 @@
     return patch.object(Leave, "over", lambda self, *a: True)
 
 
+def addresses_by_configuration() -> AbstractContextManager:
+    """A member's messages go where its configuration has the receiver, whatever that one says itself."""
+    return patch.object(MemberAddresses, "of", lambda self, member, voters: voters.address(member))
+
+
+@contextmanager
+def callers_gone_served() -> Iterator[None]:
+    """A call is run although its caller has closed the connection, and however long ago a majority was heard."""
+    gone = patch.object(door, "_has_left", lambda say: False)
+    out_of_touch = patch.object(DoorNode, "_may_begin", lambda self, say: True)
+    with gone, out_of_touch:
+        yield
+
+
 def snapshots_lost() -> AbstractContextManager:
     """A member that lacks what the log begins with takes no snapshot."""
     return patch.object(Raft, "_on_install", lambda self, src, m, now: None)
--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -9,8 +9,8 @@
 
 SEED = 11
 JOBS = 8
-# A watcher happened to stay at the cut machine.
-SEED_OF = {plants.watches_unconfirmed: 14}
+# A watcher happened to stay at the cut machine; a zone was given back while its first order lay in a frozen one.
+SEED_OF = {plants.watches_unconfirmed: 14, plants.callers_gone_served: 16}
 PLANTED = (
     ("races", plants.conflicts_confirmed, "contents were confirmed"),
     ("cut_follower_both", plants.reads_unconfirmed, "was confirmed before"),
@@ -20,6 +20,8 @@
     ("cut_leader_both", plants.committed_alone, "confirmed a"),
     ("only_copy_3", plants.leaves_at_once, "nothing confirmed for"),
     ("many_changes", plants.snapshots_lost, "has not caught up"),
+    ("replaced_in_turn", plants.addresses_by_configuration, "nothing confirmed for"),
+    ("many_changes", plants.callers_gone_served, "shows otherwise"),
     ("silences", plants.evacuations_late, "shows otherwise"),
     ("silences", plants.takes_late, "a late take"),
     ("silences", plants.counted_twice, "a call was counted twice"),
