--- a/sim/control.py
+++ b/sim/control.py
@@ -115,7 +115,13 @@
             if got is not None:
                 self._put(lambda: self._show(e, *got))
 
-        pull(self, e.address, BASE, came, lambda l: l.group == e.group and l.index >= e.body.snapshot.index)
+        pull(
+            self,
+            e.address,
+            BASE,
+            came,
+            lambda offered: offered.group == e.group and offered.index >= e.body.snapshot.index,
+        )
 
     def _show(self, e: Envelope, p: Snapshot, s) -> None:
         if self.core.raft is not None and self.core.raft.group == e.group and p.index > self.core.raft.commit:
@@ -292,7 +298,7 @@
                 v.base.addr,
                 NOW,
                 lambda got: got and self._found_anew(v, got[1], answers),
-                lambda l: (l.group, l.index) >= (v.base.group, v.base.index),
+                lambda offered: (offered.group, offered.index) >= (v.base.group, v.base.index),
             )
         elif isinstance(v, Start) and not self._joining:
             self._joining = True
--- a/sim/crowd.py
+++ b/sim/crowd.py
@@ -194,7 +194,10 @@
         click.echo(told(c.run(quiet), "quiet"))
         v = c.records[n // 2].addr
         c.world.nodes[v].crash()
-        dead = lambda r: r.state >= FAILED
+
+        def dead(r) -> bool:
+            return r.state >= FAILED
+
         first = c.until(lambda: c.knows(v, dead) > 0, 60)
         most = c.until(lambda: c.knows(v, dead) >= 0.95, 30)
         rest = c.until(lambda: c.knows(v, dead) == 1, 60)
--- a/sim/door.py
+++ b/sim/door.py
@@ -218,7 +218,7 @@
     def _look_at_upstreams(self) -> None:
         s = self.core.state
         if s is None:
-            return
+            return None
         self.liveness.clock(s.clock, self.now)
         self.liveness.prune(s.registry, self.now)
         if self.core.leads:
--- a/sim/failover.py
+++ b/sim/failover.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 
@@ -27,7 +28,7 @@
 
 def widest(times: list[float], start: float, end: float) -> float:
     marks = [start, *(t for t in sorted(times) if start < t < end), end]
-    return max(b - a for a, b in zip(marks, marks[1:]))
+    return max(b - a for a, b in itertools.pairwise(marks))
 
 
 def gaps(job: tuple[str, int, int]) -> dict[str, float]:
--- a/sim/history.py
+++ b/sim/history.py
@@ -168,12 +168,12 @@
 
 def numbers_rise(h: History) -> list[str]:
     out, seen = [], set()
-    for begun, t, n in h.numbers:
+    for _, _, n in h.numbers:
         if n in seen:
             out.append(f"number {n} was given twice")
         seen.add(n)
     by_end = sorted(h.numbers, key=lambda x: x[1])
-    for begun, t, n in h.numbers:
+    for begun, _, n in h.numbers:
         before = [x[2] for x in by_end if x[1] < begun]
         if before and max(before) >= n:
             out.append(f"number {n} asked at {begun:.2f} after {max(before)} was given")
--- a/sim/large.py
+++ b/sim/large.py
@@ -63,10 +63,12 @@
         self.job = Thread(target=self._run)
 
     def __enter__(self) -> Numbers:
+        """Begin to draw numbers."""
         self.job.start()
         return self
 
     def __exit__(self, *_) -> None:
+        """End, once the last call is answered."""
         self.stop.set()
         self.job.join()
 
--- a/sim/proxy.py
+++ b/sim/proxy.py
@@ -44,7 +44,7 @@
 
     def _arrived(self, data: bytes | None) -> None:
         if self.closed or data is None or self._then is None:
-            return
+            return None
         then, self._then = self._then, None
         if data in (b"reset", b"garbage", b"half"):
             return then(Err(f"{'garbage' if data == b'garbage' else 'broken'}: {data.decode()}"))
--- a/sim/replica.py
+++ b/sim/replica.py
@@ -101,14 +101,14 @@
         return self.put(replace(made[0], state=list(made[1])), now) if made is not None else None
 
 
-def pull(node: Node, to: Address, what: bytes, then, wanted=lambda l: True) -> None:
+def pull(node: Node, to: Address, what: bytes, then, wanted=lambda offered: True) -> None:
     """Fetches a snapshot by pieces; then(None) if it does not come."""
 
     def labelled(d: bytes | None) -> None:
-        l = read_label(d) if d is not None else None
-        if l is None or not wanted(l):
+        offered = read_label(d) if d is not None else None
+        if offered is None or not wanted(offered):
             return then(None)
-        ask(Gather(l))
+        ask(Gather(offered))
 
     def ask(g: Gather) -> None:
         w = g.want()
--- a/sim/upstream.py
+++ b/sim/upstream.py
@@ -103,7 +103,7 @@
     def _answer(self, id: str, target: str, answer) -> None:
         self.busy -= 1
         if self.world.rng.random() < self.lose:
-            return
+            return None
         whole = encode([id, target, self.service])
         if not self.fault or self.world.rng.random() >= self.share:
             return answer(whole)
