--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -186,12 +186,14 @@
         return [kind for kind in Answer if c.holds(kind, at)]
 
     assert heard(1.0, NO_STAMP) == [] and heard(1.1, 0.9) == [
+        Answer.CALL,
         Answer.WATCH,
         Answer.HEARTBEAT,
         Answer.NOTICE,
         Answer.DIRECTORY,
     ]
-    assert heard(2.0, 0.9) == [Answer.HEARTBEAT, Answer.DIRECTORY] and heard(9.0, 0.9) == [Answer.DIRECTORY]
+    assert heard(2.0, 0.9) == [Answer.CALL, Answer.HEARTBEAT, Answer.DIRECTORY]
+    assert heard(9.0, 0.9) == [Answer.DIRECTORY]
 
 
 def test_an_acknowledgement_names_the_term_that_it_rests_on():
