--- a/tests/test_raft_late.py
+++ b/tests/test_raft_late.py
@@ -1,15 +1,11 @@
 """Messages that come late or again: what an old one says of its sender's life."""
 
 from mallowvalve.raft.messages import Append, Appended, Ask, Voice, Voters
-from tests.test_raft import ADDRS, FIVE, raft
+from tests.test_raft import ADDRS, FIVE, led, raft
 
 
 def test_an_answer_that_comes_again_late_is_no_sign_of_life():
-    r = raft(voters=Voters({i: ADDRS[i] for i in ("n0", "n1", "n2")}))
-    r.tick(9.0)
-    for pre in (True, False):
-        r.receive("n1", Voice(1, pre, True), 9.0)
-    r.saved(r.ready(9.0))
+    r = led(Voters({i: ADDRS[i] for i in ("n0", "n1", "n2")}))
     r.receive("n1", Appended(1, True, 1, 1), 9.01)
     r.receive("n1", Appended(1, True, 1, 1), 15.0)
     assert r.progress()["n1"].heard == 9.01
