--- a/mallowvalve/proxy/tries.py
+++ b/mallowvalve/proxy/tries.py
@@ -160,7 +160,7 @@
         try:
             now = self.now()
             if t.sent:
-                if not self.hosts.budget(t.service).again(now):
+                if not self._takes_repeat(t, now):
                     place.back(keep=True)
                     self.counts.add("budget_spent")
                     return self._end(t, "the budget of repeats is spent")
@@ -349,10 +349,24 @@
         return now + min(PART * left, max(SOON * left, SLOW * place.spot.latency))
 
     def _gives_up(self, t: Trip, place: Place, sent_at: float) -> bool:
+        """Whether to leave this upstream for another: it is silent to all, and the repeat can be sent at once.
+
+        The budget's repeat is taken here: an upstream that may yet answer is not left for a repeat that is refused.
+        """
         now = self.now()
         if not self.hosts.is_mute(place.spot, sent_at) or t.end - now < LEAST:
             return False
-        return self._judge(t, now) is None and self.hosts.pick(t.service, t.route.homes, t.tried, now)[0] is not None
+        if self._judge(t, now) is not None or self.hosts.pick(t.service, t.route.homes, t.tried, now)[0] is None:
+            return False
+        t.repeat_taken = self.hosts.budget(t.service).again(now)
+        return t.repeat_taken
+
+    def _takes_repeat(self, t: Trip, now: float) -> bool:
+        """Whether the budget gives a repeat, or has given this one."""
+        if t.repeat_taken:
+            t.repeat_taken = False
+            return True
+        return self.hosts.budget(t.service).again(now)
 
     def _service(self, route: HostRoute) -> str:
         if route.service is not None or not route.split:
--- a/mallowvalve/proxy/trip.py
+++ b/mallowvalve/proxy/trip.py
@@ -26,7 +26,10 @@
 
 
 class Trip(msgspec.Struct):
-    """A request on a host route; what was decided for it is decided again before anything is sent."""
+    """A request on a host route; what was decided for it is decided again before anything is sent.
+
+    `repeat_taken`: the budget has given its next repeat already.
+    """
 
     ask: Ask
     host: str
@@ -42,6 +45,7 @@
     sent: int = 0
     opens: int = 0
     ran: bool = False
+    repeat_taken: bool = False
 
 
 def own(status: int, outcome: str, place: str, text: str, after: float | None = None, close: bool = False) -> Reply:
--- a/tests/test_tries_dark.py
+++ b/tests/test_tries_dark.py
@@ -2,7 +2,7 @@
 
 from result import Err
 
-from mallowvalve.proxy.steps import Exchange, Open, Room
+from mallowvalve.proxy.steps import Await, Exchange, Open, Room
 from tests.tryout import FAR, HERE, NEXT, Played, answer, ask
 
 READ, TRY = ask("/r/1"), ask("/o/1", "POST", length=0)
@@ -86,6 +86,28 @@
     gen.close()
 
 
+def silent(p):
+    """The upstream asked says nothing to anybody until its part of the time is over."""
+    p.t = p.steps[-1].end
+
+
+def test_an_upstream_is_not_left_for_a_repeat_that_the_budget_refuses():
+    p = Played([Err("limit")])
+    p.acts["exchange"] = silent
+    budget = p.b.hosts.budget("s")
+    while budget.again(p.t):
+        pass
+    assert p.run(READ).status == 200 and len(p.sent()) == 1 and p.count(Await) == 1
+
+
+def test_an_upstream_that_is_left_costs_one_repeat():
+    p = Played([Err("limit")])
+    p.acts["exchange"] = silent
+    budget = p.b.hosts.budget("s")
+    assert p.run(READ).status == 200 and len(p.sent()) == 2 and p.count(Await) == 0
+    assert len(budget._again) == 1
+
+
 def test_who_comes_before_the_settings_waits_for_them():
     p = Played()
     p.b.state.items.revision = 0
