A stopping proxy takes only what it can answer within its whole limit

Cause: a request was taken when three quarters of its limit fitted into the rest of a stop, so one that ran to its limit was cut with its upstream at work; an accepted connection that had not begun was not waited for; a stop's times did not count from the signal; ending a resting connection dropped a request that lay in its socket.

Conclusion: what is taken is never cut by the stop itself; the rest is refused at once, not run, to be sent elsewhere.

--- a/mallowvalve/http_head.py
+++ b/mallowvalve/http_head.py
@@ -70,17 +70,23 @@
     sock._wait(sock._read_event)
 
 
-def has_ended(sock: socket.socket) -> bool:
-    """Whether the peer has closed or reset the connection, as far as this machine knows; reads nothing off it."""
+def peek(sock: socket.socket) -> bytes | None:
+    """The next byte, read without taking it: b"" when the peer has ended the connection, None for none yet."""
+    waits = sock.gettimeout()
     sock.settimeout(0.0)
     try:
-        return sock.recv(1, socket.MSG_PEEK) == b""
+        return sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return False
+        return None
     except OSError:
-        return True
+        return b""
     finally:
-        sock.settimeout(None)
+        sock.settimeout(waits)
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """Whether the peer has closed or reset the connection, as far as this machine knows; reads nothing off it."""
+    return peek(sock) == b""
 
 
 class Incoming:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -110,6 +110,7 @@
         "_gauges",
         "_allowed",
         "late",
+        "_told_at",
     )
 
     def __init__(
@@ -135,6 +136,7 @@
         self._gauges: dict[str, Callable[[], Any]] = {}
         self._allowed: Callable[[str], bool] = lambda service: True
         self.late = False
+        self._told_at = clock.now()
 
     def _membership(self, remembered: Sequence[Address]) -> Membership:
         its = self.settings
@@ -172,7 +174,7 @@
             for part in parts:
                 stack.enter_context(part)
             for signum in (signal.SIGTERM, signal.SIGINT):
-                gevent.signal_handler(signum, self.stopping.set)
+                gevent.signal_handler(signum, self._told_to_stop)
             self._stack = stack.pop_all()
         change("started", role=self.settings.role, name=self.settings.name, pid=os.getpid())
         return self
@@ -234,14 +236,19 @@
                 change("ready" if now else "unready", name=self.settings.name)
                 before = now
             self.membership.ready(now)
-        end = clock.now() + self.settings.polite * (1 - MARGIN)
+        end = self._told_at + self.settings.polite * (1 - MARGIN)
         self.membership.leave(final=False)
         leaving()
         linger, last = (0.5, 0.4) if self.settings.role == "proxy" else (0.1, 0.2)
-        self.server.drain(self.settings.polite * linger, self.settings.polite * last)
+        self.server.drain(self.settings.polite * linger, self.settings.polite * last, self._told_at)
         finish(max(0.0, end - clock.now()))
         self.membership.leave(final=True)
 
+    def _told_to_stop(self) -> None:
+        if not self.stopping.is_set():
+            self._told_at = clock.now()
+            self.stopping.set()
+
     def is_ready(self) -> bool:
         """Whether this process takes work."""
         return self.membership.membership.me.ready and not self.stopping.is_set()
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -113,7 +113,7 @@
     else:
         node.server.application = front
     node.server.lean = True
-    tries.until = lambda: node.server.until
+    tries.admission.serves_until = serve.path.serves_until = lambda: node.server.until
     node.server.limits = lambda: _limits(tries)
 
 
--- a/mallowvalve/proxy/path.py
+++ b/mallowvalve/proxy/path.py
@@ -11,6 +11,7 @@
 from mallowvalve.finding import Finding
 from mallowvalve.ledger.ledger import Claim, Done, Forfeit, Release, Verdict
 from mallowvalve.metrics import Counts
+from mallowvalve.proxy.admission import outlasts
 from mallowvalve.proxy.call import Call, check_body, understand
 from mallowvalve.proxy.pool import Lease, Pool
 from mallowvalve.proxy.steps import (
@@ -49,7 +50,19 @@
 class Path:
     """The way of a request, without sockets: what a step needs from outside is yielded, its result comes back."""
 
-    __slots__ = ("replica", "pool", "repeats", "counts", "now", "locality", "holder", "nonce", "rejections", "_emptied")
+    __slots__ = (
+        "replica",
+        "pool",
+        "repeats",
+        "counts",
+        "now",
+        "locality",
+        "holder",
+        "nonce",
+        "rejections",
+        "serves_until",
+        "_emptied",
+    )
 
     def __init__(
         self,
@@ -65,6 +78,7 @@
         self.replica, self.pool, self.repeats, self.counts, self.now = replica, pool, repeats, counts, now
         self.locality, self.holder, self.nonce = locality, holder, nonce
         self.rejections: deque[Rejected] = deque(maxlen=200)
+        self.serves_until: Callable[[], float | None] = lambda: None
         self._emptied: float | None = None
 
     def carry(self, a: Ask) -> Generator[Step, object, Reply]:
@@ -76,6 +90,8 @@
         if r.is_err():
             return self._turn_away(a, *r.err_value)
         c: Call = r.ok_value
+        if not outlasts(self.serves_until(), c.end):
+            return self._turn_away(a, UNAVAILABLE, "stop", "this proxy is about to stop")
         body = yield Body(c.end)
         bad = body.err_value if body.is_err() else check_body(a, body.ok_value)
         if bad is not None:
@@ -294,7 +310,7 @@
         outcome = UNDECIDED if a.headers.get("mallow-key") else NOT_RUN
         self.counts.add(f"rejected_{status}_{place.lower()}")
         self._note("", a.headers.get("mallow-tenant", "")[:64], a.target, status, outcome, f"{place}: {text}")
-        close = self._emptied is not None or place == "body"
+        close = self._emptied is not None or place in ("body", "stop")
         return Reply(status, outcome, [Finding(place, text)], 1 if status == UNAVAILABLE else None, close)
 
     def _note(self, route: str, tenant: str, target: str, status: int, outcome: str, why: str) -> Rejected:
--- a/mallowvalve/proxy/steps.py
+++ b/mallowvalve/proxy/steps.py
@@ -13,6 +13,8 @@
 
 OK, REDIRECT, TOO_SLOW, MISDIRECTED = 200, 300, 408, 421
 SERVER_ERROR, UNAVAILABLE, GATEWAY_TIMEOUT = 500, 503, 504
+NOT_RUN, UNKNOWN = "not-run", "unknown"
+"""What is promised of a request that an upstream did not answer: that it did not run, or nothing."""
 NO_STATUS = 600
 """What begins here is no status of HTTP."""
 
--- a/mallowvalve/proxy/tries.py
+++ b/mallowvalve/proxy/tries.py
@@ -5,18 +5,20 @@
 import random
 from collections.abc import Callable, Generator
 
-from result import Err, Ok, Result
+from result import Result
 
-from mallowvalve.configuration.items import HostRoute
 from mallowvalve.control.replica import Replica
 from mallowvalve.metrics import Counts
+from mallowvalve.proxy.admission import Admission
 from mallowvalve.proxy.host import Hosts, Place
 from mallowvalve.proxy.steps import (
     MISDIRECTED,
+    NOT_RUN,
     OK,
     REDIRECT,
     SERVER_ERROR,
     TOO_SLOW,
+    UNKNOWN,
     Answer,
     Ask,
     Await,
@@ -31,7 +33,6 @@
 from mallowvalve.settings import Settings, Terms
 
 PROMISE = frozenset((408, 421, 429, 503))
-NOT_RUN, UNKNOWN = "not-run", "unknown"
 OPEN, TRIAL = 0.4, 0.2
 HELD = 0.2
 LOOK = 0.03
@@ -40,9 +41,6 @@
 PART, SOON, SLOW = 0.6, 0.3, 3.5
 LEAST = 0.02
 IDLE, AT_ONCE = 0.2, 0.2
-EARLY, PATIENT = 2.0, 0.45
-STAY = 0.75
-LIMIT_DIGITS = 12
 
 
 class Tries:
@@ -58,13 +56,12 @@
         "counts",
         "now",
         "settings",
-        "rng",
-        "_ask",
+        "admission",
+        "_id_header",
         "_limit",
         "_not_run",
         "_seal",
         "_drop",
-        "until",
     )
 
     def __init__(
@@ -81,10 +78,9 @@
         self.settings = settings
         self.counts = counts
         self.now = now
-        self.rng = rng
-        self.until: Callable[[], float | None] = lambda: None
+        self.admission = Admission(replica, settings, now, rng)
         terms: Terms = settings.terms
-        self._ask = terms.ask.lower()
+        self._id_header = terms.ask.lower()
         self._limit = terms.limit.lower()
         self._not_run = terms.not_run.lower()
         self._seal = terms.seal.lower()
@@ -96,10 +92,10 @@
     def carry(self, a: Ask) -> Generator[Step, object, Reply]:
         self.counts.add("requests")
         at = self.now()
-        r = self._begin(a, at)
-        if r.is_err() and not self._told():
-            yield from self._until_told(a, at)
-            r = self._begin(a, at)
+        r = self.admission.admit(a, at)
+        if r.is_err() and not self.admission.has_settings():
+            yield from self.admission.wait_for_settings(a, at)
+            r = self.admission.admit(a, at)
         if r.is_err():
             return r.err_value
         t: Trip = r.ok_value
@@ -117,41 +113,6 @@
             if isinstance(got, Reply):
                 return got
 
-    def _told(self) -> bool:
-        return self.replica.state is not None and self.replica.state.items.revision > 0
-
-    def _until_told(self, a: Ask, at: float) -> Generator[Step, object, None]:
-        """A proxy that has just started has its settings in a moment; who came too early waits for a part of it."""
-        text = a.headers.get(self._limit, "")
-        left = int(text) / 1000 if text.isascii() and text.isdigit() and len(text) <= LIMIT_DIGITS else EARLY
-        end = at + PATIENT * min(left, EARLY)
-        while not self._told() and (now := self.now()) < end:
-            yield Room("", min(end, now + LOOK))
-
-    def _begin(self, a: Ask, now: float) -> Result[Trip, Reply]:
-        state = self.replica.state
-        if state is None or not state.items.revision or not (self.settings.serve_on or self.replica.admits(now)):
-            return Err(
-                own(503, NOT_RUN, "proxy", "has no settings yet, or they may be out of date", 0.3 + self._jitter())
-            )
-        if not a.target.startswith("/") or "#" in a.target:
-            return Err(own(400, NOT_RUN, "path", "must begin with /"))
-        host, path = bare(a.headers.get("host", "")), a.target.partition("?")[0]
-        route = state.items.find(host, path)
-        if route is None:
-            return Err(self._no_route(now))
-        limit = route.limit_ms
-        text = a.headers.get(self._limit) if self._limit else None
-        if text is not None:
-            if not text.isascii() or not text.isdigit() or len(text) > LIMIT_DIGITS:
-                return Err(own(400, NOT_RUN, self.settings.terms.limit, "want whole milliseconds"))
-            limit = min(limit, float(text))
-        until = self.until()
-        if until is not None and now + STAY * limit / 1000 > until:
-            return Err(own(503, NOT_RUN, "proxy", "it is about to stop", 0.1, close=True))
-        mark = a.headers.get(self._ask, "") if self._ask else ""
-        return Ok(Trip(a, host, path, route, self._service(route), now, now + limit / 1000, mark))
-
     def _send(self, t: Trip) -> Generator[Step, object, Reply | None]:
         """Finds a place, judges everything once more, and sends in the same breath; None: to be sent again."""
         place = yield from self._place(t)
@@ -236,7 +197,7 @@
             return self._end(t, "the limit is over")
         route = state.items.find(t.host, t.path)
         if route is None:
-            return self._end(t, "its route was dropped meanwhile") if t.sent else self._no_route(now)
+            return self._end(t, "its route was dropped meanwhile") if t.sent else self.admission.no_route(now)
         if route is t.route:
             return None
         if t.ran and route.kind != t.route.kind:
@@ -246,7 +207,7 @@
         if now >= t.end:
             return self._end(t, "the limit is over")
         if t.service != route.service and not any(p.service == t.service and p.weight > 0 for p in route.split):
-            t.service = self._service(route)
+            t.service = self.admission.service_of(route)
         return None
 
     def _pick(self, t: Trip, now: float):
@@ -330,17 +291,10 @@
         """The one place that may promise that nothing ran."""
         if not t.ran:
             self.counts.add("rejected_not-run")
-            return own(503, NOT_RUN, f"routes.{t.route.name}", why, 0.1 + self._jitter())
+            return own(503, NOT_RUN, f"routes.{t.route.name}", why, 0.1 + self.admission.jitter())
         self.counts.add("rejected_unknown")
         return own(504 if self.now() >= t.end - LEAST else 502, UNKNOWN, f"routes.{t.route.name}", why)
 
-    def _no_route(self, now: float) -> Reply:
-        if not self.replica.fresh(now):
-            return own(
-                503, NOT_RUN, "path", "no route known here takes this, but newer settings may", 0.3 + self._jitter()
-            )
-        return own(404, NOT_RUN, "path", "no route takes this request")
-
     def _part(self, t: Trip, place: Place, now: float) -> float:
         """Until when a read waits for this upstream before it looks whether that is silent to all."""
         if t.route.kind != "read" or t.sent >= t.route.tries:
@@ -368,18 +322,10 @@
             return True
         return self.hosts.budget(t.service).again(now)
 
-    def _service(self, route: HostRoute) -> str:
-        if route.service is not None or not route.split:
-            return route.service or ""
-        return self.rng.choices([p.service for p in route.split], [p.weight for p in route.split])[0]
-
-    def _jitter(self) -> float:
-        return 0.2 * self.rng.random()
-
     def _lines(self, a: Ask, body: bytes) -> str:
         drop = self._drop
         if "connection" in a.headers:
-            drop = drop | {h.strip().lower() for h in a.headers["connection"].split(",")} - {"host", self._ask}
+            drop = drop | {h.strip().lower() for h in a.headers["connection"].split(",")} - {"host", self._id_header}
         lines = [f"{a.method} {a.target} HTTP/1.1\r\n"]
         lines += [f"{k}: {v}\r\n" for k, v in a.pairs or a.headers.items() if k.lower() not in drop]
         if body or a.length is not None or "transfer-encoding" in a.headers:
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -18,7 +18,7 @@
 from mallowvalve import clock, finding
 from mallowvalve.configuration.items import Limits
 from mallowvalve.finding import Finding, Findings, parse_json
-from mallowvalve.http_head import Incoming, has_ended, read_head
+from mallowvalve.http_head import Incoming, has_ended, peek, read_head
 from mallowvalve.metrics import Counts, change
 from mallowvalve.types import Address
 
@@ -32,6 +32,7 @@
 HEADER_BYTES, HEADER_S = 65536, 30.0
 LINGER = 0.3
 SOON = 2.0
+DRAIN_LOOK_S = 0.02
 
 
 class Nothing:
@@ -44,7 +45,7 @@
 class Handler(WSGIHandler):
     """A client's connection. Its bounds are the server's `limits`, asked anew for each request."""
 
-    linger = False
+    linger = reads_ended = False
 
     def __init__(self, sock, address, server, rfile=None):
         """A connection's socket; reads go through `Incoming`."""
@@ -188,10 +189,11 @@
         self.__dict__.pop("wsgi_input", None)
 
     def client_left(self) -> bool:
-        """Whether the client has ended the connection; one that has only ended its own side counts too."""
-        if self.rfile.buf:
-            return False
-        return has_ended(self.socket)
+        """Whether the client has ended the connection; one that has only ended its own side counts too.
+
+        Not known once this side has ended its reads, nor while bytes of the client's wait to be read.
+        """
+        return not self.rfile.buf and not self.reads_ended and has_ended(self.socket)
 
     def cut(self) -> None:
         """This answer is the connection's last, and what the client still sends of its request is not waited for."""
@@ -249,21 +251,28 @@
         """Stop at once."""
         self.stop(timeout=0.2)
 
-    def drain(self, linger: float, limit: float) -> None:
-        """Serve on for a while, telling each connection to close; then take no more, and let answers finish."""
-        self.draining, self.until = True, clock.now() + linger + limit
-        gevent.sleep(linger)
+    def drain(self, linger: float, limit: float, told_at: float | None = None) -> None:
+        """Serve on for a while, telling each connection to close; then take no more, and let answers finish.
+
+        `linger` and `limit` (s) count from `told_at` on this process's own clock, else from now: what a slow process
+        does late doesn't move the end. A connection counts from when it was accepted, before anything of it runs.
+        """
+        began = clock.now() if told_at is None else told_at
+        self.draining, self.until = True, began + linger + limit
+        gevent.sleep(max(0.0, began + linger - clock.now()))
         self.close()
-        with gevent.Timeout(limit, False):
-            while self.connections:
-                for h in list(self.connections):
-                    if not h.busy:
-                        self._nudge(h)
-                gevent.sleep(0.02)
+        while len(self.pool) and clock.now() < self.until:
+            for h in list(self.connections):
+                if not h.busy:
+                    self._nudge(h)
+            gevent.sleep(DRAIN_LOOK_S)
 
     def _nudge(self, h: Handler) -> None:
+        """End a connection that rests; a request that has arrived is served first."""
         with suppress(OSError, AttributeError):
-            h.socket.shutdown(socket.SHUT_RD)
+            if not peek(h.socket):
+                h.reads_ended = True
+                h.socket.shutdown(socket.SHUT_RD)
 
 
 encode = msgspec.json.encode
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,95 +1,19 @@
 import http.client
-import re
 
 import gevent
 import pytest
-from gevent import socket
 from gevent.event import Event
-from gevent.server import StreamServer
 
-from mallowvalve import clock, web
+from mallowvalve import web
 from mallowvalve.configuration.items import Limits
-from mallowvalve.metrics import Counts
 from mallowvalve.proxy.front import Front
-from mallowvalve.types import Address
-from tests.tryout import Bench
-
-ANSWER = b"HTTP/1.1 200 OK\r\nMallow-Ask: %s\r\nX-Seal: 1\r\nX-Own: a\r\nx-own: b\r\nConnection: keep-alive\r\n"
-
-
-class Up:
-    """An upstream that keeps what it got; `how` makes the answer's bytes, `go` holds it back, `end` closes after it."""
-
-    def __init__(self):
-        self.got, self.how, self.go, self.begun, self.end = [], None, None, Event(), False
-        self.server = StreamServer(("127.0.0.1", 0), self.run)
-
-    def run(self, sock, _):
-        buf = b""
-        with sock:
-            while True:
-                while b"\r\n\r\n" not in buf:
-                    data = sock.recv(65536)
-                    if not data:
-                        return
-                    buf += data
-                head, _, buf = buf.partition(b"\r\n\r\n")
-                n = re.search(rb"(?i)\ncontent-length: (\d+)", head)
-                n = int(n[1]) if n else 0
-                while len(buf) < n:
-                    buf += sock.recv(65536)
-                body, buf = buf[:n], buf[n:]
-                mark = re.search(rb"(?i)\nmallow-ask: (\S+)", head)
-                mark = mark[1] if mark else b""
-                self.got.append((head, body))
-                self.begun.set()
-                if self.go is not None:
-                    self.go.wait()
-                sock.sendall(self.how(mark) if self.how else ANSWER % mark + b"Content-Length: 2\r\n\r\nok")
-                if self.end:
-                    return
+from tests.front_players import ANSWER, Client, req, served
 
 
 @pytest.fixture
 def set_up():
-    up = Up()
-    up.server.start()
-    b = Bench(clock.now)
-    b.route("r", "/r/", "read", service="s", tries=1, limit_ms=5000.0)
-    b.route("o", "/o/", "try", service="s", tries=2, limit_ms=5000.0)
-    b.upstream("u0", port=up.server.server_port)
-    b.state.items.limits = Limits(version=1, header_bytes=2000, body_bytes=1000, header_ms=150.0, idle_ms=60000.0)
-    front = Front(b.tries, None, True)
-    b.hosts.on_free = front.rooms.freed
-    with web.Server(Address("127.0.0.1", 0), front, Counts(), 16) as s:
-        s.lean, s.limits = True, lambda: b.state.items.limits
-        b.tries.until = lambda: s.until
-        yield s, up, b
-    up.server.stop()
-
-
-class Client:
-    def __init__(self, server):
-        self.sock = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
-
-    def send(self, data: bytes):
-        self.sock.sendall(data)
-        return self
-
-    def answer(self, method="GET"):
-        r = http.client.HTTPResponse(self.sock, method=method)
-        r.begin()
-        return r.status, r.read(), r.msg
-
-    def closed(self):
-        try:
-            return self.sock.recv(1) == b""
-        except ConnectionResetError:
-            return True
-
-
-def req(target=b"/r/1", method=b"GET", more=b"", body=b"", mark=b"a1"):
-    return b"%s %s HTTP/1.1\r\nHost: h.example\r\nMallow-Ask: %s\r\n%s\r\n%s" % (method, target, mark, more, body)
+    with served() as parts:
+        yield parts
 
 
 def test_an_answer_goes_back_as_it_came_and_the_connection_goes_on(set_up):
