Simulated fleets of host routes: stops in turn, clients who leave, power lost with disks

Cause of the change: requests' fate under stops and leaving clients was judged by loopback tests only; the closing fault with all other machines dark was not played.

--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -39,6 +39,9 @@
 MARGIN = 0.15
 """The part of the grace of a stop that is left unused."""
 
+STOP_SHARES, OTHERS_STOP_SHARES = {"proxy": (0.5, 0.4)}, (0.1, 0.2)
+"""The parts of the grace in which a stopping process still takes connections, and after it lets answers finish."""
+
 COUNT_LIMIT = 1 << 62
 BOOT_BITS = 62
 OK = 200
@@ -239,7 +242,7 @@
         end = self._told_at + self.settings.polite * (1 - MARGIN)
         self.membership.leave(final=False)
         leaving()
-        linger, last = (0.5, 0.4) if self.settings.role == "proxy" else (0.1, 0.2)
+        linger, last = STOP_SHARES.get(self.settings.role, OTHERS_STOP_SHARES)
         self.server.drain(self.settings.polite * linger, self.settings.polite * last, self._told_at)
         finish(max(0.0, end - clock.now()))
         self.membership.leave(final=True)
--- a/mallowvalve/proxy/tries.py
+++ b/mallowvalve/proxy/tries.py
@@ -208,6 +208,8 @@
                 t.opens += 1
                 if t.opens >= OPENS:
                     return self._end(t, "no connection to the upstreams tried")
+                if (yield ClientCheck()) is CLIENT_LEFT:
+                    return self._client_left(t)
                 continue
             now = self.now()
             no = self._judge(t, now)
--- a/sim/worst_days.py
+++ b/sim/worst_days.py
@@ -108,6 +108,56 @@
     return day
 
 
+def _power_lost(f: CoreFleet, disks: int) -> None:
+    """Right after a confirmed order all machines lose power, proxies too; so many core machines lose their disks."""
+    before = f.confirmed()
+    f.run_until(lambda: f.confirmed() > before, CATCH_UP_S)
+    f.run(0.01 * f.rng.random())
+    lost = f.rng.sample(f.voters(), disks)
+    for a in (*f.core, *f.proxies):
+        f.kill(a)
+    for a in lost:
+        f.disks[a].wipe()
+    f.run(0.3 + 2 * f.rng.random())
+    for a in f.rng.sample(f.core, len(f.core)):
+        f.back(a, "wiped" if a in lost else "killed")
+        f.run(0.3 * f.rng.random())
+    for a in f.proxies:
+        f.start(a)
+    f.run(CATCH_UP_S + 2)
+
+
+def _all_dark(cores: int, disks: int) -> Day:
+    def day(f: CoreFleet) -> None:
+        for _ in range(2):
+            _power_lost(f, disks)
+
+    day.__name__ = f"all_dark_{cores}_{disks}"
+    day.__doc__ = f"All machines lose power at once; {disks} of a core of {cores} lose their disks with it."
+    day.cores = cores
+    return day
+
+
+def _stopped_in_turn(cores: int, disks: int) -> Day:
+    def day(f: CoreFleet) -> None:
+        for a in f.rng.sample(f.core, cores):
+            f.world.nodes[a].leave(GRACE_S)
+            f.run_until(lambda a=a: not f.world.up(a), f.rng.choice((1.0, GRACE_S)))
+            if f.rng.random() < 0.5:
+                f.kill(a)
+            f.run(0.3 + f.rng.random())
+            if not f.world.up(a):
+                f.back(a, "killed")
+            f.run(f.rng.choice((0.2, 1.0, CATCH_UP_S)))
+        f.run(CATCH_UP_S)
+        _power_lost(f, disks)
+
+    day.__name__ = f"stopped_in_turn_{cores}"
+    day.__doc__ = f"A core of {cores} is stopped politely and started in turn, the next while some still catch up."
+    day.cores = cores
+    return day
+
+
 def replaced_in_turn(f: CoreFleet) -> None:
     """Each machine of a core of six is replaced by an empty one at a new address; the log goes back to the founding."""
     for a in list(f.core):
@@ -176,6 +226,10 @@
         races,
         *map(_losses, (3, 5, 6, 9)),
         *map(_only_copy, (3, 5)),
+        _all_dark(6, 2),
+        _all_dark(9, 2),
+        _all_dark(5, 1),
+        _stopped_in_turn(6, 2),
         replaced_in_turn,
         many_changes,
         silences,
