--- a/mallowvalve/control/http_plain.py
+++ b/mallowvalve/control/http_plain.py
@@ -108,6 +108,8 @@
             s: State | None = self.task.core.state
             if t.code == Code.OK and s is not None:
                 return s.plain
+            if web.client_left(req):
+                break
             gevent.sleep(min(PAUSE, max(0.0, end - clock.now())))
         return self.reject(resp, t)
 
@@ -278,6 +280,8 @@
                     return web.reject(resp, 503, web.NOT_RUN, [Finding("after", f"held here up to {got[1]} only")], 0.2)
                 return web.say(resp, {"events": list(map(event, got[0])), "revision": got[1]})
             self.bell.wait(group, after, min(BOUNDS[Answer.WATCH].seconds, end - clock.now()))
+            if web.client_left(req):
+                return web.reject(resp, 503, web.NOT_RUN, [Finding("watch", "its caller has closed the connection")])
             s: State | None = self.task.core.state
             if s is None:
                 return self.reject(resp, Took(Code.LEADER))
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -13,6 +13,7 @@
 from mallowvalve.metrics import Counts
 from mallowvalve.types import Address
 from tests.test_http_items import Task
+from tests.test_http_plain import Task as PlainTask
 
 TAKE = b'{"holder":"a","hold_ms":3000}'
 POST_TAKE = b"POST /api/locks/l HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (len(TAKE), TAKE)
@@ -81,3 +82,20 @@
     left.close()
     assert has_ended(right)
     right.close()
+
+
+WATCH = b"GET /api/watch/g.?after=0&wait_ms=20000 HTTP/1.1\r\nHost: x\r\n\r\n"
+WATCHER_SEEN_S = 5.0
+
+
+def test_a_watch_ends_soon_after_its_watcher_has_left():
+    app = web.make_app()
+    http_plain.add_routes(app, PlainTask(), "/api")
+    with web.Server(Address("127.0.0.1", 0), app, Counts(), 16) as server, gevent.Timeout(WATCHER_SEEN_S):
+        sock = connect(server)
+        sock.sendall(WATCH)
+        while not any(handler.busy for handler in server.connections):
+            gevent.idle()
+        sock.close()
+        while server.connections:
+            gevent.idle()
