An answer that came while the process stood still counts before its time is over

Cause: the wait on both sides gave the timer the first word when bytes and the end of the time came up in one turn of the loop.

Ruled out: the same for a request on a resting connection: it is read first already (a test holds it).

Before: the new test of wait_for_bytes fails. After: it passes.

--- a/mallowvalve/client_watch.py
+++ b/mallowvalve/client_watch.py
@@ -8,6 +8,8 @@
 from gevent import get_hub, socket
 from gevent.hub import Waiter
 
+from mallowvalve.http_head import peek
+
 
 class Client(Protocol):
     """A client's connection, of which a request is being served."""
@@ -34,6 +36,7 @@
     """Wait until the upstream has sent something or the client has left, for so many seconds.
 
     A client that has sent more after its request is taken for one that waits, whatever it does behind those bytes.
+    What the upstream has sent counts also when the time is over: a process that stood still finds both at once.
     """
     hub = get_hub()
     waiter = Waiter(hub)
@@ -44,11 +47,13 @@
         touched.start(waiter.switch, Happened.CLIENT_LEFT)
         timer.start(waiter.switch, Happened.TIMED_OUT)
         happened = waiter.get()
-        if happened is not Happened.CLIENT_LEFT or client.client_left():
-            return happened
-        touched.stop()
-        waiter.clear()
-        return waiter.get()
+        if happened is Happened.CLIENT_LEFT and not client.client_left():
+            touched.stop()
+            waiter.clear()
+            happened = waiter.get()
+        if happened is Happened.TIMED_OUT and peek(upstream) is not None:
+            return Happened.READABLE
+        return happened
     finally:
         readable.stop()
         touched.stop()
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -1,6 +1,7 @@
 """Clients who leave while their request is served on a host route: what may be repeated stops, what may not goes on."""
 
 import socket as plain_socket
+import time
 
 import gevent
 import pytest
@@ -10,6 +11,7 @@
 from result import Err
 
 from mallowvalve.client_watch import Happened, WatchedSocket, wait_for_bytes
+from mallowvalve.http_head import Incoming
 from mallowvalve.proxy.steps import CLIENT_LEFT, Await, ClientCheck, Exchange, Room
 from tests.front_players import ANSWER, Client, req, served
 from tests.tryout import NOT_RUN, Played, answer, ask
@@ -293,3 +295,34 @@
     assert p.run(READ).status == 200
     first, second = (s.connection for s in p.sent())
     assert first.closed and not second.closed and isinstance(p.sent()[0], Exchange)
+
+
+def stand_still(seconds):
+    """Nothing of this process runs for a while, so that timers and bytes come up together."""
+    stop = time.monotonic() + seconds
+    while time.monotonic() < stop:
+        pass
+
+
+def test_an_answer_that_came_while_the_process_stood_still_counts_before_its_time_is_over():
+    upstream, far = pair()
+    mine, client = pair()
+    with upstream, far, mine, client:
+        waits = gevent.spawn(wait_for_bytes, upstream, Held(mine), 0.05)
+        gevent.idle()
+        far._sock.sendall(b"x")
+        stand_still(0.1)
+        assert waits.get(timeout=SOON_S) is Happened.READABLE
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_a_request_that_came_while_the_process_stood_still_is_read_before_its_connection_is_ended(used):
+    near, client = pair()
+    with near, client:
+        incoming = Incoming(near)
+        incoming.used = used
+        begins = gevent.spawn(incoming.begun, 0.05)
+        gevent.idle()
+        client._sock.sendall(b"GET")
+        stand_still(0.1)
+        assert begins.get(timeout=SOON_S) is True
