--- a/mallowvalve/http_head.py
+++ b/mallowvalve/http_head.py
@@ -71,17 +71,16 @@
 
 
 def peek(sock: socket.socket) -> bytes | None:
-    """The next byte, read without taking it: b"" when the peer has ended the connection, None for none yet."""
-    waits = sock.gettimeout()
-    sock.settimeout(0.0)
+    """The next byte, read without taking it: b"" when the peer has ended the connection, None for none yet.
+
+    Asked of the system's socket, which never blocks, since this is done once a request.
+    """
     try:
-        return sock.recv(1, socket.MSG_PEEK)
+        return sock._sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return None
     except OSError:
         return b""
-    finally:
-        sock.settimeout(waits)
 
 
 def has_ended(sock: socket.socket) -> bool:
--- a/mallowvalve/proxy/link.py
+++ b/mallowvalve/proxy/link.py
@@ -101,7 +101,6 @@
             while not r.done:
                 if (left := end - clock.now()) <= 0:
                     return Err("limit")
-                sock.settimeout(left)
                 self._wait(left, client, r)
                 r.take(sock.recv(READ_BYTES))
                 if r.why:
@@ -142,6 +141,7 @@
     def _wait(self, seconds: float, client: Client | None, reader: Reader) -> None:
         """Wait for bytes; raises ClientLeftError when the client leaves first, TimeoutError when the time is over."""
         if client is None:
+            self.sock.settimeout(seconds)
             if not reader.begun:
                 until_bytes(self.sock)
             return
@@ -154,9 +154,7 @@
     def _rest(self, r: Reader, end: float, client: Client | None) -> Iterator[bytes]:
         yield r.drain()
         while not r.done:
-            left = max(0.001, end - clock.now())
-            self.sock.settimeout(left)
-            self._wait(left, client, r)
+            self._wait(max(0.001, end - clock.now()), client, r)
             r.take(self.sock.recv(READ_BYTES))
             if r.why:
                 raise ConnectionError("the upstream broke off mid-answer")
