--- a/tests/test_client_leaves_tenant.py
+++ b/tests/test_client_leaves_tenant.py
@@ -1,5 +1,7 @@
 """Clients of tenants who leave while their request is served: a read is stopped, a keyed request runs to its end."""
 
+from contextlib import contextmanager
+
 import gevent
 import pytest
 from gevent import socket
@@ -44,12 +46,9 @@
     return test()
 
 
-@pytest.mark.parametrize(
-    "says",
-    [b"", b"HTTP/1.1 200 OK\r\nContent-Le", b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 600_000],
-    ids=["silent", "part of a head", "midst of a stream"],
-)
-def test_a_read_ends_when_its_client_leaves(says):
+@contextmanager
+def asked(says: bytes, more: bytes = b""):
+    """A tenant's read through a proxy to an upstream that says so much: the client's socket, upstream and proxy."""
     up = SilentUpstream(says)
     up.server.start()
     b = Bench(clock.now)
@@ -58,7 +57,18 @@
     app.add_sink(Serve(b.path, None, 1 << 20), "/")
     with web.Server(Address("127.0.0.1", 0), app, Counts(), 4) as server:
         sock = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
-        sock.sendall(b"GET /r/1 HTTP/1.1\r\nHost: x\r\nMallow-Tenant: t\r\n\r\n")
+        sock.sendall(b"GET /r/1 HTTP/1.1\r\nHost: x\r\nMallow-Tenant: t\r\n%s\r\n" % more)
+        yield sock, up, b
+    up.server.stop()
+
+
+@pytest.mark.parametrize(
+    "says",
+    [b"", b"HTTP/1.1 200 OK\r\nContent-Le", b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 600_000],
+    ids=["silent", "part of a head", "midst of a stream"],
+)
+def test_a_read_ends_when_its_client_leaves(says):
+    with asked(says) as (sock, up, b):
         assert until(lambda: up.begun == 1)
         got = 0
         while got < len(says) - 100_000:
@@ -67,7 +77,6 @@
             got += len(data)
         sock.close()
         assert until(lambda: up.ended == 1) and until(lambda: b.pool.chooser.busy == {})
-    up.server.stop()
 
 
 class Lease:
@@ -96,17 +105,9 @@
 
 
 def test_a_stream_whose_upstream_is_silent_ends_short_at_its_limit():
-    up = SilentUpstream(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 600_000)
-    up.server.start()
-    b = Bench(clock.now)
-    b.upstream(port=up.server.server_port)
-    app = web.make_app()
-    app.add_sink(Serve(b.path, None, 1 << 20), "/")
-    with web.Server(Address("127.0.0.1", 0), app, Counts(), 4) as server:
-        sock = socket.create_connection(("127.0.0.1", server.server_port), timeout=10)
-        sock.sendall(b"GET /r/1 HTTP/1.1\r\nHost: x\r\nMallow-Tenant: t\r\nMallow-Limit: 300\r\n\r\n")
+    says = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 600_000
+    with asked(says, b"Mallow-Limit: 300\r\n") as (sock, _, b):
         got = 0
         while data := sock.recv(65536):
             got += len(data)
         assert got < 900_000 and until(lambda: b.pool.chooser.busy == {})
-    up.server.stop()
