Sight of the directory's answers: reasons counted by region, an event, admin named

Cause: logs and counters of the users' HOME did not tell which answers named another region, and why. Nothing of the choice itself is changed here. Ruled out by it: a directory process that knows too few (all turn at the same moment).

--- a/mallowvalve/admin/main.py
+++ b/mallowvalve/admin/main.py
@@ -154,6 +154,15 @@
     show(ask(ctx, "POST", "/found-anew", {"accept": accept}))
 
 
+@admin.command()
+@click.argument("region")
+@click.option("--zone", default="", help="a zone of the region")
+@click.pass_context
+def named(ctx: click.Context, region: str, zone: str) -> None:
+    """Which proxies the asked process would name to a client of REGION now, and why these."""
+    show(ask(ctx, "GET", f"/-/named?region={quote(region, safe='')}&zone={quote(zone, safe='')}"))
+
+
 @admin.command()
 @click.argument("thing")
 @click.option("--most", default=40, help="lines to show")
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -108,6 +108,7 @@
     http_operators.add_routes(node.app, task)
     http_upstreams.add_routes(node.app, task, registry)
     http_plain.add_routes(node.app, task, settings.coordination_at)
+    node.app.add_route("/-/named", directory.Named(node))
     node.allow(lambda service: service in task.tree().doc.services)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.snapshot() if task.core.raft else {})
--- a/mallowvalve/directory/main.py
+++ b/mallowvalve/directory/main.py
@@ -18,5 +18,6 @@
         return state.settings.evacuated if state else {}
 
     pages.add_routes(node.app, node, lambda: replica.tree, evacuated, lambda: replica.replica.sure)
+    node.app.add_route("/-/named", pages.Named(node))
     with node, replica:
         node.run(lambda: replica.replica.state is not None)
--- a/mallowvalve/directory/pages.py
+++ b/mallowvalve/directory/pages.py
@@ -11,7 +11,9 @@
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control import lease
 from mallowvalve.directory import answer
+from mallowvalve.directory.sight import Answers
 from mallowvalve.finding import Finding
+from mallowvalve.membership.task import NAMES
 from mallowvalve.membership.wire import Record
 from mallowvalve.node import Node
 from mallowvalve.types import Address, Locality, emptied
@@ -109,23 +111,53 @@
         """Answer by the membership of now."""
         self.node = node
         self.contact = contact
+        self.answers = Answers(node.counts)
+        node.gauge("directory_by_region", self.answers.by_region)
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Addresses of proxies for a `zone`, of a `region` or of the settings' region for it."""
-        its = self.node.settings
-        zone = req.get_param("zone") or ""
-        region = req.get_param("region") or its.zones.get(zone)
-        near = Locality(region, zone) if region else its.locality
+        near = place(req, self.node)
         marks = self.contact.marks(resp)
         if marks is None:
             return
-        to = answer.proxies(self.node.membership.alive("proxy"), near)
-        if not to:
-            self.node.counts.add("directory_nobody")
+        known = self.node.membership.alive("proxy")
+        choice = answer.choose(known, near)
+        self.answers.gave(near.region, choice, known)
+        if not choice.named:
             web.reject(resp, 503, web.NOT_RUN, [Finding("proxies", "none is ready")], NOBODY_S)
             return
         self.node.counts.add("directory_answers")
-        web.say(resp, {"proxies": list(map(str, to)), "life_s": LIFE_S, **marks})
+        web.say(resp, {"proxies": [str(record.web) for record in choice.named], "life_s": LIFE_S, **marks})
+
+
+class Named:
+    """`GET /-/named`: for operators, who would be named to a client of a place now, and why."""
+
+    def __init__(self, node: Node) -> None:
+        """Answer by the membership of now."""
+        self.node = node
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """The proxies of an answer for a `zone` or `region`, with their state, and the reason for these."""
+        near = place(req, self.node)
+        choice = answer.choose(self.node.membership.alive("proxy"), near)
+        rows = [
+            {
+                "name": record.name,
+                "web": str(record.web),
+                "locality": str(record.locality),
+                "status": NAMES[record.state],
+            }
+            for record in choice.named
+        ]
+        web.say(resp, {"region": near.region, "reason": choice.reason.value, "named": rows})
+
+
+def place(req: falcon.Request, node: Node) -> Locality:
+    """Where a client is, by its `zone` and `region`, or the settings' region for the zone; else this node's place."""
+    zone = req.get_param("zone") or ""
+    region = req.get_param("region") or node.settings.zones.get(zone)
+    return Locality(region, zone) if region else node.settings.locality
 
 
 def add_routes(
--- /dev/null
+++ b/mallowvalve/directory/sight.py
@@ -0,0 +1,59 @@
+"""What operators see of the directory's answers: counters by region and reason, and an event where a reason changes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from mallowvalve.directory.answer import Choice, Reason
+from mallowvalve.membership.wire import ALIVE, LEAVING, Record
+from mallowvalve.metrics import Counts, change
+
+MOST_REGIONS = 256
+"""Regions that are counted by name; clients may write any."""
+
+OTHER_REGIONS = "other"
+
+
+class Answers:
+    """Counts the answers given here and notes each change of how a region is answered.
+
+    `change` writes the event `directory_answers`: the region, the reason, the regions that are named instead or beside,
+    and how many of its own proxies are ready or leaving.
+    """
+
+    __slots__ = ("_counts", "_by_region", "_last", "_note")
+
+    def __init__(self, counts: Counts, note: Callable[..., None] = change) -> None:
+        """Add to `counts`; `note` writes the events."""
+        self._counts = counts
+        self._by_region: Counter[str] = Counter()
+        self._last: dict[str, Reason] = {}
+        self._note = note
+
+    def gave(self, region: str, choice: Choice, known: Sequence[Record]) -> None:
+        """An answer was given to a client of `region` out of the `known` proxies."""
+        self._counts.add(f"directory_{choice.reason.value}")
+        if choice.regions() not in ([], [region]):
+            self._counts.add("directory_named_elsewhere")
+        if region not in self._last and len(self._last) >= MOST_REGIONS:
+            region = OTHER_REGIONS
+        self._by_region[f"{region} {choice.reason.value}"] += 1
+        if self._last.get(region, Reason.OWN_REGION) is not choice.reason:
+            self._tell(region, choice, known)
+        self._last[region] = choice.reason
+
+    def by_region(self) -> dict[str, int]:
+        """Answers since the start of the process, by region and reason."""
+        return dict(sorted(self._by_region.items()))
+
+    def _tell(self, region: str, choice: Choice, known: Sequence[Record]) -> None:
+        own = [record for record in known if record.locality.region == region]
+        self._note(
+            "directory_answers",
+            region=region,
+            reason=choice.reason.value,
+            named_regions=choice.regions(),
+            ready=sum(record.ready and record.state == ALIVE for record in own),
+            leaving=sum(record.state == LEAVING for record in own),
+        )
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -7,7 +7,8 @@
 from mallowvalve.configuration.build import EMPTY
 from mallowvalve.control import lease
 from mallowvalve.directory import pages
-from mallowvalve.directory.answer import proxies
+from mallowvalve.directory.answer import Reason, choose
+from mallowvalve.directory.sight import MOST_REGIONS, Answers
 from mallowvalve.membership.detector import Membership
 from mallowvalve.membership.wire import ALIVE, FAILED, LEAVING, LEFT, Record
 from mallowvalve.types import Address, Locality
@@ -19,6 +20,10 @@
     return Record(Address(f"10.0.0.{n}", 1), 1, 0, state, role, f"n{n}", loc, Address(f"10.0.0.{n}", 80), ready)
 
 
+def proxies(rows, near):
+    return [record.web for record in choose(rows, near).named]
+
+
 def numbers(found):
     return [int(a.host.rpartition(".")[2]) for a in found]
 
@@ -76,7 +81,10 @@
 
     def __init__(self):
         self.rows, self.membership, self.counts = [], self, web.Counts()
-        self.asked = clock.now()
+        self.asked, self.gauges = clock.now(), {}
+
+    def gauge(self, name, read):
+        self.gauges[name] = read
 
     def alive(self, role):
         return [r for r in self.rows if r.role == role and r.state <= LEAVING]
@@ -87,6 +95,7 @@
     n = Node()
     app = web.make_app()
     pages.add_routes(app, n, lambda: EMPTY, lambda: {"us-a": 1}, lambda: n.asked)
+    app.add_route("/-/named", pages.Named(n))
     return n, testing.TestClient(app)
 
 
@@ -163,3 +172,45 @@
     me = Membership(at(1, A, ready=False), "f", [], random.Random(1), 1.0, 3, 0.1)
     me.leave(final=False)
     assert proxies([me.me], A) == []
+
+
+def test_answers_are_counted_by_region_and_reason(directory):
+    n, c = directory
+    n.rows = [at(1, A), at(2, A), at(3, C)]
+    for region in ("eu", "eu", "us", "ap"):
+        c.simulate_get(f"/proxies?region={region}")
+    assert n.gauges["directory_by_region"]() == {"ap none_ready": 1, "eu own_region": 2, "us too_few_ready": 1}
+    assert n.counts.get("directory_named_elsewhere") == 2
+    assert n.counts.get("directory_own_region") == n.counts.get("directory_answers") - 2 == 2
+
+
+def test_an_event_says_when_a_region_is_answered_otherwise_and_why():
+    events = []
+    answers = Answers(web.Counts(), lambda what, **fields: events.append((what, fields)))
+    two, one, none = [at(1, A), at(2, A), at(3, C)], [at(1, A, LEAVING), at(2, A), at(3, C)], [at(3, C)]
+    for rows in (two, two, one, one, none, two):
+        answers.gave("eu", choose(rows, A), rows)
+    assert [what for what, _ in events] == ["directory_answers"] * 3
+    assert [fields["reason"] for _, fields in events] == ["too_few_ready", "none_ready", "own_region"]
+    assert events[0][1] | {"reason": ""} == {
+        "region": "eu",
+        "reason": "",
+        "named_regions": ["eu", "us"],
+        "ready": 1,
+        "leaving": 1,
+    }
+
+
+def test_regions_that_clients_make_up_do_not_fill_the_counters():
+    answers = Answers(web.Counts(), lambda what, **fields: None)
+    for n in range(2 * MOST_REGIONS):
+        answers.gave(f"r{n}", choose([], Locality(f"r{n}", "")), [])
+    assert len(answers.by_region()) == MOST_REGIONS + 1
+
+
+def test_operators_see_who_is_named_now(directory):
+    n, c = directory
+    n.rows = [at(1, A), at(2, A, LEAVING)]
+    got = c.simulate_get("/-/named?region=eu&zone=eu-a").json
+    assert got["region"] == "eu" and got["reason"] == Reason.TOO_FEW_READY.value
+    assert got["named"] == [{"name": "n1", "web": "10.0.0.1:80", "locality": "eu/eu-a", "status": "alive"}]
