--- /dev/null
+++ b/sim/directory_days.py
@@ -0,0 +1,148 @@
+"""Seeded days of planned work under a directory: whom clients are led to while machines are stopped in turn."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from sim.directory_fleet import GRACE, Day, SimProxy, Visit
+
+BEGIN, LENGTH = 4.0, 30.0
+SPREAD = 0.5
+"""How long a door must have been open (s) until every directory is held to know of it: two lost datagrams and a digest."""
+GAP = 0.15
+"""For how long nobody of a region may accept (s): a turn of the loop and a datagram between two neighbours."""
+MOST_A_REGION = 5
+CLIENTS = 9
+
+
+def drawn(seed: int) -> Day:
+    """One to three regions with two to five proxies each, and clients of hosts with and without homes."""
+    day = Day(seed, [], BEGIN, LENGTH)
+    counts = [day.rng.randint(2, MOST_A_REGION) for _ in range(day.rng.randint(1, 3))]
+    day = Day(seed, counts, BEGIN, LENGTH)
+    kinds = [None, frozenset(day.regions[:1]), frozenset(day.regions[:2])]
+    day.clients(CLIENTS, lambda n: kinds[n % 3])
+    return day
+
+
+def in_turn(day: Day) -> None:
+    """Every proxy in turn, with a gap between a moment and the grace."""
+    gap = day.rng.choice([0.2, 0.4, 0.8, 1.2, 2.0, 3.0, GRACE])
+    order = list(day.proxies.values())
+    day.rng.shuffle(order)
+    for i, proxy in enumerate(order):
+        day.world.at(BEGIN + 2.0 + i * gap, proxy.stop)
+
+
+def region_by_region(day: Day) -> None:
+    """The proxies of one region after another, the quicker the more there are."""
+    gap = day.rng.uniform(0.2, 2.0)
+    at = BEGIN + 2.0
+    for region in day.regions:
+        for proxy in day.of(region):
+            day.world.at(at, proxy.stop)
+            at += gap
+
+
+def at_once(day: Day) -> None:
+    """All proxies of a region at the same moment, one region after another."""
+    for i, region in enumerate(day.regions):
+        for proxy in day.of(region):
+            day.world.at(BEGIN + 2.0 + 5.0 * i, proxy.stop)
+
+
+def twice_across(day: Day) -> None:
+    """Two rounds that overlap, the second begun before the first has come round."""
+    in_turn(day)
+    order = list(day.proxies.values())
+    for i, proxy in enumerate(order):
+        day.world.at(BEGIN + 4.5 + i * day.rng.uniform(0.5, 2.0), proxy.stop)
+
+
+def with_directories(day: Day) -> None:
+    """The same while the directories are restarted in turn too."""
+    in_turn(day)
+    for i, directory in enumerate(day.directories):
+        day.world.at(BEGIN + 2.5 + 1.7 * i, directory.stop)
+
+
+PLANNED: dict[str, Callable[[Day], None]] = {
+    f.__name__: f for f in (in_turn, region_by_region, at_once, twice_across, with_directories)
+}
+
+
+def allowed(visit: Visit) -> set[str]:
+    """The regions that a request may be led to: its client's, and its homes."""
+    return {visit.client.region, *(visit.homes or ())}
+
+
+def findings(day: Day) -> list[str]:
+    """Who was led away from a region that accepted, and regions of two or more in which nobody accepted."""
+    return [*_led_elsewhere(day), *_gaps(day)]
+
+
+def _led_elsewhere(day: Day) -> list[str]:
+    out = []
+    for visit in day.visits:
+        if visit.region is None or visit.region in allowed(visit):
+            continue
+        open_there = [
+            p
+            for p in day.proxies.values()
+            if p.locality.region in allowed(visit) and p.accepted_since(visit.asked_at - SPREAD, visit.asked_at)
+        ]
+        if open_there:
+            out.append(
+                f"{visit.at:.2f} s: {visit.client} led to {visit.region} by an answer of {visit.asked_at:.2f} s"
+                f" ({visit.reason}), homes {sorted(visit.homes or ())}, {len(open_there)} accepted"
+            )
+    return out
+
+
+def _gaps(day: Day) -> list[str]:
+    out = []
+    for region in day.regions:
+        shut = _nobody(day.of(region))
+        out += [f"{region}: nobody accepts from {a:.2f} to {b:.2f} s" for a, b in shut if b - a > GAP]
+    return out
+
+
+def _nobody(proxies: list[SimProxy]) -> list[tuple[float, float]]:
+    """The spans after the beginning in which none of these accepts."""
+    events = sorted((at, 1 if opens else -1) for p in proxies for at, opens in p.doors)
+    count, since, out = 0, None, []
+    for at, step in events:
+        count += step
+        if count == 0:
+            since = at
+        elif since is not None:
+            out.append((since, at))
+            since = None
+    if since is not None:
+        out.append((since, LENGTH))
+    return [(max(a, BEGIN), b) for a, b in out if b > BEGIN]
+
+
+def play_directory_day(name: str, seed: int) -> tuple[list[str], dict[str, int]]:
+    """Findings, and what happened, counted."""
+    day = drawn(seed)
+    PLANNED[name](day)
+    day.run()
+    return findings(day), counted(day)
+
+
+def counted(day: Day) -> dict[str, int]:
+    """Requests by what became of them, and restarts."""
+    counts = Counter(requests=len(day.visits))
+    for visit in day.visits:
+        if visit.region is None:
+            counts["failed"] += 1
+        elif visit.region == visit.client.region:
+            counts["own region"] += 1
+        elif visit.region in allowed(visit):
+            counts["home region"] += 1
+        else:
+            counts["elsewhere"] += 1
+    counts["restarts"] = sum(opens for p in day.proxies.values() for _, opens in p.doors) - len(day.proxies)
+    return dict(counts)
--- a/sim/members.py
+++ b/sim/members.py
@@ -9,7 +9,7 @@
 from mallowvalve.membership import formula
 from mallowvalve.membership.detector import Membership, fresh_record
 from mallowvalve.membership.wire import FAILED, decode, encode
-from mallowvalve.types import Address
+from mallowvalve.types import Address, Locality
 from sim.fleet import ZONES
 from sim.world import Node, World
 
@@ -18,10 +18,19 @@
 
 
 class Member(Node):
-    def __init__(self, world: World, addr: Address, seeds: list[Address], n: int = 0, spread: bool = True):
+    def __init__(
+        self,
+        world: World,
+        addr: Address,
+        seeds: list[Address],
+        n: int = 0,
+        spread: bool = True,
+        role: str = "proxy",
+        locality: Locality | None = None,
+    ):
         super().__init__(world, addr)
         self.rng = random.Random(world.rng.random())
-        me = fresh_record(addr, self.rng.getrandbits(60), "proxy", str(addr), ZONES[n % 6], addr)
+        me = fresh_record(addr, self.rng.getrandbits(60), role, str(addr), locality or ZONES[n % 6], addr)
         self.membership = Membership(
             me,
             "sim",
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -91,3 +91,14 @@
         assert not [name for name in override["module"] if name.partition(".")[0] in ("*", "mallowvalve")]
     assert "/mypy" in (ROOT / ".ci" / "run").read_text()
     assert [str(p) for p in checked if re.search(r"#\s*(type: ignore|mypy:)", p.read_text())] == []
+
+
+def test_the_list_of_known_failures_is_short_and_each_line_names_test_cause_and_issue():
+    listed = ROOT / "KNOWN-RED.txt"
+    lines = [line for line in listed.read_text().splitlines() if line] if listed.exists() else []
+    assert len(lines) <= 3
+    for line in lines:
+        test, cause, issue = line.split(", ")[0], line.split(", ")[1:-1], line.split(", ")[-1]
+        path, _, name = test.partition("::")
+        assert f"def {name}(" in (ROOT / path).read_text(), test
+        assert cause and re.fullmatch(r"issue \d+", issue)
