Look-ups keep to the client's region and the homes; the last open door there stays open

Beside it: a stopping proxy closed its door at half of the grace whoever else accepted, so a region of several could have nobody for 0.25 to 0.85 s.

Ruled out: directory processes that know too few (both of a region turn at the same moment); held answers.

Change: directory/answer.py goes by region, homes, and whether a shortage is planned (docs/design/directory.md); a lone proxy is pinged by who names it (membership/check.py) and doubted after 0.8 s of silence; a process that has just started refuses what would lead away; a leaving proxy says before it closes, and stays while its region has nobody else and one is on its way back (membership/closing.py).

--- a/mallowvalve/configuration/items.py
+++ b/mallowvalve/configuration/items.py
@@ -84,6 +84,9 @@
 
 PARTS = ("routes", "services")
 LIMITS = "limits"
+MOST_HOMES = 10000
+"""Hosts whose homes are remembered; clients may ask for any name."""
+
 SHOWN_BYTES = 2000
 """How much of the item that holds a conflict shows."""
 
@@ -94,7 +97,7 @@
     `hosts` gives each host's routes by prefix. Tombstones are kept for good: an old change may come at any time.
     """
 
-    __slots__ = ("rows", "revision", "hosts", "routes", "services", "limits", "_deep")
+    __slots__ = ("rows", "revision", "hosts", "routes", "services", "limits", "_deep", "_homes")
 
     def __init__(self) -> None:
         """Nothing is set."""
@@ -105,6 +108,7 @@
         self.services: dict[str, ServiceItem] = {}
         self.limits = Limits(version=0)
         self._deep: dict[str, int] = {}
+        self._homes: dict[str, frozenset[str] | None] = {}
 
     def apply(self, c: Amend, revision: int) -> Findings:
         """Takes in what is newer than what was known, all of it, or nothing if there is a finding.
@@ -147,6 +151,16 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def homes(self, host: str) -> frozenset[str] | None:
+        """The regions that are homes of all routes of a host that have any; None where none has, or none is known."""
+        host = plain_host(host)
+        if host not in self._homes:
+            bound = [frozenset(route.homes) for route in self.hosts.get(host, {}).values() if route.homes]
+            if len(self._homes) >= MOST_HOMES:
+                self._homes.clear()
+            self._homes[host] = frozenset.intersection(*bound) if bound else None
+        return self._homes[host]
+
     def standing(self, kind: str) -> list[msgspec.Raw]:
         """The items of a kind as they were sent, by name."""
         return [msgspec.Raw(i.doc) for k, i in sorted(self.rows.items()) if k[0] == kind and i.doc is not None]
@@ -176,6 +190,7 @@
         old = self.routes.pop(name, None)
         if old is not None:
             host = plain_host(old.host)
+            self._homes.pop(host, None)
             by = self.hosts[host]
             if by.get(old.prefix) is old:
                 del by[old.prefix]
@@ -184,6 +199,7 @@
         if r is None:
             return
         host = plain_host(r.host)
+        self._homes.pop(host, None)
         self.routes[name] = r
         self.hosts.setdefault(host, {})[r.prefix] = r
         self._deep[host] = max(self._deep.get(host, 0), len(r.prefix))
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from mallowvalve import clock, web
+from mallowvalve.configuration.items import Items
 from mallowvalve.control import http_operators, http_plain, http_upstreams, store
 from mallowvalve.control.bootstrap_task import ID
 from mallowvalve.control.lease import Answer
@@ -86,18 +87,26 @@
                 self.node.counts.add("disk_errors")
 
 
-def directory_server(node: Node, task: ControlTask) -> web.Server | None:
-    """The directory's answers, on an address of their own; None where this node gives none."""
-    p = node.settings
-    if p.directory is None:
-        return None
-    app = web.make_app()
+def directory_pages(node: Node, task: ControlTask) -> directory.Pages:
+    """The directory's answers by what this process holds and knows."""
 
     def evacuated() -> dict[str, int]:
         return task.core.state.settings.evacuated if task.core.state else {}
 
-    directory.add_routes(app, node, task.tree, evacuated, task.core.contact)
-    return web.Server(p.directory, app, node.counts, p.connections)
+    def items() -> Items | None:
+        return task.core.state.items if task.core.state else None
+
+    return directory.Pages(node, task.tree, items, evacuated, directory.Contact(node, task.core.contact))
+
+
+def directory_server(node: Node, pages: directory.Pages) -> web.Server | None:
+    """The directory's answers, on an address of their own; None where this node gives none."""
+    its = node.settings
+    if its.directory is None:
+        return None
+    app = web.make_app()
+    directory.add_routes(app, pages)
+    return web.Server(its.directory, app, node.counts, its.connections)
 
 
 def serve(settings: Settings, disk_log: DiskLog, loaded: store.Loaded, faults: Faults) -> None:
@@ -108,16 +117,17 @@
     http_operators.add_routes(node.app, task)
     http_upstreams.add_routes(node.app, task, registry)
     http_plain.add_routes(node.app, task, settings.coordination_at)
-    node.app.add_route("/-/named", directory.Named(node))
     node.allow(lambda service: service in task.tree().doc.services)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.snapshot() if task.core.raft else {})
-    directory_pages = directory_server(node, task)
+    pages = directory_pages(node, task)
+    node.app.add_route("/-/named", directory.Named(pages))
+    directory_front = directory_server(node, pages)
 
     def leave() -> None:
-        if directory_pages is not None:
-            directory_pages.draining = True
+        if directory_front is not None:
+            directory_front.draining = True
         task.hand_over()
 
-    with node, task, registry, Memory(node, disk_log.disk), directory_pages or contextlib.nullcontext():
+    with node, task, registry, Memory(node, disk_log.disk), directory_front or contextlib.nullcontext():
         node.run(lambda: task.core.holds(Answer.HEARTBEAT, clock.now()) and not task.stalled, leave, task.founder.leave)
--- a/mallowvalve/directory/answer.py
+++ b/mallowvalve/directory/answer.py
@@ -1,32 +1,52 @@
-"""Which proxies a client is told of, and why these."""
+"""Which proxies a client is told of, and why these.
+
+A client takes any one of the proxies that it is told of, by chance, so none is named that is not wanted. The region
+comes first: planned work leads nobody out of it while one proxy there accepts connections (docs/design/directory.md).
+"""
 
 from __future__ import annotations
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from zlib import crc32
 
 import msgspec
 
-from mallowvalve.membership.wire import ALIVE, LEAVING, Record
+from mallowvalve.membership.members import Gone, accepts
+from mallowvalve.membership.wire import ALIVE, FAILED, Record
 from mallowvalve.types import Locality
 
+ROLE = "proxy"
 MOST, ENOUGH = 64, 2
-"""Proxies in an answer at most, and so many of a region that the others are not named."""
+"""Proxies in an answer at most, and so many in a region that the loss of one is borne there."""
+
+FAILED_S = 30.0
+"""Seconds for which a failure in a region counts as one that another may follow."""
+
+UNKNOWN_HOMES: frozenset[str] = frozenset()
+"""Stands for homes that are not known yet: only the client's own region is sure to be allowed."""
 
 
 class Reason(enum.Enum):
     """Why an answer names the proxies that it names."""
 
     OWN_REGION = "own_region"
-    TOO_FEW_READY = "too_few_ready"
-    NONE_READY = "none_ready"
-    ONLY_LEAVING = "only_leaving"
+    LONE = "lone"
+    REST_FAILED = "rest_failed"
+    HOME_REGION = "home_region"
+    LEAVING = "leaving"
+    NONE_ACCEPTS = "none_accepts"
+    RETURNING = "returning"
+    NOT_SETTLED = "not_settled"
     NOBODY = "nobody"
 
 
+STEADY = (Reason.OWN_REGION,)
+"""Reasons that hold for long; what is named for another one is told for a shorter time."""
+
+
 class Choice(msgspec.Struct, frozen=True):
-    """The proxies of an answer, the nearest first, and why they were chosen."""
+    """The proxies of an answer, the nearest first, and why they were chosen; without any the answer is a refusal."""
 
     named: list[Record]
     reason: Reason
@@ -36,33 +56,70 @@
         return sorted({record.locality.region for record in self.named})
 
 
-def serving(records: Sequence[Record]) -> list[Record]:
-    """The proxies that take new connections: those that are ready, or, without any, those that were and leave now.
+class Known(msgspec.Struct, frozen=True):
+    """The proxies as a directory knows them: those that run, those that are gone, and whom it doubts."""
 
-    One that leaves serves on for a while; it is better than nobody.
-    """
-    ready = [r for r in records if r.role == "proxy" and r.ready and r.state in (ALIVE, LEAVING)]
-    return [r for r in ready if r.state == ALIVE] or ready
+    alive: Sequence[Record]
+    gone: Sequence[Gone] = ()
+    doubts: Callable[[Record], bool] = lambda record: False
 
 
-def choose(records: Sequence[Record], near: Locality, most: int = MOST) -> Choice:
-    """Where a client at this place may go, the nearest first: it takes any one of them by chance.
+def choose(
+    known: Known, near: Locality, homes: frozenset[str] | None = None, most: int = MOST, patient: bool = True
+) -> Choice:
+    """Where a client at this place may go for a host or tenant with these homes (None: any region is as good).
 
-    All that serve in its region, if they are two at least, else all there are. An evacuation empties upstreams,
-    not proxies. Of more than `most`, those in its zone come first, and each zone leaves others out.
+    An evacuation empties upstreams, not proxies. Of more than `most`, those in the client's zone come first, and each
+    zone leaves others out. With `patient` a host with homes waits for those that are on their way back.
     """
-    ready = serving(records)
-    mine = [r for r in ready if r.locality.region == near.region]
-    rows = mine if len(mine) >= ENOUGH else ready
-    rows.sort(key=lambda r: (r.locality.distance(near), crc32(f"{near} {r.web}".encode()), r.web))
-    return Choice(rows[:most], _reason(rows, len(mine)))
-
-
-def _reason(rows: list[Record], of_the_region: int) -> Reason:
-    if not rows:
-        return Reason.NOBODY
-    if rows[0].state == LEAVING:
-        return Reason.ONLY_LEAVING
-    if of_the_region >= ENOUGH:
-        return Reason.OWN_REGION
-    return Reason.TOO_FEW_READY if of_the_region else Reason.NONE_READY
+    rows, reason = _choose(known, near, homes, patient)
+    rows = sorted(rows, key=lambda r: (r.locality.distance(near), crc32(f"{near} {r.web}".encode()), r.web))
+    return Choice(rows[:most], reason)
+
+
+def _choose(known: Known, near: Locality, homes: frozenset[str] | None, patient: bool) -> tuple[list[Record], Reason]:
+    """What serves nearest and may serve, by the order of `docs/design/directory.md`."""
+    proxies = [record for record in known.alive if record.role == ROLE]
+    open_ = [record for record in proxies if accepts(record)]
+    ready = [record for record in open_ if record.state == ALIVE and not known.doubts(record)]
+    own = _of(ready, {near.region})
+    home = _of(ready, homes or ())
+    if len(own) >= ENOUGH:
+        return own, Reason.OWN_REGION
+    if own:
+        others = ready if homes is None else own + _besides(home, near.region)
+        if _failed(known.gone, near.region) and len(others) > len(own):
+            return others, Reason.REST_FAILED
+        return own, Reason.LONE
+    if home:
+        return home, Reason.HOME_REGION
+    leaving = [record for record in open_ if not known.doubts(record)]
+    for regions in ({near.region}, homes or ()):
+        if found := _of(leaving, regions):
+            return found, Reason.LEAVING
+    if patient and homes is not None and _returning(known, proxies, {near.region, *homes}):
+        return [], Reason.RETURNING
+    anywhere = ready or leaving or open_
+    return (anywhere, Reason.NONE_ACCEPTS) if anywhere else ([], Reason.NOBODY)
+
+
+def _of(records: Iterable[Record], regions: Iterable[str]) -> list[Record]:
+    wanted = set(regions)
+    return [record for record in records if record.locality.region in wanted]
+
+
+def _besides(records: Iterable[Record], region: str) -> list[Record]:
+    return [record for record in records if record.locality.region != region]
+
+
+def _failed(gone: Iterable[Gone], region: str) -> bool:
+    """Whether a proxy of the region failed so lately that another one may follow."""
+    here = [one for one in gone if one.record.locality.region == region]
+    return any(one.record.state == FAILED and one.ago < FAILED_S for one in here)
+
+
+def _returning(known: Known, proxies: Iterable[Record], regions: set[str]) -> bool:
+    """Whether a proxy of these regions is being restarted: it has left just now, or runs and does not accept yet."""
+    left = [one.record for one in known.gone if one.returns()]
+    starting = [record for record in proxies if not accepts(record) and not known.doubts(record)]
+    return bool(_of([*left, *starting], regions))
--- /dev/null
+++ b/mallowvalve/directory/look_up.py
@@ -0,0 +1,74 @@
+"""A look-up, without sockets: the choice by the membership of now, and for how long the client may go by it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from mallowvalve.directory.answer import ROLE, STEADY, Choice, Known, Reason, choose
+from mallowvalve.membership.members import RETURN_S, Members
+from mallowvalve.membership.wire import Record
+from mallowvalve.types import Address, Locality
+
+LIFE_S, SHORT_LIFE_S = 2.0, 1.0
+"""How long a client may go by an answer, and by one whose reason soon passes (s)."""
+
+MOST_WAITS = 1024
+"""Places and homes for which it is remembered since when they are refused."""
+
+Wait = tuple[str, frozenset[str] | None]
+"""A client's region and the homes of what it asks for."""
+
+
+class Directory:
+    """Answers look-ups by what one member knows; `now` gives seconds of its steady clock."""
+
+    __slots__ = ("members", "now", "_waits")
+
+    def __init__(self, members: Members, now: Callable[[], float]) -> None:
+        """Nobody was refused yet."""
+        self.members = members
+        self.now = now
+        self._waits: dict[Wait, float] = {}
+
+    def look_up(
+        self,
+        near: Locality,
+        homes: frozenset[str] | None,
+        avoid: Collection[Address] = (),
+        usable: Callable[[Record], bool] = lambda record: True,
+    ) -> Choice:
+        """Who is named to a client at this place, for a host or tenant with these homes; nobody is a refusal.
+
+        `avoid` are proxies that refused the client, by their web address; they are doubted as silent ones are. A
+        process that has just started refuses what would lead a client away, as it may not know who else is there.
+        """
+        known = Known(
+            [record for record in self.members.alive(ROLE) if usable(record)],
+            self.members.gone(ROLE),
+            lambda record: record.web in avoid or self.members.doubts(record),
+        )
+        choice = choose(known, near, homes)
+        if choice.reason is Reason.RETURNING and self._has_waited((near.region, homes)):
+            choice = choose(known, near, homes, patient=False)
+        elif choice.reason is not Reason.RETURNING:
+            self._waits.pop((near.region, homes), None)
+        if choice.regions() not in ([], [near.region]) and not self.members.settled():
+            return Choice([], Reason.NOT_SETTLED)
+        return choice
+
+    def watch(self, choice: Choice) -> None:
+        """Where an answer rests on one proxy alone, see that it lives: a ping now and then, by whoever names it."""
+        if len(choice.named) == 1:
+            self.members.check(choice.named[0])
+
+    def _has_waited(self, wait: Wait) -> bool:
+        """Whether these clients have been refused for as long as a restart may take."""
+        now = self.now()
+        if wait not in self._waits and len(self._waits) >= MOST_WAITS:
+            self._waits.clear()
+        return now - self._waits.setdefault(wait, now) >= RETURN_S
+
+
+def life(choice: Choice) -> float:
+    """How long a client may go by an answer (s)."""
+    return LIFE_S if choice.reason in STEADY else SHORT_LIFE_S
--- a/mallowvalve/directory/main.py
+++ b/mallowvalve/directory/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mallowvalve.configuration.items import Items
 from mallowvalve.control.replica_task import ReplicaTask
 from mallowvalve.directory import pages
 from mallowvalve.node import Node
@@ -17,7 +18,13 @@
         state = replica.replica.state
         return state.settings.evacuated if state else {}
 
-    pages.add_routes(node.app, node, lambda: replica.tree, evacuated, lambda: replica.replica.sure)
-    node.app.add_route("/-/named", pages.Named(node))
+    def items() -> Items | None:
+        state = replica.replica.state
+        return state.items if state else None
+
+    contact = pages.Contact(node, lambda: replica.replica.sure)
+    shared = pages.Pages(node, lambda: replica.tree, items, evacuated, contact)
+    pages.add_routes(node.app, shared)
+    node.app.add_route("/-/named", pages.Named(shared))
     with node, replica:
         node.run(lambda: replica.replica.state is not None)
--- a/mallowvalve/membership/detector.py
+++ b/mallowvalve/membership/detector.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from mallowvalve.membership.check import Checks
+from mallowvalve.membership.members import Gone, accepts, is_neighbour
 from mallowvalve.membership.share import Out, Share
 from mallowvalve.membership.wire import (
     ALIVE,
@@ -60,6 +62,9 @@
 SEEDS_AT_ONCE, SEEDS_ONCE_JOINED = 8, 2
 """Seeds that a new member asks at once: before it knows anybody, and after."""
 
+MOST_SUCCESSORS = 3
+"""Neighbours named in a leaver's news; the datagram stays small."""
+
 
 class Membership(Share):
     """The paper's detector (`_begin`, `_ask`, `_end`) and what joins, refutes and forgets; `Share` spreads views.
@@ -82,7 +87,9 @@
         "_join_at",
         "_joined",
         "_agrees",
+        "_settled",
         "_healed",
+        "_checks",
     )
 
     def __init__(
@@ -111,7 +118,9 @@
         self._join_at: float | None = None
         self._joined = False
         self._agrees = False
+        self._settled = False
         self._healed = float("-inf")
+        self._checks = Checks()
 
     def timer(self) -> float:
         """When `tick` wants to be called next."""
@@ -151,6 +160,7 @@
                 self._probe(message)
             case Sum():
                 self._agrees = self._compare(head.sender, message.total)
+                self._settled = self._settled or self._agrees
                 if self._agrees and message.ask:
                     self._send(head.sender, Sum(self._head(), message.total, False))
             case Sums():
@@ -170,15 +180,43 @@
     def leave(self, final: bool) -> Out:
         """This member leaves, or has left if `final`.
 
-        One that leaves and was ready still serves those who come, until the end.
+        One that leaves and was ready still serves those who come, until `accept` says otherwise.
         """
         return self._renew(ready=self.me.ready and not final, state=LEFT if final else LEAVING)
 
+    def accept(self, accepts: bool) -> Out:
+        """This member, which leaves, takes new work still, or no more."""
+        return [] if self.me.ready == accepts else self._renew(ready=accepts)
+
+    def settled(self) -> bool:
+        """Whether this member has once agreed with a peer on the whole view, or its time to join is over."""
+        return self._settled
+
+    def gone(self, role: str, now: float) -> list[Gone]:
+        """Members of a role that failed or left and are not forgotten."""
+        known = [(self.view[address], now - since) for address, since in self._seen.items()]
+        return [Gone(record, ago) for record, ago in known if record.role == role]
+
+    def check(self, member: Record, now: float) -> Out:
+        """Ping a member beside the periods, if none went to it just now."""
+        if self._view.lives(member.addr) and self._checks.due(member, now):
+            self._send(member.addr, Ping(self._head(), self.me.addr, member.addr, self.pr))
+        return self._take()
+
+    def doubts(self, member: Record, now: float) -> bool:
+        """Whether the last pings of `check` have all been unanswered."""
+        return self._checks.doubts(member, now)
+
     def _renew(self, **fields: Any) -> Out:
         self._raise(self.me.incarnation + 1, **fields)
-        self._spread([self.me])
+        self._spread([self.me, *(self._successors() if self.me.state != ALIVE else [])])
         return self._take()
 
+    def _successors(self) -> list[Record]:
+        """Neighbours that accept: whoever hears that this member leaves hears at the same time who is left there."""
+        neighbours = [record for record in self.alive(self.me.role) if is_neighbour(record, self.me)]
+        return [record for record in neighbours if accepts(record)][:MOST_SUCCESSORS]
+
     def _probe(self, message: Ping | PingReq | RelayPing | Ack) -> None:
         """Every ping is acked, directly or through the helper that it came from."""
         match message:
@@ -194,8 +232,9 @@
                 self._send(message.relay, ack)
             case Ack() if message.relay == self.me.addr:
                 self._send(message.origin, Ack(self._head(), message.origin, message.target, message.pr))
-            case Ack() if message.origin == self.me.addr and message.pr == self.pr:
-                if self._target and message.target == self._target.addr:
+            case Ack() if message.origin == self.me.addr:
+                self._checks.acked(message.target)
+                if message.pr == self.pr and self._target and message.target == self._target.addr:
                     self._acked = True
 
     def _begin(self, now: float) -> None:
@@ -241,6 +280,7 @@
         lone = self._lone()
         if now > self._born + YOUNG or self._agrees and not lone or not self.seeds and not self._view.live:
             self._join_at = None
+            self._settled = True
             return
         self._join_at = now + JOIN
         for seed in self.rng.sample(lone, min(len(lone), SEEDS_ONCE_JOINED if self._joined else SEEDS_AT_ONCE)):
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -9,6 +9,7 @@
 from mallowvalve import clock
 from mallowvalve.fault import Faults
 from mallowvalve.membership.detector import Membership
+from mallowvalve.membership.members import Gone
 from mallowvalve.membership.share import DIRECT, Out
 from mallowvalve.membership.wire import ALIVE, Record, State, decode, encode
 from mallowvalve.metrics import change, vital
@@ -57,6 +58,22 @@
         """Others that are alive or leaving, of one role or of any; not to be changed by the caller."""
         return self.membership.alive(role)
 
+    def gone(self, role: str) -> list[Gone]:
+        """Others of a role that failed or left and are not forgotten."""
+        return self.membership.gone(role, clock.now())
+
+    def settled(self) -> bool:
+        """Whether this member has once known what a peer knew, or has had time to."""
+        return self.membership.settled()
+
+    def check(self, member: Record) -> None:
+        """Ping a member beside the periods, a few times a second at most however often this is called."""
+        self._do(self.membership.check(member, clock.now()))
+
+    def doubts(self, member: Record) -> bool:
+        """Whether the last pings of `check` have all been unanswered."""
+        return self.membership.doubts(member, clock.now())
+
     def view(self) -> list[Record]:
         """All records, this member's own first."""
         return [self.membership.me, *self.membership.view.values()]
@@ -69,6 +86,10 @@
         """This member leaves, or has left if `final`."""
         self._do(self.membership.leave(final))
 
+    def accept(self, accepts: bool) -> None:
+        """This member, which leaves, takes new work still, or no more."""
+        self._do(self.membership.accept(accepts))
+
     def _do(self, out: Out) -> None:
         for to, message in out:
             if self.faults.silent(self.membership.me.addr, to):
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -18,7 +18,9 @@
 from mallowvalve.fault import Faults
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.membership import formula
+from mallowvalve.membership.closing import Closing
 from mallowvalve.membership.detector import Membership, fresh_record
+from mallowvalve.membership.members import outlook
 from mallowvalve.membership.task import NAMES, MembershipTask
 from mallowvalve.membership.wire import Record
 from mallowvalve.metrics import Counts, change, recent
@@ -243,10 +245,23 @@
         self.membership.leave(final=False)
         leaving()
         linger, last = STOP_SHARES.get(self.settings.role, OTHERS_STOP_SHARES)
-        self.server.drain(self.settings.polite * linger, self.settings.polite * last, self._told_at)
+        polite = self.settings.polite
+        wait = self._accept_while_needed if self.settings.role in STOP_SHARES else None
+        self.server.drain(polite * linger, polite * last, self._told_at, wait)
         finish(max(0.0, end - clock.now()))
         self.membership.leave(final=True)
 
+    def _accept_while_needed(self, earliest: float, latest: float) -> None:
+        """Returns when the door may close; the others hear of it before."""
+        closing = Closing(earliest, latest, random.Random())
+        me = self.membership.membership.me
+        while True:
+            step = closing.step(clock.now(), outlook(me, self.membership))
+            self.membership.accept(step.accepts and me.ready)
+            if step.closed:
+                return
+            gevent.sleep(step.wait)
+
     def _told_to_stop(self) -> None:
         if not self.stopping.is_set():
             self._told_at = clock.now()
