--- a/mallowvalve/directory/answer.py
+++ b/mallowvalve/directory/answer.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from mallowvalve.membership.members import Gone, accepts
-from mallowvalve.membership.wire import ALIVE, FAILED, Record
+from mallowvalve.membership.wire import ALIVE, FAILED, LEAVING, Record
 from mallowvalve.types import Locality
 
 ROLE = "proxy"
@@ -70,7 +70,8 @@
     """Where a client at this place may go for a host or tenant with these homes (None: any region is as good).
 
     An evacuation empties upstreams, not proxies. Of more than `most`, those in the client's zone come first, and each
-    zone leaves others out. With `patient` a host with homes waits for those that are on their way back.
+    zone leaves others out. With `patient` nobody is named while one that may serve
+    is on its way back.
     """
     rows, reason = _choose(known, near, homes, patient)
     rows = sorted(rows, key=lambda r: (r.locality.distance(near), crc32(f"{near} {r.web}".encode()), r.web))
@@ -97,7 +98,7 @@
     for regions in ({near.region}, homes or ()):
         if found := _of(leaving, regions):
             return found, Reason.LEAVING
-    if patient and homes is not None and _returning(known, proxies, {near.region, *homes}):
+    if patient and _worth_waiting(known, proxies, near.region, homes):
         return [], Reason.RETURNING
     anywhere = ready or leaving or open_
     return (anywhere, Reason.NONE_ACCEPTS) if anywhere else ([], Reason.NOBODY)
@@ -118,8 +119,13 @@
     return any(one.record.state == FAILED and one.ago < FAILED_S for one in here)
 
 
-def _returning(known: Known, proxies: Iterable[Record], regions: set[str]) -> bool:
-    """Whether a proxy of these regions is being restarted: it has left just now, or runs and does not accept yet."""
+def _worth_waiting(known: Known, proxies: Iterable[Record], region: str, homes: frozenset[str] | None) -> bool:
+    """Whether one that may serve is on its way back: it has left just now, or runs and does not accept yet.
+
+    Without homes other regions are as good, but for a moment: of those that close at once one takes back its word.
+    """
+    silent = [record for record in proxies if not accepts(record) and not known.doubts(record)]
+    if homes is None:
+        return any(record.state == LEAVING for record in _of(silent, {region}))
     left = [one.record for one in known.gone if one.returns()]
-    starting = [record for record in proxies if not accepts(record) and not known.doubts(record)]
-    return bool(_of([*left, *starting], regions))
+    return bool(_of([*left, *silent], {region, *homes}))
--- a/mallowvalve/directory/look_up.py
+++ b/mallowvalve/directory/look_up.py
@@ -12,6 +12,9 @@
 LIFE_S, SHORT_LIFE_S = 2.0, 1.0
 """How long a client may go by an answer, and by one whose reason soon passes (s)."""
 
+WAIT_WITHOUT_HOMES_S = 0.3
+"""For how long nobody is named to clients for whom another region is as good (s); with homes it is a restart's time."""
+
 MOST_WAITS = 1024
 """Places and homes for which it is remembered since when they are refused."""
 
@@ -62,11 +65,12 @@
             self.members.check(choice.named[0])
 
     def _has_waited(self, wait: Wait) -> bool:
-        """Whether these clients have been refused for as long as a restart may take."""
+        """Whether these clients have been refused for as long as it is worth to them."""
         now = self.now()
+        patience = WAIT_WITHOUT_HOMES_S if wait[1] is None else RETURN_S
         if wait not in self._waits and len(self._waits) >= MOST_WAITS:
             self._waits.clear()
-        return now - self._waits.setdefault(wait, now) >= RETURN_S
+        return now - self._waits.setdefault(wait, now) >= patience
 
 
 def life(choice: Choice) -> float:
--- a/mallowvalve/membership/check.py
+++ b/mallowvalve/membership/check.py
@@ -11,9 +11,11 @@
 """The shortest pause between two pings of one member."""
 
 DOUBT_S = 0.8
-"""A member is doubted when a ping so old is the first of `DOUBT_PINGS` that were not answered."""
+"""A member is doubted when a ping so old is the first of `DOUBT_PINGS` that were not answered (s)."""
+
+DOUBT_PINGS = 4
+"""The last of them may be under way still: the three before had at least `CHECK_EVERY_S` for their acks."""
 
-DOUBT_PINGS = 3
 IDLE_S = 5.0
 """A member that nobody asked about for so long is no longer checked."""
 
--- a/mallowvalve/membership/detector.py
+++ b/mallowvalve/membership/detector.py
@@ -44,6 +44,9 @@
 YOUNG = 10.0
 """Seconds for which a new member asks its seeds, at most."""
 
+SETTLED_S = 3.0
+"""Seconds after which a new member counts as knowing the others: each of them has pinged somebody meanwhile."""
+
 HEAL = 1.0
 """Seconds between two rounds of telling those held as failed that they are."""
 
@@ -87,7 +90,6 @@
         "_join_at",
         "_joined",
         "_agrees",
-        "_settled",
         "_healed",
         "_checks",
     )
@@ -118,7 +120,6 @@
         self._join_at: float | None = None
         self._joined = False
         self._agrees = False
-        self._settled = False
         self._healed = float("-inf")
         self._checks = Checks()
 
@@ -160,7 +161,6 @@
                 self._probe(message)
             case Sum():
                 self._agrees = self._compare(head.sender, message.total)
-                self._settled = self._settled or self._agrees
                 if self._agrees and message.ask:
                     self._send(head.sender, Sum(self._head(), message.total, False))
             case Sums():
@@ -188,9 +188,9 @@
         """This member, which leaves, takes new work still, or no more."""
         return [] if self.me.ready == accepts else self._renew(ready=accepts)
 
-    def settled(self) -> bool:
-        """Whether this member has once agreed with a peer on the whole view, or its time to join is over."""
-        return self._settled
+    def settled(self, now: float) -> bool:
+        """Whether this member has had time to meet the others; until then it may know only some that are new too."""
+        return self._start is not None and now >= self._born + SETTLED_S
 
     def gone(self, role: str, now: float) -> list[Gone]:
         """Members of a role that failed or left and are not forgotten."""
@@ -280,7 +280,6 @@
         lone = self._lone()
         if now > self._born + YOUNG or self._agrees and not lone or not self.seeds and not self._view.live:
             self._join_at = None
-            self._settled = True
             return
         self._join_at = now + JOIN
         for seed in self.rng.sample(lone, min(len(lone), SEEDS_ONCE_JOINED if self._joined else SEEDS_AT_ONCE)):
--- a/mallowvalve/membership/members.py
+++ b/mallowvalve/membership/members.py
@@ -34,7 +34,7 @@
         """Those of a role that failed or left and are not forgotten."""
 
     def settled(self) -> bool:
-        """Whether this member has once known what a peer knew, or has had time to; before, it may know a few only."""
+        """Whether this member has had time to meet the others; until then it may know a few only."""
 
     def check(self, member: Record) -> None:
         """Ping a member beside the periods, a few times a second at most however often this is called."""
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -63,8 +63,8 @@
         return self.membership.gone(role, clock.now())
 
     def settled(self) -> bool:
-        """Whether this member has once known what a peer knew, or has had time to."""
-        return self.membership.settled()
+        """Whether this member has had time to meet the others; until then it may know a few only."""
+        return self.membership.settled(clock.now())
 
     def check(self, member: Record) -> None:
         """Ping a member beside the periods, a few times a second at most however often this is called."""
