--- a/mallowvalve/admin/main.py
+++ b/mallowvalve/admin/main.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import click
 from result import Err
@@ -157,10 +157,11 @@
 @admin.command()
 @click.argument("region")
 @click.option("--zone", default="", help="a zone of the region")
+@click.option("--host", default="", help="a host, whose homes count")
 @click.pass_context
-def named(ctx: click.Context, region: str, zone: str) -> None:
+def named(ctx: click.Context, region: str, zone: str, host: str) -> None:
     """Which proxies the asked process would name to a client of REGION now, and why these."""
-    show(ask(ctx, "GET", f"/-/named?region={quote(region, safe='')}&zone={quote(zone, safe='')}"))
+    show(ask(ctx, "GET", "/-/named?" + urlencode({"region": region, "zone": zone, "name": host})))
 
 
 @admin.command()
--- a/mallowvalve/directory/pages.py
+++ b/mallowvalve/directory/pages.py
@@ -91,7 +91,7 @@
             return not emptied(record.locality, evacuated)
 
         choice = self.pages.directory.look_up(near.ok_value, homes, avoid, usable)
-        marks = self.pages.give(resp, near.ok_value.region, choice)
+        marks = self.pages.give(resp, near.ok_value.region, homes, choice)
         if marks is None:
             return
         rows = [self._row(record) for record in self._in_order(req, near.ok_value, choice, avoid)]
@@ -128,8 +128,9 @@
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Addresses of proxies for a host `name` and a `zone`, of a `region` or of the settings' region for it."""
         near = place(req, self.pages.node)
-        choice = self.pages.directory.look_up(near, self.pages.homes(req.get_param("name") or ""))
-        marks = self.pages.give(resp, near.region, choice)
+        homes = self.pages.homes(req.get_param("name") or "")
+        choice = self.pages.directory.look_up(near, homes)
+        marks = self.pages.give(resp, near.region, homes, choice)
         if marks is not None:
             web.say(resp, {"proxies": [str(r.web) for r in choice.named], "life_s": life(choice), **marks})
 
@@ -163,13 +164,15 @@
         items = self.items()
         return answer.UNKNOWN_HOMES if items is None else items.homes(host)
 
-    def give(self, resp: falcon.Response, region: str, choice: Choice) -> dict[str, int | bool] | None:
+    def give(
+        self, resp: falcon.Response, region: str, homes: frozenset[str] | None, choice: Choice
+    ) -> dict[str, int | bool] | None:
         """What marks an answer, or None once it was refused."""
         marks = self.contact.marks(resp)
         if marks is None:
             return None
         self.directory.watch(choice)
-        self.answers.gave(region, choice, self.node.membership.alive(ROLE))
+        self.answers.gave(region, homes, choice, self.node.membership.alive(ROLE))
         if not choice.named:
             web.reject(resp, 503, web.NOT_RUN, [Finding("proxies", REFUSALS[choice.reason])], NOBODY_S)
             return None
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,7 +10,7 @@
 from mallowvalve.directory import pages
 from mallowvalve.directory.answer import FAILED_S, UNKNOWN_HOMES, Known, Reason, choose
 from mallowvalve.directory.look_up import LIFE_S, SHORT_LIFE_S, WAIT_WITHOUT_HOMES_S, Directory
-from mallowvalve.directory.sight import MOST_REGIONS, Answers
+from mallowvalve.directory.sight import MOST_PLACES, Answers
 from mallowvalve.membership.detector import Membership
 from mallowvalve.membership.members import RETURN_S, Gone
 from mallowvalve.membership.wire import ALIVE, FAILED, LEAVING, LEFT, Record
@@ -273,12 +273,13 @@
     answers = Answers(web.Counts(), lambda what, **fields: events.append((what, fields)))
     two, one, none = [at(1, A), at(2, A), at(3, C)], [at(1, A, LEAVING), at(2, A), at(3, C)], [at(3, C)]
     for rows in (two, two, one, one, none, two):
-        answers.gave("eu", choose(Known(rows), A), rows)
+        answers.gave("eu", None, choose(Known(rows), A), rows)
     assert [what for what, _ in events] == ["directory_answers"] * 3
     assert [fields["reason"] for _, fields in events] == ["lone", "none_accepts", "own_region"]
     assert events[1][1]["named_regions"] == ["us"]
     assert events[0][1] | {"reason": ""} == {
         "region": "eu",
+        "homes": [],
         "reason": "",
         "named_regions": ["eu"],
         "ready": 1,
@@ -286,11 +287,20 @@
     }
 
 
+def test_hosts_that_are_answered_differently_write_no_event_each_time():
+    events = []
+    answers = Answers(web.Counts(), lambda what, **fields: events.append((fields["homes"], fields["reason"])))
+    rows = [at(1, A, LEAVING), at(3, C)]
+    for homes in (None, HOME_US) * 5:
+        answers.gave("eu", homes, choose(Known(rows), A, homes), rows)
+    assert events == [([], "leaving"), (["us"], "home_region")]
+
+
 def test_regions_that_clients_make_up_do_not_fill_the_counters():
     answers = Answers(web.Counts(), lambda what, **fields: None)
-    for n in range(2 * MOST_REGIONS):
-        answers.gave(f"r{n}", choose(Known([]), Locality(f"r{n}", "")), [])
-    assert len(answers.by_region()) == MOST_REGIONS + 1
+    for n in range(2 * MOST_PLACES):
+        answers.gave(f"r{n}", None, choose(Known([]), Locality(f"r{n}", "")), [])
+    assert len(answers.by_region()) == MOST_PLACES + 1
 
 
 def test_operators_see_who_is_named_now(directory):
