--- a/mallowvalve/directory/sight.py
+++ b/mallowvalve/directory/sight.py
@@ -21,8 +21,8 @@
 class Answers:
     """Counts the answers given here and notes each change of how clients of a region with the same homes are answered.
 
-    The event `directory_answers` says the region, the homes, the reason, the regions that are named, and how many of the
-    region's proxies are ready or leaving.
+    The event `directory_answers` says the region, the homes, the reason, the regions that are named, and how many of
+    the region's proxies are ready or leaving.
     """
 
     __slots__ = ("_counts", "_by_region", "_last", "_note")
--- /dev/null
+++ b/tests/directory_records.py
@@ -0,0 +1,32 @@
+"""Records of proxies at three places, as the tests of the directory take them."""
+
+from mallowvalve.directory.answer import UNKNOWN_HOMES, Known, choose
+from mallowvalve.membership.members import Gone
+from mallowvalve.membership.wire import ALIVE, Record
+from mallowvalve.types import Address, Locality
+
+A, B, C = Locality("eu", "eu-a"), Locality("eu", "eu-b"), Locality("us", "us-a")
+
+
+def at(n, loc, state=ALIVE, ready=True, role="proxy"):
+    return Record(Address(f"10.0.0.{n}", 1), 1, 0, state, role, f"n{n}", loc, Address(f"10.0.0.{n}", 80), ready)
+
+
+def proxies(rows, near, homes=None, **known):
+    return [record.web for record in choose(Known(rows, **known), near, homes).named]
+
+
+def reason(rows, near, homes=None, **known):
+    return choose(Known(rows, **known), near, homes).reason
+
+
+def gone(record, ago=1.0):
+    return Gone(record, ago)
+
+
+def numbers(found):
+    return [int(a.host.rpartition(".")[2]) for a in found]
+
+
+HOME_US, HOME_BOTH = frozenset({"us"}), frozenset({"eu", "us"})
+EVERY_HOMES = (None, UNKNOWN_HOMES, HOME_US, HOME_BOTH)
