--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -13,7 +13,15 @@
 from mallowvalve import __version__, metrics, settings
 from mallowvalve.finding import Finding, Findings
 
-TOOLS = ("planner", "standins", "localfleet", "admin")
+TOOLS = {
+    "planner": "mallowvalve.planner.main",
+    "standins": "mallowvalve.standins.main",
+    "localfleet": "mallowvalve.localfleet.main",
+    "soak": "mallowvalve.localfleet.soak_main",
+    "admin": "mallowvalve.admin.main",
+}
+"""The module of each tool's command."""
+
 BAD_SETTINGS = 2
 """The exit code where settings have findings or the process cannot start."""
 
@@ -35,7 +43,7 @@
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         """The daemon or tool of that name, loaded if it was not yet."""
         if name in TOOLS and name not in self.commands:
-            self.add_command(getattr(import_module(f"mallowvalve.{name}.main"), name))
+            self.add_command(getattr(import_module(TOOLS[name]), name))
         return super().get_command(ctx, name)
 
 
--- a/mallowvalve/directory/look_up.py
+++ b/mallowvalve/directory/look_up.py
@@ -15,6 +15,9 @@
 WAIT_WITHOUT_HOMES_S = 0.3
 """For how long nobody is named to clients for whom another region is as good (s); with homes it is a restart's time."""
 
+AVOIDED_S = 10.0
+"""For how long a client may name a proxy that refused it; one that started later than that may be meant no more (s)."""
+
 MOST_WAITS = 1024
 """Places and homes for which it is remembered since when they are refused."""
 
@@ -42,13 +45,14 @@
     ) -> Choice:
         """Who is named to a client at this place, for a host or tenant with these homes; nobody is a refusal.
 
-        `avoid` are proxies that refused the client, by their web address; they are doubted as silent ones are. A
-        process that has just started refuses what would lead a client away, as it may not know who else is there.
+        `avoid` are proxies that refused the client, by their web address; they are doubted as silent ones are, but
+        for those that have started since: it was an earlier life that refused. A process that has just started refuses
+        what would lead a client away, as it may not know who else is there.
         """
         known = Known(
             [record for record in self.members.alive(ROLE) if usable(record)],
             self.members.gone(ROLE),
-            lambda record: record.web in avoid or self.members.doubts(record),
+            lambda record: self._refused(record, avoid) or self.members.doubts(record),
         )
         choice = choose(known, near, homes)
         if choice.reason is Reason.RETURNING and self._has_waited((near.region, homes)):
@@ -64,6 +68,9 @@
         if len(choice.named) == 1:
             self.members.check(choice.named[0])
 
+    def _refused(self, record: Record, avoid: Collection[Address]) -> bool:
+        return record.web in avoid and self.members.known_for(record) >= AVOIDED_S
+
     def _has_waited(self, wait: Wait) -> bool:
         """Whether these clients have been refused for as long as it is worth to them."""
         now = self.now()
--- a/mallowvalve/localfleet/fleet.py
+++ b/mallowvalve/localfleet/fleet.py
@@ -155,7 +155,12 @@
         return p
 
     def start_clients(
-        self, name: str = "clients", seed: int = 1, rate: float | None = None, relentless: bool = False
+        self,
+        name: str = "clients",
+        seed: int = 1,
+        rate: float | None = None,
+        relentless: bool = False,
+        clinging: bool = False,
     ) -> Proc:
         """Start stand-in clients, `rate` requests a second or the shape's own."""
         s = self.shape
@@ -174,6 +179,7 @@
             str(seed),
         ]
         args += ["--relentless"] if relentless else []
+        args += ["--clinging"] if clinging else []
         args += [x for p in self.of("directory") for x in ("--directory", f"{HOST}:{p.web}")]
         args += [x for loc in sorted({n.locality for n in s.nodes}) for x in ("--locality", loc)]
         self.procs[name] = Proc(name, "clients", args, 0, 0, "", self.folder / f"{name}.log")
--- a/mallowvalve/membership/detector.py
+++ b/mallowvalve/membership/detector.py
@@ -197,6 +197,10 @@
         known = [(self.view[address], now - since) for address, since in self._seen.items()]
         return [Gone(record, ago) for record, ago in known if record.role == role]
 
+    def known_for(self, member: Record, now: float) -> float:
+        """For how long (s) the present life of a member has been known here."""
+        return now - self._met.get(member.addr, now)
+
     def check(self, member: Record, now: float) -> Out:
         """Ping a member beside the periods, if none went to it just now."""
         if self._view.lives(member.addr) and self._checks.due(member, now):
--- a/mallowvalve/membership/members.py
+++ b/mallowvalve/membership/members.py
@@ -36,6 +36,9 @@
     def settled(self) -> bool:
         """Whether this member has had time to meet the others; until then it may know a few only."""
 
+    def known_for(self, member: Record) -> float:
+        """For how long (s) the present life of a member has been known here."""
+
     def check(self, member: Record) -> None:
         """Ping a member beside the periods, a few times a second at most however often this is called."""
 
--- a/mallowvalve/membership/share.py
+++ b/mallowvalve/membership/share.py
@@ -85,6 +85,7 @@
         "_view",
         "_digest",
         "_seen",
+        "_met",
         "_out",
         "_untold",
         "_flush_at",
@@ -104,6 +105,7 @@
         self._digest = Digest()
         self._digest.put(me)
         self._seen: dict[Address, float] = {}
+        self._met: dict[Address, float] = {}
         self._out: Out = []
         self._untold: list[Address] = []
         self._flush_at: float | None = None
@@ -126,12 +128,15 @@
         self._digest.put(self.me)
 
     def _accept(self, record: Record, now: float, why: str) -> bool:
-        """Take in a record if it ranks above the one held; `_seen` says since when one is failed or has left."""
+        """Take in a record if it ranks above the one held; `_seen` says since when one is failed or has left,
+        `_met` since when its present life is known."""
         old = self.view.get(record.addr)
         if old is not None and record.rank <= old.rank:
             return False
         self._view.put(record)
         self._digest.put(record)
+        if old is None or old.boot != record.boot:
+            self._met[record.addr] = now
         if record.state <= LEAVING:
             self._seen.pop(record.addr, None)
         elif old is None or old.state <= LEAVING or old.boot != record.boot:
@@ -146,6 +151,7 @@
         self._view.drop(address)
         self._digest.drop(address)
         self._seen.pop(address, None)
+        self._met.pop(address, None)
         self.why.pop(address, None)
 
     def _introduce(self, address: Address, now: float) -> None:
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -66,6 +66,10 @@
         """Whether this member has had time to meet the others; until then it may know a few only."""
         return self.membership.settled(clock.now())
 
+    def known_for(self, member: Record) -> float:
+        """For how long (s) the present life of a member has been known here."""
+        return self.membership.known_for(member, clock.now())
+
     def check(self, member: Record) -> None:
         """Ping a member beside the periods, a few times a second at most however often this is called."""
         self._do(self.membership.check(member, clock.now()))
--- a/mallowvalve/standins/client.py
+++ b/mallowvalve/standins/client.py
@@ -31,6 +31,9 @@
 NEAREST = 3
 """Proxies of a directory's answer among which a client chooses."""
 
+CLINGS = 3
+"""How many times the life of an answer a clinging client goes by it."""
+
 ASK_AGAIN = 0.3
 """Seconds until directories are asked again, if none answered."""
 
@@ -55,12 +58,18 @@
 
 
 class Told(msgspec.Struct):
-    """What came of one try; status 0 is no answer, `after` how long to wait (s)."""
+    """What came of one try; status 0 is no answer, `after` how long to wait (s).
+
+    `began` and `ended` are of the wall clock (s), `by` the proxy that was asked, if any.
+    """
 
     status: int
     outcome: str | None
     body: bytes
     after: float
+    began: float = 0.0
+    ended: float = 0.0
+    by: str = ""
 
 
 class Request(msgspec.Struct):
@@ -85,8 +94,12 @@
         journal: IO[str],
         seed: int,
         relentless: bool = False,
+        clinging: bool = False,
     ) -> None:
-        """Write a line of JSON for each request to `journal`; a relentless one tries at once, unmarked, without end."""
+        """Write a line of JSON for each request to `journal`; a relentless one tries at once, unmarked, without end.
+
+        A clinging one goes by what directories said for three times its life, and uses its connection while it stands.
+        """
         self.name = name
         self.directories = directories
         self.locality = locality
@@ -95,6 +108,7 @@
         self.journal = journal
         self.rng = random.Random(f"{seed}/{name}")
         self.relentless = relentless
+        self.clinging = clinging
         self.proxies: list[Address] = []
         self.until = 0.0
         self.refused: dict[Address, float] = {}
@@ -118,7 +132,9 @@
         start = time.time()
         tries: list[Told] = []
         while len(tries) < (RELENTLESS_TRIES if self.relentless else TRIES) and time.time() < start + LIMIT:
+            began = time.time()
             told = self.try_once(request, len(tries))
+            told.began, told.ended = began, time.time()
             tries.append(told)
             if self._is_final(request, told):
                 break
@@ -142,7 +158,8 @@
             "id": request.id,
             "path": request.path,
             "once": request.share.once,
-            "tries": [[told.status, told.outcome] for told in tries],
+            "from": self.locality,
+            "tries": [[told.status, told.outcome, told.began, told.ended, told.by] for told in tries],
             "whole": last.status == OK and self.is_own(last.body, request),
             "ok": last.status == OK,
         }
@@ -166,7 +183,9 @@
             answer = self.connection.request(request.share.method, request.path, body=body, headers=headers)
             data = bytes(answer.read())
             told = Told(answer.status_code, answer.get("mallow-outcome"), data, float(answer.get("retry-after") or 0))
-            if (answer.get("connection") or "").lower() == "close" or told.status == UNAVAILABLE:
+            told.by = str(self.at)
+            says_close = (answer.get("connection") or "").lower() == "close"
+            if not self.clinging and (says_close or told.status == UNAVAILABLE):
                 self.drop(told.status == UNAVAILABLE)
             return told
         except Exception as e:
@@ -174,7 +193,7 @@
             if isinstance(e, OSError) and self.at is not None:
                 self.refused[self.at] = time.monotonic()
             self.proxies = [proxy for proxy in self.proxies if proxy != self.at]
-            return Told(NO_ANSWER, type(e).__name__, b"", 0.05)
+            return Told(NO_ANSWER, type(e).__name__, b"", 0.05, by=str(self.at))
 
     def _headers(self, request: Request, tries: int) -> dict[str, str]:
         headers = {"Mallow-Tenant": request.share.tenant, "Play-Id": request.id, "Mallow-Limit": str(LIMIT_MS)}
@@ -225,7 +244,7 @@
                 said = json.loads(bytes(answer.read()))
                 if answer.status_code == OK:
                     self.proxies = [Address.read(proxy["web"]).unwrap() for proxy in said["proxies"]]
-                    self.until = now + said["life_ms"] / 1000
+                    self.until = now + said["life_ms"] / 1000 * (CLINGS if self.clinging else 1)
                     return
             except Exception:
                 continue
@@ -244,6 +263,7 @@
     seed: int,
     seconds: float,
     relentless: bool = False,
+    clinging: bool = False,
 ) -> None:
     """Run clients for some seconds or until a signal, `rate` requests a second all together."""
     stop = Event()
@@ -253,7 +273,7 @@
         group = Group()
         for i in range(clients):
             locality = localities[i % len(localities)]
-            one = Client(f"c{i}", directories, locality, shares, rate / clients, out, seed, relentless)
+            one = Client(f"c{i}", directories, locality, shares, rate / clients, out, seed, relentless, clinging)
             group.spawn(one.run, stop)
         stop.wait(timeout=seconds)
         stop.set()
--- a/mallowvalve/standins/main.py
+++ b/mallowvalve/standins/main.py
@@ -55,6 +55,7 @@
 @click.option("--seed", default=1)
 @click.option("--seconds", default=1e9)
 @click.option("--relentless", is_flag=True, help="retry at once, again and again, without marking it")
+@click.option("--clinging", is_flag=True, help="hold answers of directories thrice, and connections while they stand")
 def clients_command(
     directory: list[Address],
     locality: tuple[str, ...],
@@ -65,6 +66,7 @@
     seed: int,
     seconds: float,
     relentless: bool,
+    clinging: bool,
 ) -> None:
     """Clients that ask a directory, keep connections open and retry within a limit."""
     try:
@@ -72,4 +74,4 @@
     except msgspec.DecodeError as e:
         click.echo(f"shares: {e}", err=True)
         sys.exit(2)
-    client.serve(directory, list(locality), rows, clients, rate, journal, seed, seconds, relentless)
+    client.serve(directory, list(locality), rows, clients, rate, journal, seed, seconds, relentless, clinging)
--- a/sim/directory_fleet.py
+++ b/sim/directory_fleet.py
@@ -80,6 +80,9 @@
     def settled(self) -> bool:
         return self.membership.settled(self.member.now)
 
+    def known_for(self, member: Record) -> float:
+        return self.membership.known_for(member, self.member.now)
+
     def check(self, member: Record) -> None:
         self.member.emit(self.membership.check(member, self.member.now))
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -76,3 +76,16 @@
     a.receive(acks[0], 2.0)
     assert not a.doubts(b.me, 2.0)
     assert a.check(member(9).me, 3.0) == []
+
+
+def test_a_member_is_known_since_its_present_life_was_met():
+    a, b = member(1), member(2)
+    meet(a, b, 5.0)
+    assert a.known_for(b.me, 8.0) == 3.0
+    for message in (m for to, m in b.ready(True) if to == a.me.addr):
+        a.receive(message, 9.0)
+    assert a.view[b.me.addr].ready and a.known_for(b.me, 10.0) == 5.0
+    again = member(2, boot=2)
+    again._raise(7)
+    meet(a, again, 20.0)
+    assert a.known_for(again.me, 21.0) == 1.0
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,7 +9,7 @@
 from mallowvalve.control import lease
 from mallowvalve.directory import pages
 from mallowvalve.directory.answer import Known, Reason, choose
-from mallowvalve.directory.look_up import LIFE_S, SHORT_LIFE_S, WAIT_WITHOUT_HOMES_S, Directory
+from mallowvalve.directory.look_up import AVOIDED_S, LIFE_S, SHORT_LIFE_S, WAIT_WITHOUT_HOMES_S, Directory
 from mallowvalve.directory.sight import MOST_PLACES, Answers
 from mallowvalve.membership.detector import Membership
 from mallowvalve.membership.members import RETURN_S
@@ -29,6 +29,7 @@
         self.rows, self.membership, self.counts = [], self, web.Counts()
         self.asked, self.gauges = clock.now(), {}
         self.tree, self.evacuated = EMPTY, {"us-a": 1}
+        self.ages = {}
         self.left, self.joined, self.checked, self.silent, self.items = [], True, [], set(), Items()
 
     def gauge(self, name, read):
@@ -43,6 +44,9 @@
     def settled(self):
         return self.joined
 
+    def known_for(self, member):
+        return self.ages.get(member.name, 60.0)
+
     def check(self, member):
         self.checked.append(member.name)
 
@@ -271,6 +275,15 @@
     assert names == ["n2"]
 
 
+def test_a_proxy_that_has_started_since_it_refused_the_client_is_named(directory):
+    n, c = directory
+    n.rows, n.ages = [at(1, A), at(2, Locality("ap", "ap-a"))], {"n1": AVOIDED_S - 0.1}
+    asked = "/connect?locality=eu/eu-a&avoid=10.0.0.1:80"
+    assert [p["name"] for p in c.simulate_get(asked).json["proxies"]] == ["n1"]
+    n.ages["n1"] = AVOIDED_S
+    assert [p["name"] for p in c.simulate_get(asked).json["proxies"]] == ["n2"]
+
+
 def test_a_tenant_that_is_pinned_to_regions_is_led_to_no_other(directory, monkeypatch):
     n, c = directory
     n.evacuated = {}
