--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -81,7 +81,8 @@
     at = [Address("10.0.0.1", port) for port in range(1, 91)]
     members = {a: Membership(record(a), "f", [], random.Random(i), 2.0, 30, 0.5) for i, a in enumerate(at)}
     for one in members.values():
-        one.receive(Tell(head(at[0]), [record(a) for a in at if a != one.me.addr]), 0.0)
+        sender = at[1] if one.me.addr == at[0] else at[0]
+        one.receive(Tell(head(sender), [record(a) for a in at if a != one.me.addr]), 0.0)
     queue = members[at[0]].leave(final=False)
     while queue:
         to, message = queue.pop()
