A soak knows stalls of its machine, and proxies that say they are unready

Ruled out: clients' avoid. Conclusion: the run now measures its own delays and says how many; logs of readiness count as disturbance.

--- a/mallowvalve/localfleet/soak.py
+++ b/mallowvalve/localfleet/soak.py
@@ -34,6 +34,9 @@
 """What a stop may take beyond its grace before it counts as not ending: the machine is busy."""
 
 READY_S = 20.0
+LOOK_S, STALL_S = 0.1, 0.5
+"""How often the machine is watched, and from what delay on it counts as having stalled (s)."""
+
 REST_S = 6.0
 """Seconds without clients before descriptors are counted again."""
 
@@ -81,16 +84,27 @@
         numbers = figures(asked, ran) | {
             "acts": len(self.schedule.acts),
             "stops": sum(event.what is What.ENDED for event in self.events),
+            "stalls": sum(event.what is What.STALL for event in self.events),
             "changes": len(operators.acked),
             "coordination_calls": users.calls,
             "peak_mb": self.peak_bytes >> 20,
         }
         return found, numbers
 
+    def _watch_machine(self, until_: float) -> None:
+        """Note when this machine gave this thread no turn for long: then it gave none to the fleet either."""
+        while (now := time.time()) < until_:
+            time.sleep(LOOK_S)
+            late = time.time() - now - LOOK_S
+            if late > STALL_S:
+                self._note(What.STALL, "machine", late)
+
     def _play(self, begun: float) -> None:
         acts = list(self.schedule.acts)
         threads: list[Thread] = []
         end = begun + self.schedule.seconds
+        threads.append(Thread(target=self._watch_machine, args=(end,)))
+        threads[0].start()
         while time.time() < end:
             while acts and time.time() >= begun + acts[0].at:
                 threads.append(Thread(target=self._do, args=(acts.pop(0),)))
--- a/mallowvalve/localfleet/soak_judge.py
+++ b/mallowvalve/localfleet/soak_judge.py
@@ -6,6 +6,7 @@
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -36,6 +37,8 @@
     FAILED = "failed"
     OVERDUE = "overdue"
     TROUBLE = "trouble"
+    STALL = "stall"
+    UNREADY = "unready"
     READY = "ready"
     NOT_READY = "not ready"
     EVACUATED = "evacuated"
@@ -59,7 +62,10 @@
 
 
 class Spans:
-    """When each process was disturbed, from being told, killed or frozen until it was ready again; zones alike."""
+    """When each process was disturbed: told, killed, frozen or unready, until it was ready again; zones alike.
+
+    A stall of the whole machine is trouble, as a kill is: it stops every process, and the judge's own thread.
+    """
 
     def __init__(self, events: Iterable[Event]):
         """Read the events; a process that never became ready is disturbed to the end."""
@@ -67,9 +73,9 @@
         self.trouble: list[float] = []
         open_at: dict[str, float] = {}
         for event in sorted(events, key=lambda e: e.at):
-            if event.what in (What.TOLD, What.TROUBLE, What.EVACUATED):
+            if event.what in (What.TOLD, What.TROUBLE, What.EVACUATED, What.UNREADY):
                 open_at.setdefault(event.who, event.at)
-            if event.what is What.TROUBLE:
+            if event.what in (What.TROUBLE, What.STALL):
                 self.trouble.append(event.at)
             if event.what in (What.READY, What.GIVEN_BACK) and event.who in open_at:
                 self.by[event.who].append((open_at.pop(event.who), event.at))
@@ -93,7 +99,7 @@
 
 def judge_soak(fleet: Fleet, events: list[Event], asked: list[dict], ran: list[dict], levels: Levels) -> list[str]:
     """All that must hold of a soak beside what holds of any trial."""
-    spans = Spans(events)
+    spans = Spans([*events, *unready(Path(fleet.folder), [p.name for p in fleet.of("proxy")])])
     proxies = {f"127.0.0.1:{p.web}": p for p in fleet.of("proxy")}
     return [
         *ends(events),
@@ -104,6 +110,20 @@
     ]
 
 
+def unready(folder: Path, names: Iterable[str]) -> list[Event]:
+    """When processes said that they take no work, and when they did again, by their own logs."""
+    kinds = {"unready": What.UNREADY, "ready": What.READY}
+    out = []
+    for name in names:
+        path = folder / name / "log"
+        for line in path.read_bytes().splitlines() if path.exists() else []:
+            with suppress(msgspec.DecodeError):
+                row = msgspec.json.decode(line)
+                if row.get("message_type") in kinds:
+                    out.append(Event(row["timestamp"], kinds[row["message_type"]], name))
+    return out
+
+
 def homes(fleet: Fleet) -> dict[str, set[str]]:
     """The homes of each tenant that has any, by the shape's configuration."""
     tenants = [one for cell in fleet.shape.config["cells"].values() for one in cell["tenants"].items()]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -120,6 +120,21 @@
     assert len(found(tenant="steward")) == 1
 
 
+def test_a_stall_of_the_machine_is_trouble_and_an_unready_proxy_is_not_steady(fleet):
+    proxies = {f"127.0.0.1:{p.web}": p for p in fleet.of("proxy")}
+    (eu, _), (eu_b, _), (_, us) = proxy(fleet, 0), proxy(fleet, 1), proxy(fleet, 2)
+    for events in (
+        [(96.0, What.STALL, "machine")],
+        [(95.0, What.UNREADY, eu.name), (97.0, What.UNREADY, eu_b.name)],
+    ):
+        assert soak_judge.led_elsewhere(spans(*events), proxies, {}, [row(us)]) == []
+    (fleet.folder / eu.name / "log").write_text(
+        'noise\n{"message_type":"unready","timestamp":90.0}\n{"message_type":"ready","timestamp":99.0}\n'
+    )
+    found = soak_judge.unready(fleet.folder, [eu.name, "nobody"])
+    assert found == [Event(90.0, What.UNREADY, eu.name), Event(99.0, What.READY, eu.name)]
+
+
 def test_a_stop_that_does_not_end_or_ends_badly_is_found():
     events = [Event(1.0, What.ENDED, "a", 2.0), Event(1.0, What.READY, "a")]
     assert soak_judge.ends(events) == []
