--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses: the platform, the operator, servers and clients as stand-ins.
 
 Only the standard library is used. The project's programs are started by the commands of deploy/system.toml, with
-settings of the platform's form filled into its templates. The stand-ins speak the project's own names (deploy/wire.toml).
+settings of the platform's form filled into its templates. The stand-ins speak the names of deploy/wire.toml.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 import tomllib
 from pathlib import Path
 
+OK, MOVED, WORDS = 200, 307, 3
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
 
@@ -65,9 +66,11 @@
     """What was sent, answered and run, line by line, with the seconds since the start."""
 
     def __init__(self, path: Path):
+        """Write to this file."""
         self.file, self.began, self.lock = path.open("w"), time.monotonic(), threading.Lock()
 
     def __call__(self, *words: object) -> None:
+        """Add a line."""
         with self.lock:
             self.file.write(f"{time.monotonic() - self.began:8.3f} {' '.join(map(str, words))}\n")
             self.file.flush()
@@ -77,6 +80,7 @@
     """One process of the fleet, started and ended as the platform does."""
 
     def __init__(self, fleet: Fleet, role: str, n: int, ip: str, zone: str):
+        """Not started yet; its folder is made."""
         self.fleet, self.role, self.ip, self.zone = fleet, role, ip, zone
         self.name = f"{'edge' if role == 'proxy' else 'core'}-{zone}-{n}"
         self.folder = fleet.folder / self.name
@@ -86,6 +90,7 @@
         self.starts = 0
 
     def settings(self) -> dict:
+        """What the platform tells it, under the project's names."""
         f, p = self.fleet, self.fleet.ports
         core = self.role == "control"
         bind = (
@@ -119,12 +124,14 @@
         }
 
     def lay_settings(self) -> Path:
+        """Fill the template of its role."""
         role = DEPLOY["roles"][self.role]
         path = self.folder / "local.toml"
         path.write_text(fill((ROOT / role["template"]).read_text(), self.settings()))
         return path
 
     def start(self) -> None:
+        """Start it with the command of the deploy file."""
         path = self.lay_settings()
         run = DEPLOY["roles"][self.role]["run"].replace("/etc/mallowvalve/local.json", str(path))
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
@@ -137,11 +144,13 @@
         self.fleet.record("platform starts", self.name, "pid", self.proc.pid)
 
     def signal(self, number: int) -> None:
+        """Send it a signal, if it runs."""
         if self.proc is not None and self.proc.poll() is None:
             self.fleet.record("platform sends", signal.Signals(number).name, "to", self.name)
             self.proc.send_signal(number)
 
     def rss_mb(self) -> float:
+        """The memory that it has resident, 0 if it doesn't run."""
         try:
             text = Path(f"/proc/{self.proc.pid}/status").read_text()
             return int(text.split("VmRSS:")[1].split()[0]) / 1024
@@ -149,6 +158,7 @@
             return 0.0
 
     def end(self) -> None:
+        """End it, by its own handle."""
         if self.proc is not None and self.proc.poll() is None:
             with contextlib.suppress(OSError):
                 self.proc.send_signal(signal.SIGCONT)
@@ -156,14 +166,16 @@
             self.proc.wait()
 
     def ready(self) -> bool:
+        """Whether it says so itself."""
         port = self.fleet.ports["readiness" if self.role == "proxy" else "control"]
-        return call(self.ip, port, "GET", "/-/ready", limit=1.0)[0] == 200
+        return call(self.ip, port, "GET", "/-/ready", limit=1.0)[0] == OK
 
 
 class Fleet:
     """The machines and the stand-ins of a run; a context manager that ends all of them."""
 
     def __init__(self, record: Record, cores: int = 3, edges: int = 2):
+        """Choose addresses and ports; nothing runs yet."""
         self.record = record
         self.temp = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self.temp.name)
@@ -179,11 +191,13 @@
         self.next_server = 60
 
     def __enter__(self) -> Fleet:
+        """Start all machines."""
         for m in [*self.core, *self.edge]:
             m.start()
         return self
 
     def __exit__(self, *_: object) -> None:
+        """End all that was started."""
         self.over.set()
         for m in [*self.core, *self.edge]:
             m.end()
@@ -193,6 +207,7 @@
             self.temp.cleanup()
 
     def until(self, what: str, test, limit: float) -> bool:
+        """Whether the test holds within so many seconds."""
         end = time.monotonic() + limit
         while time.monotonic() < end:
             if test():
@@ -210,7 +225,7 @@
             n += 1
             status, _, data = self.control(m, "PATCH", "/items", body)
             self.record("operator PATCH /items at", m.name, "->", status, data[:200])
-            if status == 200:
+            if status == OK:
                 return True
             if status in (400, 409, 413, 422):
                 return False
@@ -222,7 +237,7 @@
         ip, port = m.ip, self.ports["control"]
         for _ in range(3):
             status, headers, data = call(ip, port, method, path, body, limit=limit)
-            if status != 307:
+            if status != MOVED:
                 break
             at, _, path = headers["location"].removeprefix("http://").partition("/")
             path = "/" + path
@@ -231,6 +246,7 @@
         return status, headers, data
 
     def server(self, service: str, zone: str, **how) -> Server:
+        """Start a server of a service."""
         s = Server(self, service, zone, f"{self.net}.{self.next_server}", **how)
         self.next_server += 1
         self.servers.append(s)
@@ -241,12 +257,13 @@
         """Whether so many servers are known at each control node."""
         for m in self.core:
             status, _, data = call(m.ip, self.ports["control"], "GET", "/upstreams", limit=1.0)
-            if status != 200 or sum(u["state"] == "ready" for u in json.loads(data)["upstreams"]) < count:
+            if status != OK or sum(u["state"] == "ready" for u in json.loads(data)["upstreams"]) < count:
                 return False
         return True
 
 
 def free_ports(net: str) -> dict[str, int]:
+    """Ports that are free on the first machines, alike on all."""
     while True:
         base = random.randrange(20000, 30000)
         try:
@@ -273,7 +290,10 @@
         c.close()
 
 
-def route(name: str, prefix: str, service: str, kind: str = "try", limit_ms: int = 5000, version: int = 1, **more) -> dict:
+def route(
+    name: str, prefix: str, service: str, kind: str = "try", limit_ms: int = 5000, version: int = 1, **more
+) -> dict:
+    """A route as the operator sends it."""
     return {
         "name": name,
         "host": HOST,
@@ -291,6 +311,7 @@
 
 
 def backend(name: str, version: int = 1) -> dict:
+    """A service as the operator sends it."""
     return {
         "name": name,
         "status": "/health",
@@ -310,6 +331,7 @@
     """An upstream: it beats, runs each request for `work` s and answers with its id and its seal."""
 
     def __init__(self, fleet: Fleet, service: str, zone: str, ip: str, work: float = 0.1, slots: int = 4):
+        """Listen on a free port of this address."""
         self.fleet, self.service, self.zone, self.ip, self.work, self.slots = fleet, service, zone, ip, work, slots
         self.instance = f"i-{random.getrandbits(32):08x}"
         self.sock = socket.create_server((ip, 0), backlog=128)
@@ -319,15 +341,18 @@
         self.over = threading.Event()
 
     def begin(self) -> None:
+        """Beat and serve."""
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
     def close(self) -> None:
+        """Fall silent."""
         self.over.set()
         with contextlib.suppress(OSError):
             self.sock.close()
 
     def beat(self) -> int:
+        """One beat; the status of its answer."""
         self.beats += 1
         body = {
             "service": self.service,
@@ -345,7 +370,7 @@
     def _beat(self) -> None:
         while not self.over.is_set():
             status = self.beat()
-            self.over.wait(1.5 if status == 200 else 0.2)
+            self.over.wait(1.5 if status == OK else 0.2)
 
     def _accept(self) -> None:
         while not self.over.is_set():
@@ -360,7 +385,7 @@
         with contextlib.suppress(OSError, ValueError), s, s.makefile("rb") as f:
             while not self.over.is_set():
                 first = f.readline().decode("latin-1").split()
-                if len(first) != 3:
+                if len(first) != WORDS:
                     return
                 headers = {}
                 while (line := f.readline().strip()) != b"":
@@ -376,9 +401,11 @@
                 self.answer(s, first[0], first[1], headers, length)
 
     def answer(self, s: socket.socket, method: str, path: str, headers: dict, length: int) -> None:
+        """Run a request and answer it."""
         ask = headers.get("x-attempt-id", "")
         if headers.get("x-target-instance", self.instance) != self.instance:
-            return s.sendall(self.head(421, ask, 0, "X-Not-Executed: 1\r\n"))
+            s.sendall(self.head(421, ask, 0, "X-Not-Executed: 1\r\n"))
+            return
         self.fleet.record("server", self.instance, "runs", ask, method, path, length, "bytes")
         self.ran.append((time.monotonic(), ask, length))
         time.sleep(self.work)
@@ -386,10 +413,11 @@
         s.sendall(self.head(200, ask, len(body), f"X-Server-Seal: s.{self.instance}.{ask}\r\n") + body)
 
     def head(self, status: int, ask: str, length: int, more: str = "") -> bytes:
+        """The head of an answer."""
         return f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {ask}\r\n{more}Content-Length: {length}\r\n\r\n".encode()
 
 
-class Rule(Exception):
+class CannotRunError(Exception):
     """The run cannot say whether the rule holds."""
 
 
@@ -414,19 +442,19 @@
 
 
 def small_fleet(fleet: Fleet, routes: list[dict], services: list[str], **how) -> None:
-    """The operator's first call, a server of each service in each zone, and all ready; Rule where that fails."""
+    """The operator's first call, a server of each service in each zone, all ready; else CannotRunError."""
     fleet.until("core ready", lambda: all(m.ready() for m in fleet.core), 20)
     items = {
         "set": {"routes": routes, "services": [backend(s) for s in services], "limits": LIMITS},
         "drop": {"routes": []},
     }
     if not fleet.apply(items):
-        raise Rule("the first configuration was not taken")
+        raise CannotRunError("the first configuration was not taken")
     for service in services:
         for zone in ZONES:
             fleet.server(service, zone, **how)
     if not fleet.until("servers known", lambda: fleet.known(len(fleet.servers)), 20):
-        raise Rule("the servers are not known")
+        raise CannotRunError("the servers are not known")
     if not fleet.until("edge ready", lambda: all(m.ready() for m in fleet.edge), 20):
-        raise Rule("the edge is not ready")
+        raise CannotRunError("the edge is not ready")
     time.sleep(1.0)
