A stopping server answers the connections that wait in the kernel

Cause: `web.Server.drain` closed its listener without accepting what the kernel had already completed. The kernel resets such connections. A process that gets little processor time, or has no descriptors or no room in its pool, leaves many of them.

Change: before the close, new handshakes are dropped at the socket (a filter on SYN segments, where the system has socket filters), those that have begun get a round trip to complete, and everything that waits is accepted. A full server makes room by closing idle connections; what finds no room until the end is answered 503 and closed. Without descriptors the accept is tried again.

tests/test_planned_stop.py completes a handshake inside the close, which the filter makes impossible; it now plays that on a system without socket filters, with the same assertions.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from contextlib import suppress
 from http import HTTPStatus
 
 import gevent
@@ -30,6 +31,32 @@
 encode = msgspec.json.encode
 
 
+def error_response(status: HTTPStatus, outcome: str, text: str, retry_after_s: int | None = None) -> bytes:
+    """Returns a complete response with a finding on the request, after which the connection is to be closed."""
+    body = encode({"findings": [Finding("request", text)]})
+    retry_after = "" if retry_after_s is None else f"Retry-After: {retry_after_s}\r\n"
+    head = (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: application/json\r\n{OUTCOME}: {outcome}\r\n"
+        f"{retry_after}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def linger(sock: socket.socket) -> None:
+    """Ends the sending side and discards what still arrives: unread bytes would reset the connection at its close."""
+    sock.shutdown(socket.SHUT_WR)
+    with gevent.Timeout(LINGER_S, False):
+        while sock.recv(65536):
+            pass
+
+
+def refuse_connection(sock: socket.socket) -> None:
+    """Answers a connection whose request is not read, and closes it."""
+    with sock, suppress(OSError):
+        sock.sendall(error_response(HTTPStatus.SERVICE_UNAVAILABLE, UNDECIDED, "not read by a stopping process", 1))
+        linger(sock)
+
+
 class DiscardedInput:
     """Replaces the input of a request whose remaining body is not read."""
 
@@ -59,7 +86,7 @@
                 self.busy = False
             if result is not None:
                 self.linger = True
-                self.socket.sendall(result[1])
+                self.socket.sendall(result)
         except OSError:
             pass
         finally:
@@ -83,12 +110,12 @@
             self.busy = True
             data = self.rfile.read_head(max_head_bytes, head_timeout_s)
         except TimeoutError:
-            return self._error_response(408, "Request Timeout", NOT_RUN, "its head took too long")
+            return error_response(HTTPStatus.REQUEST_TIMEOUT, NOT_RUN, "its head took too long")
         except OSError:
             return None
         if data is None:
-            return self._error_response(
-                431, "Request Header Fields Too Large", NOT_RUN, f"a head of over {max_head_bytes} bytes"
+            return error_response(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, NOT_RUN, f"a head of over {max_head_bytes} bytes"
             )
         if not data:
             return None
@@ -96,7 +123,7 @@
             self.request = head = read_head(data)
         except ValueError:
             self.server.counts.add("web_bad_request")
-            return self._error_response(400, "Bad Request", UNDECIDED, "not understood as HTTP")
+            return error_response(HTTPStatus.BAD_REQUEST, UNDECIDED, "not understood as HTTP")
         self.headers, self.command, self.path, self.request_version = head, head.method, head.target, head.version
         self.requestline = head.method
         self.content_length, self.close_connection = head.length, head.close
@@ -176,20 +203,12 @@
             if "_" not in name and name not in ("content-type", "content-length"):
                 yield "HTTP_" + name.replace("-", "_").upper(), value
 
-    def _error_response(self, status: int, reason: str, outcome: str, text: str):
-        body = encode({"findings": [Finding("request", text)]})
-        head = f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{OUTCOME}: {outcome}\r\n"
-        return status, f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
-
     def _close(self) -> None:
         """Closes the connection; lingers after an error response, which a reset by unread bytes would discard."""
         sock, self.socket = self.socket, None
         try:
             if self.linger:
-                sock.shutdown(socket.SHUT_WR)
-                with gevent.Timeout(LINGER_S, False):
-                    while sock.recv(65536):
-                        pass
+                linger(sock)
         except OSError:
             pass
         sock.close()
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -10,13 +10,22 @@
 
 import gevent
 from gevent import socket
-from gevent.pool import Pool
+from gevent.pool import Group, Pool
 from gevent.pywsgi import WSGIServer
 
 from mallowvalve import clock, finding
 from mallowvalve.configuration.items import Limits
 from mallowvalve.finding import Finding, Findings, parse_json
-from mallowvalve.http_connection import NOT_RUN, OUTCOME, UNDECIDED, UNKNOWN, ConnectionHandler, encode
+from mallowvalve.handshake_filter import refuse_handshakes
+from mallowvalve.http_connection import (
+    NOT_RUN,
+    OUTCOME,
+    UNDECIDED,
+    UNKNOWN,
+    ConnectionHandler,
+    encode,
+    refuse_connection,
+)
 from mallowvalve.http_head import peek
 from mallowvalve.metrics import Counts, log_event
 from mallowvalve.types import Address
@@ -27,6 +36,12 @@
 DRAIN_POLL_S = 0.02
 ACCEPT_STOP_MARGIN_S = 0.3
 """A stopping server closes its listener this long before its end, even if no other process accepts connections."""
+HANDSHAKE_WAIT_S = 0.1
+"""A round trip in which TCP handshakes that have begun complete before the listener closes."""
+ACCEPT_END_MARGIN_S = 0.1
+"""A full server waits for room until this long before its end, and then refuses the connections that wait."""
+EXIT_S = 0.2
+"""How long a server that stops without a drain, or after one, waits for its handlers."""
 
 
 class Server(WSGIServer):
@@ -46,6 +61,7 @@
         self.draining = False
         self.minimal_environ = False
         self.stop_deadline: float | None = None
+        self._refusals = Group()
         self.limits: Callable[[], Limits | None] = lambda: None
 
     def __enter__(self) -> Server:
@@ -55,7 +71,8 @@
 
     def __exit__(self, *_) -> None:
         """Stops at once."""
-        self.stop(timeout=0.2)
+        self.stop(timeout=EXIT_S)
+        self._refusals.join(timeout=EXIT_S)
 
     def drain(
         self,
@@ -76,13 +93,56 @@
             gevent.sleep(max(0.0, began + accept_s - clock.now()))
         else:
             wait_to_close(began + accept_s, self.stop_deadline - ACCEPT_STOP_MARGIN_S)
-        self.close()
+        self._close_listener()
         while len(self.pool) and clock.now() < self.stop_deadline:
-            for handler in list(self.connections):
-                if not handler.busy:
-                    self._close_if_idle(handler)
+            self._close_idle()
             gevent.sleep(DRAIN_POLL_S)
 
+    def _close_listener(self) -> None:
+        """Accepts all connections that the kernel has completed, then closes the listener.
+
+        The close resets those that it finds, so no more may complete between the last accept and the close.
+        """
+        if self.started and refuse_handshakes(self.socket):
+            gevent.sleep(HANDSHAKE_WAIT_S)
+        if self.started:
+            self._accept_completed(self.stop_deadline - ACCEPT_END_MARGIN_S)
+        self.close()
+
+    def _accept_completed(self, end: float) -> None:
+        """Accepts until no connection waits; after `end` it refuses those for which there is no room."""
+        while True:
+            in_time = clock.now() < end
+            if self.full() and in_time:
+                self._close_idle()
+                gevent.sleep(DRAIN_POLL_S)
+                continue
+            try:
+                accepted = self.do_read()
+            except OSError:
+                self.counts.add("accept_failed")
+                if not in_time:
+                    return
+                self._close_idle()
+                gevent.sleep(DRAIN_POLL_S)
+                continue
+            if not accepted:
+                return
+            if self.full():
+                self._refuse(accepted[0])
+            else:
+                self.do_handle(*accepted)
+
+    def _refuse(self, sock: socket.socket) -> None:
+        """Answers a connection that no handler can take, and closes it."""
+        self.counts.add("connections_refused")
+        self._refusals.spawn(refuse_connection, sock)
+
+    def _close_idle(self) -> None:
+        for handler in list(self.connections):
+            if not handler.busy:
+                self._close_if_idle(handler)
+
     def _close_if_idle(self, handler: ConnectionHandler) -> None:
         """Closes an idle connection by its read side, unless a request has been received: that one is served first."""
         with suppress(OSError, AttributeError):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -71,8 +71,12 @@
     stop.join(timeout=10)
 
 
-def test_a_connection_accepted_while_the_listener_closes_is_drained(set_up):
-    """The connection is accepted, but its handler has not run yet when the drain lists the connections."""
+def test_a_connection_accepted_while_the_listener_closes_is_drained(set_up, monkeypatch):
+    """The connection is accepted, but its handler has not run yet when the drain lists the connections.
+
+    Its handshake completes at the close itself, as it can on a system that cannot refuse handshakes.
+    """
+    monkeypatch.setattr(web, "refuse_handshakes", lambda _listener: False)
     server, upstream, bench = set_up
     bench.route("r", "/r/", "read", service="s", tries=1, limit_ms=1000.0)
     upstream.may_respond, close, clients = Event(), server.close, []
