A stopping server waits for the first request of a new connection

What callers saw: a reset of a new connection at a process about to end, though the connection had been accepted.

Cause: after its listener has closed, a stopping server closes every connection that has sent nothing. A connection accepted at the last moment is among them: its client's request is still on its way, and arrives at a closed socket.

Change: a connection that has not sent anything yet is left open for a second after its accept, within the stop's time.

Evidence: test_the_first_request_of_a_new_connection_is_awaited failed before with ConnectionResetError and passes now; a second test holds that a connection that never sends anything delays the stop only for that time.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -11,6 +11,7 @@
 from gevent import GreenletExit, socket
 from gevent.pywsgi import Input, WSGIHandler
 
+from mallowvalve import clock
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
 
@@ -68,7 +69,8 @@
     """A client's connection; each request is subject to the limits that the server has at its start.
 
     `busy`: a request has been received and not yet answered. `linger`: bytes are read and discarded for `LINGER_S`
-    before the close. `read_side_closed`: a draining server has shut down the reads of this connection.
+    before the close. `read_side_closed`: a draining server has shut down the reads of this connection. `opened_at` is
+    when it was accepted (s, this process's clock).
     """
 
     linger = read_side_closed = False
@@ -76,6 +78,7 @@
     def __init__(self, sock, address, server, rfile=None):
         """Serves the connection `sock`, which is read through a `RequestReader`."""
         super().__init__(sock, address, server, rfile or RequestReader(sock))
+        self.opened_at = clock.now()
 
     def handle(self):
         """Handles requests until either side closes the connection."""
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -38,6 +38,8 @@
 """A stopping server closes its listener this long before its end, even if no other process accepts connections."""
 HANDSHAKE_WAIT_S = 0.1
 """A round trip in which TCP handshakes that have begun complete before the listener closes."""
+FIRST_REQUEST_WAIT_S = 1.0
+"""How long a stopping server waits for the first request of a new connection."""
 ACCEPT_END_MARGIN_S = 0.1
 """A full server waits for room until this long before its end, and then refuses the connections that wait."""
 EXIT_S = 0.2
@@ -144,7 +146,12 @@
                 self._close_if_idle(handler)
 
     def _close_if_idle(self, handler: ConnectionHandler) -> None:
-        """Closes an idle connection by its read side, unless a request has been received: that one is served first."""
+        """Closes an idle connection by its read side, unless a request has been received: that one is served first.
+
+        The first request of a new connection is awaited: its client cannot know yet that the server stops.
+        """
+        if not handler.rfile.has_received and clock.now() < handler.opened_at + FIRST_REQUEST_WAIT_S:
+            return
         with suppress(OSError, AttributeError):
             if not peek(handler.socket):
                 handler.read_side_closed = True
--- a/tests/test_listener_close.py
+++ b/tests/test_listener_close.py
@@ -99,6 +99,27 @@
         assert not failures
 
 
+def test_the_first_request_of_a_new_connection_is_awaited(server):
+    """Guards against a reset of a new connection whose request arrives just after the listener has closed."""
+    clients, senders = [], []
+
+    def wait_to_close(*_):
+        clients.append(WaitingClient(server, b""))
+        senders.append(gevent.spawn_later(0.3, clients[0].sock.sendall, REQUEST))
+
+    with server:
+        server.drain(0.0, 5.0, wait_to_close=wait_to_close)
+        assert clients[0].status() == 200
+
+
+def test_a_new_connection_without_a_request_delays_the_end_only_for_a_bounded_time(server):
+    clients = []
+    with server:
+        with gevent.Timeout(web.FIRST_REQUEST_WAIT_S + 2.0):
+            server.drain(0.0, 60.0, wait_to_close=lambda *_: clients.append(WaitingClient(server, b"")))
+        assert clients[0].sock.recv(1) == b""
+
+
 def test_refused_handshakes_do_not_complete_and_earlier_connections_go_on(server):
     with server:
         early = socket.create_connection(("127.0.0.1", server.server_port), timeout=TIMEOUT_S)
