A server that stops without a drain answers the connections that wait

What callers saw: look-ups, readiness checks and pages end with a reset while their process stops; the same at an end by an error.

Cause: `Server.__exit__` closed the listener at once and killed the handlers after 0.2 s. Connections that the kernel had completed were reset, and a handler that was killed before its first turn closed its connection without an answer. The directory's and the pages' servers are never drained and always end so; a proxy that waits for its settings ends its server in the same way.

Change: `shut_down` closes the listener as a drain does, gives each handler its first turn, and the rest of the same 0.2 s to finish.

Evidence: test_a_server_that_stops_without_a_drain_answers_completed_connections failed before with ConnectionResetError and passes now.

--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -44,7 +44,7 @@
     def __exit__(self, *_) -> None:
         """Stops the server."""
         self._greenlet.kill()
-        self.node.server.stop(timeout=0.2)
+        self.node.server.shut_down()
 
     def _run(self) -> None:
         self.replica.settings_available.wait()
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -72,8 +72,17 @@
         return self
 
     def __exit__(self, *_) -> None:
-        """Stops at once."""
-        self.stop(timeout=EXIT_S)
+        """Stops; does nothing more after a complete drain."""
+        self.shut_down()
+
+    def shut_down(self) -> None:
+        """Accepts what waits, closes the listener and stops; handlers get `EXIT_S` seconds before they are cut off."""
+        self.draining = True
+        end = clock.now() + EXIT_S
+        self.stop_deadline = end if self.stop_deadline is None else self.stop_deadline
+        self._close_listener(end)
+        self._finish(end)
+        self.stop(timeout=0.0)
         self._refusals.join(timeout=EXIT_S)
 
     def drain(
@@ -95,20 +104,26 @@
             gevent.sleep(max(0.0, began + accept_s - clock.now()))
         else:
             wait_to_close(began + accept_s, self.stop_deadline - ACCEPT_STOP_MARGIN_S)
-        self._close_listener()
-        while len(self.pool) and clock.now() < self.stop_deadline:
+        self._close_listener(self.stop_deadline)
+        self._finish(self.stop_deadline)
+
+    def _finish(self, end: float) -> None:
+        """Waits until all handlers have ended, but not after `end`; each has begun when this returns."""
+        gevent.sleep(0.0)
+        while len(self.pool) and clock.now() < end:
             self._close_idle()
             gevent.sleep(DRAIN_POLL_S)
 
-    def _close_listener(self) -> None:
+    def _close_listener(self, end: float) -> None:
         """Accepts all connections that the kernel has completed, then closes the listener.
 
-        The close resets those that it finds, so no more may complete between the last accept and the close.
+        The close resets those that it finds, so no more may complete between the last accept and the close. Without
+        room or descriptors it waits for them until shortly before `end`.
         """
         if self.started and refuse_handshakes(self.socket):
             gevent.sleep(HANDSHAKE_WAIT_S)
         if self.started:
-            self._accept_completed(self.stop_deadline - ACCEPT_END_MARGIN_S)
+            self._accept_completed(end - ACCEPT_END_MARGIN_S)
         self.close()
 
     def _accept_completed(self, end: float) -> None:
--- a/tests/test_listener_close.py
+++ b/tests/test_listener_close.py
@@ -120,6 +120,13 @@
         assert clients[0].sock.recv(1) == b""
 
 
+def test_a_server_that_stops_without_a_drain_answers_completed_connections(server):
+    """Guards against a reset by the end of a server that is not drained: the directory's, the pages', after an error."""
+    with server:
+        client = WaitingClient(server)
+    assert client.status() == 200
+
+
 def test_refused_handshakes_do_not_complete_and_earlier_connections_go_on(server):
     with server:
         early = socket.create_connection(("127.0.0.1", server.server_port), timeout=TIMEOUT_S)
