A starting process handles stop signals before it listens

What callers saw: a process that is stopped while it starts ends at once, and connections that its listeners had completed are reset.

Cause: the handlers of SIGTERM and SIGINT were installed after the listeners had been opened. In between, a signal has its default effect. The time is short, but a process that gets little processor time can stand still in it.

Change: the handlers are installed first; a signal during the start is kept, and the process drains as soon as it runs.

Evidence: test_a_process_takes_signals_before_it_accepts_connections failed before and passes now.

--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -163,7 +163,10 @@
         )
 
     def __enter__(self) -> Node:
-        """Starts all parts in order; if one fails, stops those that were started."""
+        """Starts all parts in order; if one fails, stops those that were started.
+
+        Signals are handled from before the first listener opens: a stop then ends each connection with an answer.
+        """
         self._stack = contextlib.ExitStack()
         self.app.plain_routes["/-/ready"] = self._readiness
         self.app.add_route("/-/counts", CountersResource(self))
@@ -181,11 +184,11 @@
             *([] if self.defers_web_server else [self.server]),
             SettingsReloader(self.settings, self.apply_settings, self.counts),
         ]
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signum, self._request_stop)
         with self._stack as stack:
             for part in parts:
                 stack.enter_context(part)
-            for signum in (signal.SIGTERM, signal.SIGINT):
-                gevent.signal_handler(signum, self._request_stop)
             self._stack = stack.pop_all()
         log_event("started", role=self.settings.role, name=self.settings.name, pid=os.getpid())
         return self
--- a/tests/test_listener_close.py
+++ b/tests/test_listener_close.py
@@ -2,14 +2,16 @@
 
 import errno
 import http.client
+import signal
 import socket
 
 import gevent
 import pytest
 from gevent.event import Event
 
-from mallowvalve import handshake_filter, web
+from mallowvalve import handshake_filter, node, settings, web
 from mallowvalve.metrics import Counts
+from mallowvalve.node import Node
 from mallowvalve.types import Address
 
 REQUEST = b"GET /page HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -145,3 +147,24 @@
             raise OSError(errno.ENOPROTOOPT, "not supported")
 
     assert not handshake_filter.refuse_handshakes(PlainSocket())
+
+
+def test_a_process_takes_signals_before_it_accepts_connections(monkeypatch):
+    """Guards against a stop signal that ends a starting process whose listeners have completed connections."""
+    installed = []
+
+    def signal_handler(signum, _handler):
+        assert not started.server.started and not hasattr(started.transport, "_server")
+        installed.append(signum)
+
+    free = [_free_port() for _ in range(2)]
+    doc = {"name": "p", "locality": "eu/a", "transport": f"127.0.0.1:{free[0]}", "web": f"127.0.0.1:{free[1]}"}
+    started = Node(settings.check("proxy", doc).unwrap())
+    monkeypatch.setattr(node.gevent, "signal_handler", signal_handler)
+    with started:
+        assert installed == [signal.SIGTERM, signal.SIGINT]
+
+
+def _free_port():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
