A stopping server refuses handshakes only for its last accept

Cause: handshakes were dropped for a round trip before the close, which lasts far longer in a process that stands still meanwhile.

Change: what waits is accepted first, then handshakes are dropped for one more accept and the close.

--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -36,8 +36,6 @@
 DRAIN_POLL_S = 0.02
 ACCEPT_STOP_MARGIN_S = 0.3
 """A stopping server closes its listener this long before its end, even if no other process accepts connections."""
-HANDSHAKE_WAIT_S = 0.1
-"""A round trip in which TCP handshakes that have begun complete before the listener closes."""
 FIRST_REQUEST_WAIT_S = 1.0
 """How long a stopping server waits for the first request of a new connection."""
 ACCEPT_END_MARGIN_S = 0.1
@@ -115,15 +113,16 @@
             gevent.sleep(DRAIN_POLL_S)
 
     def _close_listener(self, end: float) -> None:
-        """Accepts all connections that the kernel has completed, then closes the listener.
+        """Accepts all connections that the kernel has completed, then closes the listener, whose close resets others.
 
-        The close resets those that it finds, so no more may complete between the last accept and the close. Without
-        room or descriptors it waits for them until shortly before `end`.
+        None completes between the last accept and the close, where the system can refuse handshakes; that lasts no
+        longer than needed, since a client repeats a refused one only after a second. Without room or descriptors it
+        waits for them until shortly before `end`.
         """
-        if self.started and refuse_handshakes(self.socket):
-            gevent.sleep(HANDSHAKE_WAIT_S)
         if self.started:
             self._accept_completed(end - ACCEPT_END_MARGIN_S)
+        if self.started and refuse_handshakes(self.socket):
+            self._accept_completed(end - ACCEPT_END_MARGIN_S)
         self.close()
 
     def _accept_completed(self, end: float) -> None:
