mallowvalve hostsoak: a soak of the processes that the deploy file starts

The soak that we had plays tenants' routes, which no command of the deploy file reaches. This one starts what deploy/system.toml starts, with settings in the platform's form (platform/machine.json, filled as the platform fills its templates), on host routes: clients that keep connections and open new ones, send bodies of all sizes and read slowly; upstreams that register, drain and leave; callers of locks, numbers, keys and watches; an operator. Each process may be held to a share of its processor time. Stops, restarts, reloads, releases, evacuations and kills come in series that overlap.

--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -18,6 +18,7 @@
     "standins": "mallowvalve.standins.main",
     "localfleet": "mallowvalve.localfleet.main",
     "soak": "mallowvalve.localfleet.soak_main",
+    "hostsoak": "mallowvalve.localfleet.deployed.main",
     "admin": "mallowvalve.admin.main",
 }
 """The module that defines each tool's command."""
--- /dev/null
+++ b/mallowvalve/localfleet/deployed/plan.py
@@ -0,0 +1,83 @@
+"""The schedule of acts on a deployed fleet: series that overlap, drawn from a seed or read from a file."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from mallowvalve import finding
+from mallowvalve.finding import Finding, Findings, parse_json
+from mallowvalve.localfleet.deployed.shape import Shape
+from mallowvalve.localfleet.schedule import SCHEDULE_VERSION, ActKind, Schedule, ScheduledAct
+
+QUIET_START_S = 2.0
+QUIET_END_S = 10.0
+EVACUATION_S = 6.0
+KILL_PAUSE_S = 0.5
+CORE_GAP_S = 9.0
+"""The interval between stops of core machines: each is ready again before the next stops, so a majority runs."""
+
+PLAYED_KINDS = (ActKind.STOP, ActKind.KILL, ActKind.RELOAD, ActKind.EVACUATE, ActKind.RELEASE)
+
+
+def machine_names(shape: Shape) -> tuple[list[str], list[str]]:
+    """Returns the names of the core and of the edge machines."""
+    return [f"core-{index}" for index in range(shape.core)], [f"edge-{index}" for index in range(shape.edge)]
+
+
+def draw_schedule(shape: Shape, seed: int, seconds: float, trouble: bool) -> Schedule:
+    """Draws overlapping series of planned work; with `trouble` processes are killed too."""
+    rng = random.Random(f"deployed/{seed}")
+    last = seconds - QUIET_END_S
+    core, edge = machine_names(shape)
+    acts = [
+        *_in_turn(rng, ActKind.STOP, edge, rng.uniform(QUIET_START_S, 6.0), rng.uniform(0.5, 5.0), last),
+        *_in_turn(rng, ActKind.STOP, edge, rng.uniform(QUIET_START_S, 10.0), rng.uniform(4.0, 8.0), last),
+        *_in_turn(rng, ActKind.STOP, core, rng.uniform(QUIET_START_S, 8.0), CORE_GAP_S + rng.uniform(0.0, 4.0), last),
+        *_in_turn(rng, ActKind.RELOAD, [*core, *edge], rng.uniform(4.0, 15.0), rng.uniform(0.1, 2.0), last),
+        *_in_turn(rng, ActKind.RELEASE, sorted(shape.services), rng.uniform(3.0, 12.0), rng.uniform(3.0, 9.0), last),
+        *_in_turn(rng, ActKind.EVACUATE, sorted(shape.zones), rng.uniform(5.0, 20.0), 2.5 * EVACUATION_S, last),
+    ]
+    if trouble:
+        acts += _in_turn(rng, ActKind.KILL, [*core, *edge], rng.uniform(4.0, 15.0), rng.uniform(6.0, 12.0), last)
+    return Schedule(SCHEDULE_VERSION, seed, seconds, sorted(acts, key=lambda act: (act.at, act.target)))
+
+
+def _in_turn(
+    rng: random.Random, kind: ActKind, targets: list[str], at: float, gap_s: float, last: float
+) -> list[ScheduledAct]:
+    """Returns an act on each target in turn, in a drawn order, over and over until `last`."""
+    order = rng.sample(targets, len(targets))
+    lasts = {ActKind.EVACUATE: EVACUATION_S, ActKind.KILL: KILL_PAUSE_S}.get(kind, 0.0)
+    acts: list[ScheduledAct] = []
+    while at <= last:
+        acts.append(ScheduledAct(round(at, 3), kind, order[len(acts) % len(order)], lasts))
+        at += gap_s
+    return acts
+
+
+def load_schedule(path: Path, shape: Shape) -> Result[Schedule, Findings]:
+    """Reads a saved schedule; returns findings if it is malformed or does not fit the shape."""
+    try:
+        document = parse_json(path.read_bytes(), str(path))
+    except OSError as error:
+        return Err([Finding(str(path), str(error))])
+    return document.and_then(lambda data: finding.read(Schedule, data)).and_then(lambda read: _check(read, shape))
+
+
+def _check(schedule: Schedule, shape: Shape) -> Result[Schedule, Findings]:
+    if schedule.version != SCHEDULE_VERSION:
+        return Err([Finding("version", f"{schedule.version}, this program plays {SCHEDULE_VERSION}")])
+    core, edge = machine_names(shape)
+    known = {*core, *edge, *shape.services, *shape.zones}
+    found: Findings = []
+    for index, act in enumerate(schedule.acts):
+        if act.target not in known:
+            found.append(Finding(f"acts[{index}].target", f"the shape has no {act.target!r}"))
+        if act.at < 0 or act.lasts < 0:
+            found.append(Finding(f"acts[{index}]", "times must not be negative"))
+        if act.kind not in PLAYED_KINDS:
+            found.append(Finding(f"acts[{index}].kind", f"{act.kind} cannot be played on a deployed fleet"))
+    return Err(found) if found else Ok(schedule)
--- /dev/null
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -0,0 +1,161 @@
+"""What the clients, callers, upstreams and the operator of a soak have seen, and what was done to the machines."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+NO_STATUS = 0
+
+
+class RequestEnd(enum.StrEnum):
+    """How a request ended for its client."""
+
+    ANSWERED = "answered"
+    NOT_CONNECTED = "not connected"
+    NOT_SENT = "not sent whole"
+    NO_ANSWER = "no answer"
+    TIMED_OUT = "timed out"
+
+
+class RequestRecord(msgspec.Struct):
+    """A request of a client; times are seconds of this process's clock, 0.0 before they are known.
+
+    `first`: the first request on its connection. `repeatable`: it may run more than once. `sent_at` is when its last
+    byte was sent. `after_close`: the last answer on the connection had announced its end.
+    """
+
+    id: str
+    machine: str
+    first: bool
+    repeatable: bool
+    began_at: float
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    end: RequestEnd = RequestEnd.NOT_CONNECTED
+    status: int = NO_STATUS
+    answered_id: str = ""
+    detail: str = ""
+    after_close: bool = False
+    is_call: bool = False
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request that an upstream began to work on."""
+
+    id: str
+    instance: str
+    at: float
+
+
+class Stop(msgspec.Struct):
+    """A stop of a machine; `code` is None while its process runs, `overdue`: it was killed at the end of its grace."""
+
+    machine: str
+    signalled_at: float
+    ended_at: float = 0.0
+    code: int | None = None
+    overdue: bool = False
+    ready_at: float = 0.0
+
+
+class Kill(msgspec.Struct, frozen=True):
+    """A process that was killed without notice."""
+
+    machine: str
+    at: float
+    ready_at: float
+
+
+class LookUp(msgspec.Struct, frozen=True):
+    """An answer of a directory: the names of the machines that it named."""
+
+    at: float
+    machines: list[str]
+
+
+class NumberDrawn(msgspec.Struct, frozen=True):
+    """A number that a caller got."""
+
+    name: str
+    begun: float
+    ended: float
+    value: int
+
+
+class KeyRead(msgspec.Struct, frozen=True):
+    """A revision that a read of a key returned."""
+
+    key: str
+    begun: float
+    ended: float
+    revision: int
+    value: str | None
+
+
+class KeyWrite(msgspec.Struct, frozen=True):
+    """A write of a key; `revision` is None if it got no clear answer, 0 if it was refused."""
+
+    key: str
+    begun: float
+    ended: float
+    value: str
+    revision: int | None
+
+
+class LockHold(msgspec.Struct, frozen=True):
+    """The span in which a caller relied on a lock."""
+
+    name: str
+    holder: str
+    asked_at: float
+    begun: float
+    ended: float
+    token: int
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """The events of a group between two revisions, as (key, revision, value); `status` is 410 for a lost history."""
+
+    watcher: str
+    group: str
+    after: int
+    revision: int
+    status: int
+    age_s: float
+    events: list[tuple[str, int, str]]
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change of an item that was acknowledged, or not (`acknowledged_at` 0.0)."""
+
+    version: int
+    sent_at: float
+    acknowledged_at: float
+
+
+class FinalState(msgspec.Struct):
+    """What was read back at the end; None where no answer came in time."""
+
+    item_version: int | None = None
+    keys: dict[str, int | None] = {}
+    numbers: dict[str, int | None] = {}
+    tokens: dict[str, int | None] = {}
+
+
+class Records(msgspec.Struct):
+    """All records of a soak."""
+
+    requests: list[RequestRecord] = []
+    runs: list[Run] = []
+    stops: list[Stop] = []
+    kills: list[Kill] = []
+    look_ups: list[LookUp] = []
+    numbers: list[NumberDrawn] = []
+    reads: list[KeyRead] = []
+    writes: list[KeyWrite] = []
+    holds: list[LockHold] = []
+    watches: list[WatchAnswer] = []
+    changes: list[Change] = []
+    final: FinalState = msgspec.field(default_factory=FinalState)
--- /dev/null
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -0,0 +1,181 @@
+"""Plays a schedule against a deployed fleet under load, and collects the records."""
+
+from __future__ import annotations
+
+import random
+import signal
+from contextlib import suppress
+
+import gevent
+from gevent.pool import Group
+
+from mallowvalve import clock
+from mallowvalve.localfleet.deployed.applications import GROUPS, Application
+from mallowvalve.localfleet.deployed.clients import Client
+from mallowvalve.localfleet.deployed.connection import ClientConnection, Outgoing
+from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
+from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
+from mallowvalve.localfleet.deployed.operator import Operator
+from mallowvalve.localfleet.deployed.records import Kill, Records, RequestRecord, Stop
+from mallowvalve.localfleet.deployed.upstream import StandinUpstream
+from mallowvalve.localfleet.schedule import ActKind, Schedule, ScheduledAct
+
+PERIOD_S = 0.25
+"""The period in which a process that is held to a share is stopped once."""
+
+SETTLE_S = 60.0
+READY_S = 40.0
+POLL_S = 0.05
+READY_TIMEOUT_S = 1.0
+RELEASE_OVERLAP_S = 0.5
+END_SLACK_S = 20.0
+
+
+class DeployedSoak:
+    """A soak of a fleet whose machines have been started."""
+
+    def __init__(self, fleet: Fleet, schedule: Schedule, share: float):
+        """`share` is the share of its processor time that each process of the fleet gets."""
+        self.fleet, self.schedule, self.share = fleet, schedule, share
+        self.records = Records()
+        self.upstreams: dict[str, list[StandinUpstream]] = {name: [] for name in fleet.shape.services}
+        self.operator = Operator(fleet, self.records, self._rng("operator"))
+        self._serving = Group()
+        self._reserved: set[str] = set()
+        self._stopping: set[str] = set()
+
+    def _rng(self, name: str) -> random.Random:
+        return random.Random(f"deployed/{self.schedule.seed}/{name}")
+
+    def settle(self) -> bool:
+        """Applies the configuration and starts the upstreams; returns whether all machines became ready."""
+        for service, count in self.fleet.shape.services.items():
+            for _ in range(count):
+                self._start_upstream(service)
+        end = clock.now() + SETTLE_S
+        while clock.now() < end:
+            if self.operator.apply_first():
+                return all(self._await_ready(machine, end - clock.now()) for machine in self.fleet.machines)
+        return False
+
+    def run(self) -> Records:
+        """Plays the whole schedule under load; returns the records."""
+        self.records.requests.clear()
+        began = clock.now()
+        end = began + self.schedule.seconds
+        load = self._start_load(end)
+        with ProcessorShare(self.fleet.machines, self.share, PERIOD_S, self._rng("share")):
+            acts = Group()
+            for act in self.schedule.acts:
+                acts.start(gevent.Greenlet(self._play_at, began + act.at, act))
+            gevent.sleep(max(0.0, end - clock.now()))
+            acts.join(timeout=END_SLACK_S)
+            load.join(timeout=END_SLACK_S)
+        self.records.final = self.operator.read_back()
+        return self.records
+
+    def close(self) -> None:
+        """Ends the stand-ins."""
+        self._serving.kill(block=True, timeout=2.0)
+
+    def _start_load(self, end: float) -> Group:
+        shape, load = self.fleet.shape, Group()
+        pause_s = shape.connections / shape.rate
+        for index in range(shape.connections):
+            client = Client(self.fleet, self.records, self._rng(f"client/{index}"), pause_s, index < shape.uploads)
+            load.spawn(client.run, end)
+        for index in range(shape.callers):
+            application = Application(self.fleet, self.records, f"app-{index}", self._rng(f"app/{index}"))
+            load.spawn(application.run, index, end)
+        for group in GROUPS if shape.callers else ():
+            watcher = Application(self.fleet, self.records, f"watcher-{group}", self._rng(f"watch/{group}"))
+            load.spawn(watcher.watch, group, end)
+        load.spawn(self.operator.run, end)
+        return load
+
+    def _start_upstream(self, service: str) -> None:
+        lives = self.upstreams[service]
+        rng = self._rng(f"upstream/{service}/{len(lives)}")
+        zones = sorted(self.fleet.shape.zones)
+        caller = ControlCaller(self.fleet, self.records, rng)
+        upstream = StandinUpstream(self.fleet, caller, self.records, service, zones[len(lives) % len(zones)], rng)
+        lives.append(upstream)
+        self._serving.spawn(upstream.run)
+
+    def _play_at(self, at: float, act: ScheduledAct) -> None:
+        gevent.sleep(max(0.0, at - clock.now()))
+        match act.kind:
+            case ActKind.STOP:
+                self._stop(self._machine(act.target))
+            case ActKind.KILL:
+                self._kill(self._machine(act.target), act.lasts)
+            case ActKind.RELOAD:
+                self._machine(act.target).signal(signal.SIGHUP)
+            case ActKind.EVACUATE:
+                self.operator.evacuate(act.target, act.lasts)
+            case ActKind.RELEASE:
+                self._release(act.target)
+
+    def _machine(self, name: str) -> Machine:
+        return next(machine for machine in self.fleet.machines if machine.name == name)
+
+    def _stop(self, machine: Machine) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace period; then starts the machine again.
+
+        A machine that another act has reserved gets a further SIGTERM if it is being stopped, and nothing more.
+        """
+        if machine.name in self._reserved:
+            if machine.name in self._stopping:
+                machine.signal(signal.SIGTERM)
+            return
+        self._reserved.add(machine.name)
+        self._stopping.add(machine.name)
+        stop = Stop(machine.name, clock.now())
+        self.records.stops.append(stop)
+        machine.signal(signal.SIGTERM)
+        stop.code = machine.wait(self.fleet.shape.grace_s)
+        if stop.code is None:
+            stop.overdue = True
+            machine.kill()
+        stop.ended_at = clock.now()
+        self._stopping.discard(machine.name)
+        stop.ready_at = self._start_again(machine)
+
+    def _kill(self, machine: Machine, pause_s: float) -> None:
+        if machine.name in self._reserved:
+            return
+        self._reserved.add(machine.name)
+        machine.kill()
+        killed_at = clock.now()
+        gevent.sleep(pause_s)
+        self.records.kills.append(Kill(machine.name, killed_at, self._start_again(machine)))
+
+    def _start_again(self, machine: Machine) -> float:
+        """Starts a machine; returns when it was ready, 0.0 if that took too long."""
+        machine.start()
+        ready = self._await_ready(machine, READY_S)
+        self._reserved.discard(machine.name)
+        return clock.now() if ready else 0.0
+
+    def _await_ready(self, machine: Machine, limit_s: float) -> bool:
+        end = clock.now() + limit_s
+        while clock.now() < end:
+            if not machine.is_running:
+                machine.start()
+            connection = ClientConnection(machine.ready_at, machine.name)
+            record = RequestRecord("", machine.name, True, True, clock.now(), is_call=True)
+            answer = connection.exchange(
+                record, Outgoing("GET", "/-/ready", {"Host": "platform"}, timeout_s=READY_TIMEOUT_S)
+            )
+            connection.close()
+            if answer is not None and answer.status == STATUS_OK:
+                return True
+            gevent.sleep(POLL_S)
+        return False
+
+    def _release(self, service: str) -> None:
+        """Replaces the oldest upstream of a service."""
+        self._start_upstream(service)
+        gevent.sleep(RELEASE_OVERLAP_S)
+        with suppress(StopIteration):
+            next(upstream for upstream in self.upstreams[service] if upstream.state == "ready").leave()
--- a/mallowvalve/localfleet/schedule.py
+++ b/mallowvalve/localfleet/schedule.py
@@ -33,9 +33,10 @@
     RELOAD = "reload"
     EVACUATE = "evacuate"
     HOMES = "homes"
+    RELEASE = "release"
 
 
-PLANNED_KINDS = frozenset({ActKind.STOP, ActKind.RELOAD, ActKind.EVACUATE, ActKind.HOMES})
+PLANNED_KINDS = frozenset({ActKind.STOP, ActKind.RELOAD, ActKind.EVACUATE, ActKind.HOMES, ActKind.RELEASE})
 """The operations of planned maintenance; all others are faults."""
 
 
--- a/mallowvalve/localfleet/template.py
+++ b/mallowvalve/localfleet/template.py
@@ -14,6 +14,7 @@
     __slots__ = ("value", "key", "last")
 
     def __init__(self, value, key=None, last=True):
+        """Without a key for a value that is no entry."""
         self.value, self.key, self.last = value, key, last
 
 
@@ -68,7 +69,7 @@
         if not kind:
             rendered.append(_placeholder(scopes, name, as_json is not None))
             continue
-        closing_tag = "{{/%s}}" % name
+        closing_tag = f"{{{{/{name}}}}}"
         end = text.index(closing_tag, position)
         section, position = text[position:end], end + len(closing_tag)
         entries = _entries(find(scopes, name))
