A proxy that runs late closes its listener earlier to end in its grace

What callers saw: at a tenth of its processor time a proxy that is the last of its region was still at its end when its grace was over, and was killed.

Cause: the latest close leaves 0.3 s for the answers to what was accepted last, which is enough for a process that gets its turns. One that gets 25 ms of each 250 ms needs several turns to answer what waits and to end, now that what waits is answered and not reset.

Change: the drain counts how late its own turns come, and closes four of the longest such delays earlier, at most half of the time between the earliest and the latest close.

--- a/mallowvalve/membership/drain.py
+++ b/mallowvalve/membership/drain.py
@@ -25,6 +25,12 @@
 RETRY_PAUSE_RANGE_S = (0.05, 0.4)
 """The range from which the pause after a withdrawn announcement is drawn."""
 
+DELAYS_TO_CLOSE = 4.0
+"""A member that runs late closes this many of its longest delays earlier: it needs as many turns to end."""
+
+MAX_ADVANCE_RATIO = 0.5
+"""The part of the time between the earliest and the latest close by which delays can advance the latest one."""
+
 
 class _Phase(enum.Enum):
     ACCEPTS = enum.auto()
@@ -53,17 +59,23 @@
     All times are seconds of one monotonic clock.
     """
 
-    __slots__ = ("earliest", "latest", "_rng", "_phase", "_until", "_turn_taken")
+    __slots__ = ("earliest", "latest", "_latest_in_time", "_rng", "_phase", "_until", "_turn_taken")
 
     def __init__(self, earliest: float, latest: float, rng: random.Random) -> None:
         """Starts as accepting, until `earliest` at least."""
         self.earliest = earliest
         self.latest = latest
+        self._latest_in_time = latest
         self._rng = rng
         self._phase = _Phase.ACCEPTS
         self._until = earliest
         self._turn_taken = False
 
+    def record_delay(self, delay_s: float) -> None:
+        """Advances the latest close if this member came to its turn late: its end takes longer than planned."""
+        advance = min(DELAYS_TO_CLOSE * delay_s, MAX_ADVANCE_RATIO * (self._latest_in_time - self.earliest))
+        self.latest = min(self.latest, self._latest_in_time - max(0.0, advance))
+
     def step(self, now: float, conditions: DrainConditions) -> DrainStep:
         """Evaluates the conditions of the region and returns what to do now."""
         if now >= self.latest:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -273,7 +273,9 @@
             self.membership.accept(step.accepts and own_record.ready)
             if step.closed:
                 return
+            due = clock.now() + step.wait
             gevent.sleep(step.wait)
+            drain.record_delay(clock.now() - due)
 
     def _request_stop(self) -> None:
         if not self.stopping.is_set():
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -99,3 +99,19 @@
     announced, closed = run_drain(lambda now: LAST_IN_REGION if 3.05 <= now < 3.9 else REPLACEABLE)
     assert announced[1] == (3.0, False) and announced[2] == (3.15, True)
     assert closed >= 3.9 + ANNOUNCEMENT_S
+
+
+def test_a_member_that_runs_late_closes_earlier_to_end_in_time():
+    """Guards against a stop that exceeds its grace period because the process gets little processor time."""
+    sequence = DrainSequence(3.0, 5.0, random.Random(1))
+    sequence.record_delay(0.2)
+    sequence.record_delay(0.05)
+    assert not sequence.step(4.1, LAST_IN_REGION).closed
+    assert sequence.step(4.2, LAST_IN_REGION).closed
+
+
+def test_a_long_delay_advances_the_close_only_by_half_of_the_time():
+    sequence = DrainSequence(3.0, 5.0, random.Random(1))
+    sequence.record_delay(9.0)
+    assert not sequence.step(3.95, LAST_IN_REGION).closed
+    assert sequence.step(4.0, LAST_IN_REGION).closed
