Bodies of requests have a budget of the process's memory

Cause: each body was held whole until the answer, two to three times over (the read buffer and its copy, and the copy behind the head), and nothing bounded the sum. The process did not even know how much memory it may use. Freed bodies of some megabytes stayed with the process.

Change: settings carry `memory_mb` (from the platform's limits, 300 by default); half of it is the budget of bodies, of all servers of the process. A body takes room by its length before it is read, or step by step if the length is unknown. Without room it waits as long as a request may wait for capacity, then it is refused as not run, with a Retry-After. A fifth of the budget is kept for bodies of up to 64 KiB. A larger body is read once into a mapping of its own, sent from there, and given back when the response is there.

--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -110,7 +110,9 @@
         return None
     app = web.make_app()
     directory.add_routes(app, pages)
-    return web.Server(settings.directory, app, node.counts, settings.connections)
+    server = web.Server(settings.directory, app, node.counts, settings.connections)
+    server.body_budget = node.body_budget
+    return server
 
 
 def serve(settings: Settings, disk_log: DiskLog, loaded: store.StoredState, faults: InjectedFaults) -> None:
--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import Input, WSGIHandler
 
 from mallowvalve import clock
+from mallowvalve.body_budget import BodyReservation
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
 
@@ -70,10 +71,11 @@
 
     `busy`: a request has been received and not yet answered. `linger`: bytes are read and discarded for `LINGER_S`
     before the close. `read_side_closed`: a draining server has shut down the reads of this connection. `opened_at` is
-    when it was accepted (s, this process's clock).
+    when it was accepted (s, this process's clock). `body` is the room that the request's body holds.
     """
 
     linger = read_side_closed = False
+    body: BodyReservation | None = None
 
     def __init__(self, sock, address, server, rfile=None):
         """Serves the connection `sock`, which is read through a `RequestReader`."""
@@ -133,9 +135,25 @@
         self.response_length = 0
         self.environ = self.get_environ()
         self.application = self.server.application
-        self.handle_one_response()
+        try:
+            self.handle_one_response()
+        finally:
+            self.release_body()
         return None if self.close_connection else True
 
+    def reserve_body(self, size: int, wait_s: float = 0.0) -> BodyReservation | None:
+        """Reserves room for the request's body until its response has been sent; None if there is none in `wait_s`."""
+        self.body = self.server.body_budget.reserve(size, wait_s)
+        if self.body is None:
+            self.server.counts.add("bodies_refused")
+        return self.body
+
+    def release_body(self) -> None:
+        """Gives the room of the request's body back."""
+        if self.body is not None:
+            self.body.release()
+            self.body = None
+
     def get_environ(self):
         """Returns the WSGI environment, or a minimal one; `full_environ` returns the complete one later."""
         if not self.server.minimal_environ:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from mallowvalve import clock, web
+from mallowvalve.body_budget import BodyBudget
 from mallowvalve.fault import InjectedFaults
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.membership import formula
@@ -112,6 +113,7 @@
         "app",
         "server",
         "pages",
+        "body_budget",
         "stopping",
         "_stack",
         "_gauges",
@@ -141,6 +143,10 @@
             if settings.pages
             else contextlib.nullcontext()
         )
+        self.body_budget = BodyBudget.of_memory(settings.memory_mb)
+        self.server.body_budget = self.body_budget
+        if isinstance(self.pages, web.Server):
+            self.pages.body_budget = self.body_budget
         self.stopping = Event()
         self._gauges: dict[str, Callable[[], Any]] = {}
         self._service_filter: Callable[[str], bool] = lambda service: True
--- a/mallowvalve/proxy/frontend.py
+++ b/mallowvalve/proxy/frontend.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from mallowvalve import clock, web
+from mallowvalve.body_budget import SMALL_BODY_BYTES, BodyRefusedError, BodyTooLargeError, read_body
 from mallowvalve.proxy.host_connection import HostConnection
 from mallowvalve.proxy.host_forwarder import HostForwarder
 from mallowvalve.proxy.host_request import HOP_BY_HOP_HEADERS
@@ -104,6 +105,7 @@
             return self._respond(environ, start_response, stop.value)
         finally:
             steps.close()
+            environ["mallow.handler"].release_body()
 
     def _is_for_host_route(self, headers: dict[str, str], target: str) -> bool:
         if not self.traffic_only and target.startswith("/-/"):
@@ -119,7 +121,7 @@
         match step:
             case Exchange():
                 client = environ["mallow.handler"] if step.stop_if_client_leaves else None
-                return step.connection.exchange(step.method, step.request, step.end, step.request_id, client)
+                return step.connection.exchange(step.method, step.request, step.end, step.request_id, client, step.body)
             case AwaitResponse():
                 return step.connection.receive(
                     step.end, environ["mallow.handler"] if step.stop_if_client_leaves else None
@@ -135,19 +137,27 @@
             case WaitForCapacity():
                 return self.capacity_queue.wait(step.service, step.end - clock.now(), step.priority)
 
-    def _read_body(self, environ: dict, step: ReadBody) -> Result[bytes, tuple[int, str, str]]:
+    def _read_body(self, environ: dict, step: ReadBody) -> Result[bytes | memoryview, tuple[int, str, str]]:
         length = environ["mallow.head"].length
         if length is not None and length > step.max_bytes:
             return Err((413, "body", f"larger than {step.max_bytes} bytes"))
+        expected = SMALL_BODY_BYTES if length is None else length
+        reservation = environ["mallow.handler"].reserve_body(expected, step.room_end - clock.now())
+        if reservation is None:
+            return Err((503, "body", "no room for it just now"))
         try:
             with gevent.Timeout(max(0.001, step.end - clock.now())):
-                data = environ["wsgi.input"].read(step.max_bytes + 1)
+                data = read_body(environ["wsgi.input"], length, step.max_bytes, reservation)
                 environ["mallow.read"] = True
+                return Ok(data)
+        except BodyTooLargeError:
+            return Err((413, "body", f"larger than {step.max_bytes} bytes"))
+        except BodyRefusedError:
+            return Err((503, "body", "no room for all of it just now"))
         except gevent.Timeout:
             return Err((408, "body", "did not arrive within the limit"))
         except OSError:
             return Err((400, "body", "broken off or badly chunked"))
-        return Err((413, "body", f"larger than {step.max_bytes} bytes")) if len(data) > step.max_bytes else Ok(data)
 
     def _respond(self, environ: dict, start_response: Callable, response: ProxyResponse):
         upstream_response = response.answer
--- a/mallowvalve/proxy/host_connection.py
+++ b/mallowvalve/proxy/host_connection.py
@@ -59,9 +59,15 @@
         return Ok(cls(upstream, sock, id_header))
 
     def exchange(
-        self, method: str, request: bytes, end: float, request_id: str, client: ClientConnection | None = None
+        self,
+        method: str,
+        request: bytes,
+        end: float,
+        request_id: str,
+        client: ClientConnection | None = None,
+        body: bytes | memoryview = b"",
     ) -> Result[UpstreamResponse, str] | ClientLeft:
-        """Sends a request and receives its response; given `client`, stops once the client has left.
+        """Sends a request, with `body` behind it, and receives its response; given `client`, stops once that has left.
 
         The error begins with `unsent` only if no byte of the request was sent.
         """
@@ -72,11 +78,15 @@
         except OSError as error:
             return Err(f"unsent: {error}")
         self.parser = ResponseParser(method, self.id_header if request_id else "", request_id)
-        if sent < len(request):
+        for rest in (memoryview(request)[sent:], memoryview(body)):
+            if not rest:
+                continue
             self.partly_sent = True
-            failure = self._send_rest(memoryview(request)[sent:], end)
+            failure = self._send_rest(rest, end)
             if failure is not None:
                 return Err(failure)
+            if self.partly_sent:
+                break
         return self.receive(end, client)
 
     def _send_rest(self, rest: memoryview, end: float) -> str | None:
--- a/mallowvalve/proxy/host_forwarder.py
+++ b/mallowvalve/proxy/host_forwarder.py
@@ -21,6 +21,7 @@
     REDIRECT,
     SERVER_ERROR,
     TOO_SLOW,
+    UNAVAILABLE,
     UNKNOWN,
     AwaitResponse,
     ClientCheck,
@@ -40,14 +41,9 @@
 """Statuses by which clients conclude that a request did not run."""
 CONNECT_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.2
-QUEUE_SHARE = 0.2
-"""Share of a route's aim that a request may wait for capacity."""
 QUEUE_POLL_S = 0.03
 MAX_QUEUED_PER_SERVICE = 32
 MAX_FAILED_OPENS = 3
-MAX_HEDGE_DELAY_SHARE = 0.6
-MIN_HEDGE_DELAY_SHARE = 0.3
-HEDGE_LATENCY_FACTOR = 3.5
 MIN_TIME_LEFT_S = 0.02
 FORGOTTEN_MIN_IDLE_S = 0.2
 FORGOTTEN_MAX_DELAY_S = 0.2
@@ -99,10 +95,11 @@
             return admitted.err_value
         call: HostRequest = admitted.ok_value
         if client_request.length or "transfer-encoding" in client_request.headers:
-            body = yield ReadBody(call.end, self.replica.state.items.limits.body_bytes)
+            body = yield ReadBody(call.end, self.replica.state.items.limits.body_bytes, call.queue_end)
             if body.is_err():
                 status, place, text = body.err_value
-                return local_response(status, NOT_RUN, place, text, 1.0 if status == TOO_SLOW else None, close=True)
+                retry_after = 1.0 if status in (TOO_SLOW, UNAVAILABLE) else None
+                return local_response(status, NOT_RUN, place, text, retry_after, close=True)
             if client_request.length is not None and len(body.ok_value) != client_request.length:
                 return local_response(400, NOT_RUN, "body", "shorter than its length", close=True)
             call.body = body.ok_value
@@ -157,11 +154,10 @@
             call.sends += 1
             call.tried.add(lease.state.upstream.instance)
             lease.on_send(now)
-            hedge_at = self._hedge_at(call, lease, now)
-            payload = self.writer.whole(call, lease.state.upstream.instance, now)
-            result = yield Exchange(
-                lease.connection, call.client_request.method, payload, hedge_at, call.request_id, call.idempotent
-            )
+            hedge_at = call.hedge_at(lease.state.latency, now)
+            method = call.client_request.method
+            data, body = self.writer.whole(call, lease.state.upstream.instance, now)
+            result = yield Exchange(lease.connection, method, data, hedge_at, call.request_id, call.idempotent, body)
             if hedge_at < call.end and _is_timeout(result):
                 if self._should_hedge(call, lease):
                     return self._start_hedge(call, lease)
@@ -188,8 +184,7 @@
 
     def _acquire_lease(self, call: HostRequest) -> Generator[Step, object, UpstreamLease | ProxyResponse]:
         """Returns a lease with a connection that is ready to send on, or the rejection."""
-        end = call.arrived_at + QUEUE_SHARE * min(call.route.aim_ms or call.route.limit_ms, call.route.limit_ms) / 1000
-        end = max(end, self.now() + QUEUE_POLL_S)
+        end = max(call.queue_end, self.now() + QUEUE_POLL_S)
         while True:
             now = self.now()
             rejection = self._revalidate(call, now)
@@ -364,15 +359,6 @@
             504 if self.now() >= call.end - MIN_TIME_LEFT_S else 502, UNKNOWN, f"routes.{call.route.name}", why
         )
 
-    def _hedge_at(self, call: HostRequest, lease: UpstreamLease, now: float) -> float:
-        """Returns when to consider a hedge for a read (s); the request's deadline if it cannot be sent again."""
-        if not call.idempotent or call.sends >= call.route.tries:
-            return call.end
-        left = call.end - now
-        return now + min(
-            MAX_HEDGE_DELAY_SHARE * left, max(MIN_HEDGE_DELAY_SHARE * left, HEDGE_LATENCY_FACTOR * lease.state.latency)
-        )
-
     def _should_hedge(self, call: HostRequest, lease: UpstreamLease) -> bool:
         """Returns whether to hedge: the upstream is silent to all requests, and another one can take it at once."""
         now = self.now()
--- a/mallowvalve/proxy/host_request.py
+++ b/mallowvalve/proxy/host_request.py
@@ -25,6 +25,13 @@
     )
 )
 
+QUEUE_SHARE = 0.2
+"""Share of a route's aim that a request may wait for capacity."""
+
+MAX_HEDGE_DELAY_SHARE = 0.6
+MIN_HEDGE_DELAY_SHARE = 0.3
+HEDGE_LATENCY_FACTOR = 3.5
+
 
 class HostRequest(msgspec.Struct):
     """The state of a request on a host route; its route, service and deadline are checked again before each send.
@@ -42,7 +49,7 @@
     arrived_at: float
     end: float
     request_id: str = ""
-    body: bytes = b""
+    body: bytes | memoryview = b""
     head: str = ""
     tried: set = msgspec.field(default_factory=set)
     sends: int = 0
@@ -57,6 +64,23 @@
         """Whether the request may run more than once."""
         return self.route.kind == "read"
 
+    @property
+    def queue_end(self) -> float:
+        """Until when the request may wait for capacity (s)."""
+        aim_ms = self.route.aim_ms or self.route.limit_ms
+        return self.arrived_at + QUEUE_SHARE * min(aim_ms, self.route.limit_ms) / 1000
+
+    def hedge_at(self, latency_s: float, now: float) -> float:
+        """Returns when to consider a hedge for a read (s); the request's deadline if it cannot be sent again.
+
+        `latency_s` is the usual time to a response of the upstream.
+        """
+        if not self.idempotent or self.sends >= self.route.tries:
+            return self.end
+        left = self.end - now
+        delay = max(MIN_HEDGE_DELAY_SHARE * left, HEDGE_LATENCY_FACTOR * latency_s)
+        return now + min(MAX_HEDGE_DELAY_SHARE * left, delay)
+
 
 def local_response(
     status: int, outcome: str, place: str, text: str, after: float | None = None, close: bool = False
--- a/mallowvalve/proxy/request_writer.py
+++ b/mallowvalve/proxy/request_writer.py
@@ -6,6 +6,9 @@
 from mallowvalve.proxy.steps import ClientRequest
 from mallowvalve.settings import HeaderNames
 
+MAX_COMBINED_BYTES = 64 << 10
+"""A larger body is sent by itself, after the head."""
+
 
 class RequestWriter:
     """Serializes requests; headers are forwarded unchanged, except hop-by-hop headers and those that the proxy sets."""
@@ -18,7 +21,7 @@
         self._id_header = terms.ask.lower()
         self._dropped = HOP_BY_HOP_HEADERS | {terms.limit.lower(), terms.expect.lower()}
 
-    def lines(self, request: ClientRequest, body: bytes) -> str:
+    def lines(self, request: ClientRequest, body: bytes | memoryview) -> str:
         """Returns the request line and the headers that are the same for every upstream."""
         dropped = self._dropped
         if "connection" in request.headers:
@@ -34,11 +37,17 @@
             lines.append(f"Content-Length: {len(body)}\r\n")
         return "".join(lines)
 
-    def whole(self, request: HostRequest, instance: str, now: float) -> bytes:
-        """Returns the complete request for the upstream `instance`, with the time that is left (ms)."""
+    def whole(self, request: HostRequest, instance: str, now: float) -> tuple[bytes, bytes | memoryview]:
+        """Returns the request for the upstream `instance`, with the time that is left (ms), and the rest of its body.
+
+        The rest is empty unless the body is large: a copy of that behind the head would take its memory twice.
+        """
         head = request.head
         if self._terms.limit:
             head += f"{self._terms.limit}: {max(1, int((request.end - now) * 1000))}\r\n"
         if self._terms.expect:
             head += f"{self._terms.expect}: {instance}\r\n"
-        return (head + "\r\n").encode("latin-1") + request.body
+        data = (head + "\r\n").encode("latin-1")
+        if len(request.body) > MAX_COMBINED_BYTES:
+            return data, request.body
+        return data + request.body, b""
--- a/mallowvalve/proxy/steps.py
+++ b/mallowvalve/proxy/steps.py
@@ -38,10 +38,11 @@
 
 
 class ReadBody(msgspec.Struct, frozen=True):
-    """Reads the request body, at most `max_bytes`, until the deadline `end`."""
+    """Reads the request body, at most `max_bytes`, until the deadline `end`; waits until `room_end` for room for it."""
 
     end: float
     max_bytes: int | None = None
+    room_end: float = 0.0
 
 
 class ProposeCommand(msgspec.Struct, frozen=True):
@@ -83,7 +84,8 @@
 class Exchange(msgspec.Struct, frozen=True):
     """Sends a request and waits for its response; the first byte leaves before other code of this process runs.
 
-    With `stop_if_client_leaves` the result is `CLIENT_LEFT` once the client has closed its connection.
+    With `stop_if_client_leaves` the result is `CLIENT_LEFT` once the client has closed its connection. `body` is what
+    follows `request`, which has a small body in it.
     """
 
     connection: object
@@ -92,6 +94,7 @@
     end: float
     request_id: str = ""
     stop_if_client_leaves: bool = False
+    body: bytes | memoryview = b""
 
 
 class AwaitResponse(msgspec.Struct, frozen=True):
--- a/mallowvalve/proxy/tenant_frontend.py
+++ b/mallowvalve/proxy/tenant_frontend.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from mallowvalve import clock, web
+from mallowvalve.body_budget import BodyRefusedError
 from mallowvalve.control.replica_task import ReplicaTask
 from mallowvalve.control.state import encode
 from mallowvalve.ledger.ledger import LedgerResult
@@ -123,10 +124,12 @@
             case ProposeInBackground():
                 return gevent.spawn(self._propose_until_accepted, step)
 
-    def _read_body(self, req: falcon.Request, end: float) -> Result[bytes, tuple[int, str, str]]:
+    def _read_body(self, req: falcon.Request, end: float) -> Result[bytes | memoryview, tuple[int, str, str]]:
         try:
             with gevent.Timeout(max(0.001, end - clock.now())):
                 body = web.read_body(req, self.body_bytes)
+        except BodyRefusedError:
+            return Err((503, "body", "no room for it just now"))
         except gevent.Timeout:
             return Err((408, "body", "did not arrive within the limit"))
         except OSError:
--- a/mallowvalve/settings.py
+++ b/mallowvalve/settings.py
@@ -88,11 +88,12 @@
 
     `fleet` is the name shared by all processes of a fleet, `log` a file (standard error if None), `polite` the grace
     period of a stop (s), `connections` the limit for each server, `body_bytes` the largest body of a request routed by
-    the tree, `faults` a file of injected faults for trials. `zones` maps zones to regions, `serve_on` lets a proxy
-    continue with its last known state without a leader, `holds` selects the part of the state that it replicates.
-    `coordination_at` is the path of the coordination resources, `heartbeats` selects where upstreams are kept (`told`:
-    gossiped between nodes, `registered`: in the replicated state), `heartbeat_ms` is the expected interval. `pace` is
-    the shortest time between two rounds of a leader to its voters (s), `election` the shortest election timeout (s).
+    the tree, `memory_mb` the memory that the process may use (megabytes), `faults` a file of injected faults for
+    trials. `zones` maps zones to regions, `serve_on` lets a proxy continue with its last known state without a
+    leader, `holds` selects the part of the state that it replicates. `coordination_at` is the path of the
+    coordination resources, `heartbeats` selects where upstreams are kept (`told`: gossiped between nodes,
+    `registered`: in the replicated state), `heartbeat_ms` is the expected interval. `pace` is the shortest time
+    between two rounds of a leader to its voters (s), `election` the shortest election timeout (s).
     """
 
     name: str
@@ -102,6 +103,7 @@
     polite: float = 4.0
     connections: int = 2048
     body_bytes: int = 1 << 20
+    memory_mb: float = 300.0
     faults: str | None = None
     zones: dict[str, str] = {}
     serve_on: bool = False
@@ -163,6 +165,7 @@
     "detector.round_trip",
     "connections",
     "body_bytes",
+    "memory_mb",
     "polite",
 )
 PROBABILITY_FIELDS = ("detector.fail", "detector.loss", "detector.mistake")
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -13,7 +13,8 @@
 from gevent.pool import Group, Pool
 from gevent.pywsgi import WSGIServer
 
-from mallowvalve import clock, finding
+from mallowvalve import body_budget, clock, finding
+from mallowvalve.body_budget import SMALL_BODY_BYTES, BodyBudget, BodyRefusedError, BodyReservation, BodyTooLargeError
 from mallowvalve.configuration.items import Limits
 from mallowvalve.finding import Finding, Findings, parse_json
 from mallowvalve.handshake_filter import refuse_handshakes
@@ -36,6 +37,8 @@
 DRAIN_POLL_S = 0.02
 ACCEPT_STOP_MARGIN_S = 0.3
 """A stopping server closes its listener this long before its end, even if no other process accepts connections."""
+DEFAULT_MEMORY_MB = 300.0
+BODY_RETRY_AFTER_S = 1
 FIRST_REQUEST_WAIT_S = 1.0
 """How long a stopping server waits for the first request of a new connection."""
 ACCEPT_END_MARGIN_S = 0.1
@@ -47,8 +50,9 @@
 class Server(WSGIServer):
     """A WSGI server that can be drained.
 
-    `limits` returns the limits on requests, `connections` are the open ones, and `stop_deadline` is the end of a drain
-    (s, this process's clock). With `minimal_environ` the application gets only a few entries of the WSGI environment.
+    `limits` returns the limits on requests, `body_budget` is the room for their bodies, `connections` are the open
+    ones, and `stop_deadline` is the end of a drain (s, this process's clock). With `minimal_environ` the application
+    gets only a few entries of the WSGI environment.
     """
 
     handler_class = ConnectionHandler
@@ -61,6 +65,7 @@
         self.draining = False
         self.minimal_environ = False
         self.stop_deadline: float | None = None
+        self.body_budget = BodyBudget.of_memory(DEFAULT_MEMORY_MB)
         self._refusals = Group()
         self.limits: Callable[[], Limits | None] = lambda: None
 
@@ -202,16 +207,30 @@
     return handler is not None and handler.client_left()
 
 
-def read_body(req: falcon.Request, max_bytes: int) -> bytes | None:
-    """Reads the request's body; None if it is larger than `max_bytes`."""
-    if req.content_length is not None and req.content_length > max_bytes:
+def read_body(req: falcon.Request, max_bytes: int) -> bytes | memoryview | None:
+    """Reads the request's body; None if it is larger than `max_bytes`.
+
+    Raises BodyRefusedError if the server has no room for it.
+    """
+    length = req.content_length
+    if length is not None and length > max_bytes:
+        return None
+    reservation = _reserve_body(req, SMALL_BODY_BYTES if length is None else length)
+    stream = req.env["wsgi.input"] if length is None else req.bounded_stream
+    try:
+        return body_budget.read_body(stream, length, max_bytes, reservation)
+    except BodyTooLargeError:
         return None
-    data = (
-        req.bounded_stream.read(max_bytes + 1)
-        if req.content_length is not None
-        else req.env["wsgi.input"].read(max_bytes + 1)
-    )
-    return data if len(data) <= max_bytes else None
+
+
+def _reserve_body(req: falcon.Request, size: int) -> BodyReservation:
+    """Reserves room at the request's server; a request without a connection has a budget of its own."""
+    handler: ConnectionHandler | None = req.env.get("mallow.handler")
+    budget = BodyBudget.of_memory(DEFAULT_MEMORY_MB)
+    reservation = budget.reserve(size) if handler is None else handler.reserve_body(size)
+    if reservation is None:
+        raise BodyRefusedError
+    return reservation
 
 
 def read_json(kind: type, req: falcon.Request, resp: falcon.Response, max_bytes: int = 65536):
@@ -287,9 +306,15 @@
         lambda req, resp, error: reject_early(req, resp, error.status_code, [Finding("request", error.title or "")])
     )
     app.add_error_handler(Exception, _handle_error)
+    app.add_error_handler(BodyRefusedError, _refuse_body)
     return app
 
 
+def _refuse_body(req, resp, _error, _params) -> None:
+    found = [Finding("body", "no room for it just now")]
+    reject_early(req, resp, HTTPStatus.SERVICE_UNAVAILABLE, found, BODY_RETRY_AFTER_S)
+
+
 def _handle_error(req, resp, error, _params) -> None:
     from falcon import HTTPError
 
--- /dev/null
+++ b/tests/upload_bench.py
@@ -0,0 +1,230 @@
+"""Uploads through a proxy's frontend in a process of its own: its resident memory, and small requests beside them.
+
+`python -m tests.upload_bench --help` measures it.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+import gevent
+import msgspec
+from gevent import socket
+from gevent.pool import Group
+from gevent.server import StreamServer
+
+from mallowvalve import clock, web
+from mallowvalve.configuration.items import Limits
+from mallowvalve.metrics import Counts
+from mallowvalve.proxy.frontend import Frontend
+from mallowvalve.types import Address
+from tests.host_bench import HostBench
+
+ROOT = Path(__file__).parent.parent
+MEBIBYTE = 1 << 20
+LIMIT_MS = 10_000.0
+WATCH_INTERVAL_S = 0.005
+CLIENT_TIMEOUT_S = 30.0
+PART = b"x" * (256 << 10)
+CHUNK = b"%x\r\n%s\r\n" % (len(PART), PART)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def serve_proxy(upstream_port: int, memory_mb: float) -> None:
+    """Serves a frontend with one upstream until standard input ends; prints its port first."""
+    bench = HostBench(clock.now)
+    bench.route("o", "/o/", "try", service="s", tries=2, limit_ms=LIMIT_MS, aim_ms=LIMIT_MS)
+    bench.upstream("u0", port=upstream_port, slots=200)
+    bench.state.items.limits = Limits(
+        version=1, header_bytes=16384, body_bytes=64 * MEBIBYTE, header_ms=3000.0, idle_ms=60000.0
+    )
+    frontend = Frontend(bench.forwarder, None, True)
+    bench.hosts.on_free = frontend.capacity_queue.wake_next
+    server = web.Server(Address("127.0.0.1", 0), frontend, Counts(), 512)
+    if hasattr(web, "BodyBudget"):
+        server.body_budget = web.BodyBudget.of_memory(memory_mb)
+    with server:
+        server.minimal_environ, server.limits = True, lambda: bench.state.items.limits
+        bench.forwarder.admission.serves_until = lambda: server.stop_deadline
+        print(server.server_port, flush=True)
+        gevent.get_hub().threadpool.apply(sys.stdin.read)
+
+
+class DiscardingUpstream:
+    """An upstream that reads bodies without keeping them, `part_pause_s` after each part, and answers."""
+
+    def __init__(self, part_pause_s: float = 0.0, work_s: float = 0.05):
+        self.part_pause_s, self.work_s, self.received_bytes = part_pause_s, work_s, 0
+        self.server = StreamServer(("127.0.0.1", 0), self._run)
+
+    def _run(self, sock, _address) -> None:
+        reader = sock.makefile("rb")
+        with sock, reader:
+            while reader.readline():
+                headers = {}
+                while line := reader.readline().strip():
+                    name, _, value = line.decode("latin-1").partition(": ")
+                    headers[name.lower()] = value
+                self._read_body(reader, int(headers.get("content-length", "0")))
+                gevent.sleep(self.work_s)
+                head = f"HTTP/1.1 200 OK\r\nMallow-Ask: {headers['mallow-ask']}\r\nX-Seal: 1\r\n"
+                sock.sendall(f"{head}Content-Length: 2\r\n\r\nok".encode())
+
+    def _read_body(self, reader, left: int) -> None:
+        while left and (part := reader.read(min(left, len(PART)))):
+            left -= len(part)
+            self.received_bytes += len(part)
+            gevent.sleep(self.part_pause_s)
+
+
+class ProxyProcess:
+    """The proxy's process; `peak_mb` is the most resident memory that was seen."""
+
+    def __init__(self, popen, port: int):
+        self.popen, self.port, self.peak_mb = popen, port, 0.0
+
+    def resident_mb(self) -> float:
+        for line in Path(f"/proc/{self.popen.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def watch(self) -> None:
+        while self.popen.poll() is None:
+            self.peak_mb = max(self.peak_mb, self.resident_mb())
+            gevent.sleep(WATCH_INTERVAL_S)
+
+
+@contextmanager
+def run_proxy(upstream: DiscardingUpstream, memory_mb: float):
+    """Runs the upstream, and a proxy that may use `memory_mb`; yields the proxy's process."""
+    upstream.server.start()
+    command = [sys.executable, "-m", "tests.upload_bench", "--serve", str(upstream.server.server_port)]
+    with subprocess.Popen(
+        [*command, "--memory", str(memory_mb)], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    ) as popen:
+        proxy = ProxyProcess(popen, int(popen.stdout.readline()))
+        watcher = gevent.spawn(proxy.watch)
+        try:
+            yield proxy
+        finally:
+            popen.stdin.close()
+            popen.wait(timeout=10)
+            watcher.kill()
+            upstream.server.stop()
+
+
+class UploadAnswer(msgspec.Struct):
+    """The status of an answer (0 without one), its headers and how long it took (s)."""
+
+    status: int
+    head: str
+    seconds: float
+
+
+def upload(port: int, size: int, request_id: str, chunked: bool = False) -> UploadAnswer:
+    """Sends a request with a body of `size` bytes; an early answer ends it."""
+    began = time.monotonic()
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
+    head = f"POST /o/1 HTTP/1.1\r\nHost: h.example\r\nMallow-Ask: {request_id}\r\n{framing}\r\n\r\n"
+    answer = b""
+    try:
+        with gevent.Timeout(CLIENT_TIMEOUT_S), socket.create_connection(("127.0.0.1", port), timeout=10) as sock:
+            sock.settimeout(None)
+            try:
+                sock.sendall(head.encode())
+                for sent in range(0, size, len(PART)):
+                    sock.sendall(CHUNK if chunked else PART[: size - sent])
+                sock.sendall(LAST_CHUNK if chunked else b"")
+            except OSError:
+                pass
+            while b"\r\n\r\n" not in answer and (data := sock.recv(65536)):
+                answer += data
+    except OSError:
+        pass
+    lines = answer.decode("latin-1").partition("\r\n\r\n")[0]
+    return UploadAnswer(int(lines.split()[1]) if lines else 0, lines, time.monotonic() - began)
+
+
+class Figures(msgspec.Struct):
+    """What was measured for one number and size of uploads at a time."""
+
+    uploads: int
+    size_mib: float
+    slow_upstream: bool
+    idle_mb: float
+    peak_mb: float
+    after_mb: float
+    answered: int
+    refused: int
+    no_answer: int
+    mib_per_s: float
+    small_p99_ms: float
+    small_failed: int
+
+
+def measure(uploads: int, size: int, slow: bool, memory_mb: float, seconds: float) -> Figures:
+    """Uploads `uploads` bodies at a time for `seconds`, with small requests beside them."""
+    upstream = DiscardingUpstream(part_pause_s=0.02 if slow else 0.0)
+    answers: list[UploadAnswer] = []
+    small: list[UploadAnswer] = []
+    with run_proxy(upstream, memory_mb) as proxy:
+        upload(proxy.port, 100, "warm")
+        idle_mb, began = proxy.resident_mb(), time.monotonic()
+
+        def send(into: list[UploadAnswer], bytes_: int, name: str, pause_s: float) -> None:
+            while time.monotonic() < began + seconds:
+                into.append(upload(proxy.port, bytes_, f"{name}-{len(into)}"))
+                gevent.sleep(pause_s)
+
+        clients = Group()
+        for index in range(uploads):
+            clients.spawn(send, answers, size, f"u{index}", 0.05)
+        for index in range(4):
+            clients.spawn(send, small, 100, f"s{index}", 0.02)
+        clients.join()
+        lasted = time.monotonic() - began
+        gevent.sleep(1.0)
+        after_mb = proxy.resident_mb()
+    times = sorted(answer.seconds for answer in small if answer.status == 200)
+    return Figures(
+        uploads,
+        size / MEBIBYTE,
+        slow,
+        round(idle_mb, 1),
+        round(proxy.peak_mb, 1),
+        round(after_mb, 1),
+        sum(answer.status == 200 for answer in answers),
+        sum(answer.status == 503 for answer in answers),
+        sum(answer.status == 0 for answer in answers),
+        round(upstream.received_bytes / MEBIBYTE / lasted, 1),
+        round(1000 * times[int(0.99 * (len(times) - 1))], 1) if times else 0.0,
+        sum(answer.status != 200 for answer in small),
+    )
+
+
+@click.command()
+@click.option("--serve", type=int, help="serve as the proxy of this upstream's port")
+@click.option("--memory", default=300.0, help="memory that the proxy may use (megabytes)")
+@click.option("--seconds", default=6.0, help="duration of each measurement")
+@click.option("--uploads", default="1,4,16,64", help="numbers of uploads at a time")
+@click.option("--sizes", default="1,8,60", help="sizes of bodies (MiB)")
+def main(serve: int | None, memory: float, seconds: float, uploads: str, sizes: str) -> None:
+    """Measure a proxy's memory under uploads, and small requests beside them."""
+    if serve is not None:
+        serve_proxy(serve, memory)
+        return
+    for size in sizes.split(","):
+        for slow in (False, True):
+            for count in uploads.split(","):
+                figures = measure(int(count), int(float(size) * MEBIBYTE), slow, memory, seconds)
+                click.echo(msgspec.json.encode(figures).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/upstream_wire.py
+++ b/tests/upstream_wire.py
@@ -210,7 +210,7 @@
     def _perform(self, step):
         match step:
             case Exchange():
-                return step.connection.exchange(step.method, step.request, step.end, step.request_id)
+                return step.connection.exchange(step.method, step.request, step.end, step.request_id, body=step.body)
             case AwaitResponse():
                 return step.connection.receive(step.end)
             case ClientCheck():
