The test of explanations waits for the third control process

It asked all three control processes at once after an acknowledgement; that needs two of them to have decided, the third follows with its next message. So the test asked for more than the acknowledgement promises. It now waits up to 5 s until all three have decided, and then asserts as before that exactly three explain the change.

--- a/tests/test_localfleet.py
+++ b/tests/test_localfleet.py
@@ -208,6 +208,8 @@
         assert result.exit_code == 0, result.output
         return result.output
 
+    # The acknowledgement needs two of the three to have decided; the third follows within its next message.
+    assert wait_until(lambda: explain("why-1").count("decided_change") >= len(fleet.with_role("control")), 5)
     by_key = explain("why-1")
     assert by_key.count("decided_change") == 3 and f"revision {answer[1]['revision']}" in by_key
     assert explain(str(answer[1]["revision"])).count("settings_in_use") >= 3
