--- a/mallowvalve/localfleet/deployed/judge_coordination.py
+++ b/mallowvalve/localfleet/deployed/judge_coordination.py
@@ -10,6 +10,7 @@
 HISTORY_S = 20.0
 """How long the events of a watch are kept."""
 
+STATUS_OK = 200
 STATUS_GONE = 410
 
 
@@ -129,6 +130,9 @@
         given = max((drawn.value for drawn in records.numbers if drawn.name == name), default=0)
         if value is None or value <= given:
             found.append(f"LOST: {name} gave {given}, and {value} at the end")
+    for watcher, status in final.watches.items():
+        if status != STATUS_OK:
+            found.append(f"LOST: {watcher} could not resume its watch at the end: {status or 'no answer'}")
     for name, token in final.tokens.items():
         given = max((hold.token for hold in records.holds if hold.name == name), default=0)
         if token is None or token <= given:
--- a/mallowvalve/localfleet/deployed/main.py
+++ b/mallowvalve/localfleet/deployed/main.py
@@ -34,6 +34,7 @@
     seconds: float
     trouble: bool
     share: float
+    closing: bool
     lookups: bool | None
     saved: str | None
     root: str
@@ -53,6 +54,7 @@
 @click.option("--for", "seconds", default=60.0, help="duration in seconds")
 @click.option("--trouble/--planned", default=False, help="also kill processes")
 @click.option("--share", default=1.0, help="share of processor time that each process gets, above 0 and up to 1")
+@click.option("--closing", is_flag=True, help="kill all processes at the end, before everything is read back")
 @click.option("--lookups/--no-lookups", default=None, help="clients ask directories; by default as the shape says")
 @click.option("--acts", "saved", type=click.Path(dir_okay=False), help="play a saved schedule instead")
 @click.option("--root", default=".", type=click.Path(file_okay=False), help="checkout whose programs are started")
@@ -83,7 +85,7 @@
     save_schedule(schedule, path)
     click.echo(f"folder {folder}, seed {schedule.seed}, share {options.share}, {len(schedule.acts)} acts")
     again = f"mallowvalve hostsoak {shape} --seed {schedule.seed} --share {options.share} --acts {path}"
-    sys.exit(play(fleet, schedule, options.share, again))
+    sys.exit(play(DeployedSoak(fleet, schedule, options.share, options.closing), again))
 
 
 def check_options(options: Options) -> Findings:
@@ -108,15 +110,15 @@
     return loaded.ok_value
 
 
-def play(fleet: Fleet, schedule: Schedule, share: float, again: str) -> int:
+def play(soak: DeployedSoak, again: str) -> int:
     """Plays a schedule, prints findings and figures; returns the exit code.
 
     An interrupt or SIGTERM ends all processes that were started.
     """
     main_greenlet = gevent.getcurrent()
     gevent.signal_handler(signal.SIGTERM, main_greenlet.throw, SystemExit(INTERRUPTED_EXIT_CODE))
+    fleet = soak.fleet
     with fleet:
-        soak = DeployedSoak(fleet, schedule, share)
         try:
             if not soak.settle():
                 click.echo("finding: not settled")
@@ -127,7 +129,7 @@
     (fleet.folder / "records.json").write_bytes(msgspec.json.encode(records))
     found = check_records(records, fleet.shape.grace_s)
     for line in found:
-        click.echo(f"finding: seed {schedule.seed}: {line}")
+        click.echo(f"finding: seed {soak.schedule.seed}: {line}")
     if found:
         click.echo(f"again: {again}")
     click.echo(msgspec.json.encode(statistics(records)).decode())
--- a/mallowvalve/localfleet/deployed/operator.py
+++ b/mallowvalve/localfleet/deployed/operator.py
@@ -81,14 +81,18 @@
         """Changes a route again and again until `end` (s, this process's clock)."""
         while clock.now() < end:
             gevent.sleep(self.rng.expovariate(1.0 / CHANGE_PAUSE_S))
-            self.version += 1
-            target = self.services[self.version % len(self.services)]
-            changed = route(CHANGING_ROUTE, CHANGING_PREFIX, "read", target, 2500, self.version)
-            sent_at = clock.now()
-            body = {"set": {"routes": [changed]}, "drop": {"routes": []}}
-            answer = self.caller.until_clear("PATCH", "/items", body, CHANGE_TIMEOUT_S)
-            acknowledged = answer is not None and answer.status == STATUS_OK
-            self.records.changes.append(Change(self.version, sent_at, clock.now() if acknowledged else 0.0))
+            self.change()
+
+    def change(self) -> None:
+        """Sends the next version of the changing route until it is acknowledged, for a bounded time."""
+        self.version += 1
+        target = self.services[self.version % len(self.services)]
+        changed = route(CHANGING_ROUTE, CHANGING_PREFIX, "read", target, 2500, self.version)
+        sent_at = clock.now()
+        body = {"set": {"routes": [changed]}, "drop": {"routes": []}}
+        answer = self.caller.until_clear("PATCH", "/items", body, CHANGE_TIMEOUT_S)
+        acknowledged = answer is not None and answer.status == STATUS_OK
+        self.records.changes.append(Change(self.version, sent_at, clock.now() if acknowledged else 0.0))
 
     def evacuate(self, zone: str, seconds: float) -> None:
         """Evacuates a zone and takes that back."""
@@ -98,7 +102,7 @@
 
     def read_back(self) -> FinalState:
         """Reads back everything that was acknowledged."""
-        state = FinalState()
+        state = FinalState(watches=self._resume_watches())
         answer = self.caller.until_clear("GET", "/items", None, FINAL_TIMEOUT_S)
         if answer is not None and answer.status == STATUS_OK:
             versions = {item["name"]: item["version"] for item in decode(answer)["routes"]}
@@ -115,6 +119,16 @@
             state.tokens[name] = self._take(name)
         return state
 
+    def _resume_watches(self) -> dict[str, int | None]:
+        """Resumes the watch of each watcher from its last revision; returns the statuses."""
+        last = {answer.watcher: answer for answer in self.records.watches if answer.status == STATUS_OK}
+        statuses: dict[str, int | None] = {}
+        for watcher, answer in last.items():
+            path = f"/api/watch/{answer.group}?after={answer.revision}&wait_ms=0"
+            resumed = self.caller.until_clear("GET", path, None, FINAL_TIMEOUT_S)
+            statuses[watcher] = resumed.status if resumed is not None else None
+        return statuses
+
     def _take(self, lock: str) -> int | None:
         end = clock.now() + FINAL_TIMEOUT_S
         while clock.now() < end:
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -136,12 +136,16 @@
 
 
 class FinalState(msgspec.Struct):
-    """What was read back at the end; None where no answer came in time."""
+    """What was read back at the end; None where no answer came in time.
+
+    `watches` are the statuses of watches that were resumed from the last revision of each watcher.
+    """
 
     item_version: int | None = None
     keys: dict[str, int | None] = {}
     numbers: dict[str, int | None] = {}
     tokens: dict[str, int | None] = {}
+    watches: dict[str, int | None] = {}
 
 
 class Records(msgspec.Struct):
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -34,9 +34,12 @@
 class DeployedSoak:
     """A soak of a fleet whose machines have been started."""
 
-    def __init__(self, fleet: Fleet, schedule: Schedule, share: float):
-        """`share` is the share of its processor time that each process of the fleet gets."""
-        self.fleet, self.schedule, self.share = fleet, schedule, share
+    def __init__(self, fleet: Fleet, schedule: Schedule, share: float, closing: bool = False):
+        """`share` is the share of its processor time that each process of the fleet gets.
+
+        With `closing`, all processes are killed at one moment after the load, before everything is read back.
+        """
+        self.fleet, self.schedule, self.share, self.closing = fleet, schedule, share, closing
         self.records = Records()
         self.upstreams: dict[str, list[StandinUpstream]] = {name: [] for name in fleet.shape.services}
         self.operator = Operator(fleet, self.records, self._rng("operator"))
@@ -71,9 +74,22 @@
             gevent.sleep(max(0.0, end - clock.now()))
             acts.join(timeout=END_SLACK_S)
             load.join(timeout=END_SLACK_S)
+        if self.closing:
+            self._kill_all()
         self.records.final = self.operator.read_back()
         return self.records
 
+    def _kill_all(self) -> None:
+        """Kills all processes right after a change was acknowledged, and starts them again."""
+        self.operator.change()
+        for machine in self.fleet.machines:
+            machine.signal(signal.SIGKILL)
+        for machine in self.fleet.machines:
+            machine.kill()
+            machine.start()
+        for machine in self.fleet.machines:
+            self._await_ready(machine, READY_S)
+
     def close(self) -> None:
         """Ends the stand-ins."""
         self._serving.kill(block=True, timeout=2.0)
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -66,7 +66,7 @@
     holds=[LockHold("l", "x", 1.0, 1.1, 2.0, 5), LockHold("l", "y", 2.0, 2.1, 3.0, 6)],
     watches=[WatchAnswer("w", "g.", 2, 3, 200, 1.0, [("g.k", 3, "v")]), WatchAnswer("w", "g.", 1, 0, 410, 30.0, [])],
     changes=[Change(4, 1.0, 2.0), Change(5, 3.0, 0.0)],
-    final=FinalState(4, {"g.k": 4}, {"n": 10}, {"l": 7}),
+    final=FinalState(4, {"g.k": 4}, {"n": 10}, {"l": 7}, {"w": 200}),
 )
 
 
@@ -104,6 +104,7 @@
     "LOST key": {"final": FinalState(4, {"g.k": 2}, {}, {})},
     "LOST number": {"final": FinalState(4, {}, {"n": 9}, {})},
     "LOST lock": {"final": FinalState(4, {}, {}, {"l": 6})},
+    "LOST watch": {"final": FinalState(4, {}, {}, {}, {"w": 410})},
     "LOST unread": {"final": FinalState(4, {"g.k": None}, {}, {})},
 }
 
