--- a/tests/test_localfleet.py
+++ b/tests/test_localfleet.py
@@ -189,7 +189,7 @@
         connection.sendall(b"}")
         answer = http.client.HTTPResponse(connection)
         answer.begin()
-        assert answer.status == 200
+        assert answer.status == 200, answer.read()
     services = [row["service"] for row in fleet.read_journal("ran.jsonl") if row["key"] == "slow"]
     assert call(control, "PUT", "/config", {"doc": original})[0] == 200
     assert services == ["boards"]
