The stand-in server of a test has shut_down

test_a_proxy_starts_to_serve_once_it_holds_settings failed since ("A server that stops without a drain ..."): a proxy's deferred listener ends its server by shut_down, which the test's stand-in lacked. It asserts the same order of events as before.

--- a/tests/test_again.py
+++ b/tests/test_again.py
@@ -164,7 +164,7 @@
 
 def test_a_proxy_starts_to_serve_once_it_holds_settings():
     events = []
-    server = SimpleNamespace(start=lambda: events.append(1), stop=lambda timeout: events.append(0))
+    server = SimpleNamespace(start=lambda: events.append(1), shut_down=lambda: events.append(0))
     node, replica = SimpleNamespace(server=server, stopping=Event()), SimpleNamespace(settings_available=Event())
     with DeferredListener(node, replica):
         gevent.idle()
