--- a/tests/test_localfleet.py
+++ b/tests/test_localfleet.py
@@ -215,4 +215,4 @@
     assert explain(str(answer[1]["revision"])).count("settings_in_use") >= 3
     assert "rejected /nowhere of overlay: 404 not-run, path: no route takes this request" in explain("/nowhere")
     assert "peer_alive" in explain(proxy.name) and "upstream_ready" in explain("boards")
-    assert "nothing is remembered" in explain("nobody")
+    assert "nothing is remembered" in explain("never-mentioned")
