Tests of uploads that get no answer, which fail

The tests show its two causes: a refusal is followed by a close while the client still sends, and bodies that do not fit together are refused although every one is inside the limits.

--- /dev/null
+++ b/tests/test_uploads_answered.py
@@ -0,0 +1,93 @@
+"""Every upload gets an answer that its client can read, however long the client sends."""
+
+import time
+
+import gevent
+import pytest
+from gevent.pool import Group
+
+from mallowvalve.body_budget import BodyBudget
+from mallowvalve.configuration.items import Limits
+from tests.frontend_bench import HttpClient, build_request, serve_frontend
+from tests.upload_bench import MEBIBYTE, DiscardingUpstream, run_proxy, upload
+
+MEMORY_MB = 120.0
+UPLOAD_BYTES = 16 * MEBIBYTE
+UPLOADS = 6
+PART = b"x" * 16384
+SENDING_S = 0.9
+"""Longer than a server that does not wait for the end of a body lets a client send after an error response."""
+
+
+@pytest.fixture
+def frontend():
+    with serve_frontend() as (server, upstream, bench):
+        bench.state.items.limits = Limits(
+            version=1, header_bytes=2000, body_bytes=1 << 20, header_ms=150.0, idle_ms=5000.0
+        )
+        yield server, upstream, bench
+
+
+def send_slowly(client, size):
+    """Sends `size` bytes over `SENDING_S`, as a client that reads no response before the end of its request."""
+    for sent in range(0, size, len(PART)):
+        client.sock.sendall(PART[: size - sent])
+        gevent.sleep(SENDING_S * len(PART) / size)
+
+
+REFUSED_UPLOADS = {
+    "no_room": (b"/o/1", 900_000, 503),
+    "too_large": (b"/o/1", 2_000_000, 413),
+    "no_route": (b"/elsewhere/1", 900_000, 404),
+    "bad_limit": (b"/o/1", 900_000, 400),
+}
+
+
+@pytest.mark.parametrize("case", REFUSED_UPLOADS)
+def test_a_client_reads_the_refusal_of_an_upload_that_it_sends_whole(frontend, case):
+    """Guards against a reset that discards the response while the client is still sending its body."""
+    server, upstream, _ = frontend
+    target, size, status = REFUSED_UPLOADS[case]
+    if case == "no_room":
+        server.body_budget = BodyBudget(1000)
+    headers = b"Content-Length: %d\r\n" % size
+    if case == "bad_limit":
+        headers += b"Mallow-Limit: soon\r\n"
+    client = HttpClient(server).send(build_request(target, b"POST", headers))
+    send_slowly(client, size)
+    assert client.read_response()[0] == status
+    assert upstream.requests == []
+
+
+def test_a_client_reads_the_refusal_of_a_head_that_is_too_long(frontend):
+    """Guards against the same reset where no request was understood."""
+    server, _, _ = frontend
+    client = HttpClient(server).send(build_request(headers=b"X-Long: " + b"x" * 4000))
+    send_slowly(client, 300_000)
+    assert client.read_response()[0] == 431
+
+
+def test_a_refused_upload_ends_with_its_body_and_not_with_a_timeout(frontend):
+    server, _, _ = frontend
+    headers = b"Content-Length: 2000000\r\n"
+    client = HttpClient(server).send(build_request(b"/o/1", b"POST", headers, b"x" * 2_000_000))
+    assert client.read_response()[0] == 413
+    began = time.monotonic()
+    assert client.closed()
+    with gevent.Timeout(2):
+        while server.connections or len(server.pool):
+            gevent.sleep(0.01)
+    assert time.monotonic() - began < 1.0
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_uploads_are_served_that_together_exceed_the_room_for_bodies(chunked):
+    """Guards against uploads that are refused or cut because bodies are held whole until they are sent on."""
+    answers = []
+    with run_proxy(DiscardingUpstream(part_pause_s=0.02, work_s=0.2), MEMORY_MB) as proxy:
+        clients = Group()
+        for index in range(2 * UPLOADS):
+            clients.spawn(lambda i=index: answers.append(upload(proxy.port, UPLOAD_BYTES, f"u{i}", chunked)))
+        clients.join()
+        assert proxy.peak_mb < 0.8 * MEMORY_MB
+    assert [answer.status for answer in answers] == [200] * 2 * UPLOADS
--- a/tests/upload_bench.py
+++ b/tests/upload_bench.py
@@ -70,7 +70,10 @@
                 while line := reader.readline().strip():
                     name, _, value = line.decode("latin-1").partition(": ")
                     headers[name.lower()] = value
-                self._read_body(reader, int(headers.get("content-length", "0")))
+                if headers.get("transfer-encoding") == "chunked":
+                    self._read_chunks(reader)
+                else:
+                    self._read_body(reader, int(headers.get("content-length", "0")))
                 gevent.sleep(self.work_s)
                 head = f"HTTP/1.1 200 OK\r\nMallow-Ask: {headers['mallow-ask']}\r\nX-Seal: 1\r\n"
                 sock.sendall(f"{head}Content-Length: 2\r\n\r\nok".encode())
@@ -82,6 +85,13 @@
             gevent.sleep(self.part_pause_s)
 
 
+    def _read_chunks(self, reader) -> None:
+        while size := int(reader.readline() or b"0", 16):
+            self._read_body(reader, size)
+            reader.readline()
+        reader.readline()
+
+
 class ProxyProcess:
     """The proxy's process; `peak_mb` is the most resident memory that was seen."""
 
