A client that still sends reads the response that refuses its request

Cause: after an early response the connection was read for 0.3 s and then closed. A client that was still sending got a reset at its next send and never read the response. Change: the rest of the request is discarded, 64 KiB at a time, until its declared end, the client's close, the request's deadline (where none is known, as long as a connection may be idle) or the end of a stop. The same goes for heads that are refused, connections that a full server refuses in its stop, and errors of the server itself.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -6,13 +6,13 @@
 from contextlib import suppress
 from http import HTTPStatus
 
-import gevent
 import msgspec
 from gevent import GreenletExit, socket
 from gevent.pywsgi import Input, WSGIHandler
 
 from mallowvalve import clock
 from mallowvalve.body_budget import BodyReservation
+from mallowvalve.connection_close import discard_rest
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
 
@@ -25,8 +25,7 @@
 
 DEFAULT_MAX_HEAD_BYTES = 65536
 DEFAULT_HEAD_TIMEOUT_S = 30.0
-LINGER_S = 0.3
-"""How long a connection is read after an early error response before it is closed."""
+DEFAULT_IDLE_S = 30.0
 KEEP_ALIVE_MARGIN_S = 2.0
 """The Keep-Alive timeout sent to clients is this much shorter than the idle timeout."""
 
@@ -44,19 +43,11 @@
     return head.encode() + body
 
 
-def linger(sock: socket.socket) -> None:
-    """Ends the sending side and discards what still arrives: unread bytes would reset the connection at its close."""
-    sock.shutdown(socket.SHUT_WR)
-    with gevent.Timeout(LINGER_S, False):
-        while sock.recv(65536):
-            pass
-
-
-def refuse_connection(sock: socket.socket) -> None:
-    """Answers a connection whose request is not read, and closes it."""
+def refuse_connection(sock: socket.socket, end: float) -> None:
+    """Answers a connection whose request is not read, and closes it, not after `end` (s, this process's clock)."""
     with sock, suppress(OSError):
         sock.sendall(error_response(HTTPStatus.SERVICE_UNAVAILABLE, UNDECIDED, "not read by a stopping process", 1))
-        linger(sock)
+        discard_rest(sock, lambda: end)
 
 
 class DiscardedInput:
@@ -69,12 +60,16 @@
 class ConnectionHandler(WSGIHandler):
     """A client's connection; each request is subject to the limits that the server has at its start.
 
-    `busy`: a request has been received and not yet answered. `linger`: bytes are read and discarded for `LINGER_S`
-    before the close. `read_side_closed`: a draining server has shut down the reads of this connection. `opened_at` is
-    when it was accepted (s, this process's clock). `body` is the room that the request's body holds.
+    `busy`: a request has been received and not yet answered. `discards_rest`: what the client still sends is read and
+    discarded before the close, until `discard_end` at the latest; `unread_bytes` of the request's body are left (None:
+    unknown). `read_side_closed`: a draining server has shut down the reads of this connection. `opened_at` is when it
+    was accepted. `body` is the room that the request's body holds. Times are in seconds on this process's clock.
     """
 
-    linger = read_side_closed = False
+    discards_rest = read_side_closed = False
+    discard_end: float | None = None
+    unread_bytes: int | None = None
+    idle_s: float | None = None
     body: BodyReservation | None = None
 
     def __init__(self, sock, address, server, rfile=None):
@@ -90,7 +85,7 @@
             while (result := self.handle_one_request()) is True:
                 self.busy = False
             if result is not None:
-                self.linger = True
+                self.discards_rest = True
                 self.socket.sendall(result)
         except OSError:
             pass
@@ -225,11 +220,12 @@
                 yield "HTTP_" + name.replace("-", "_").upper(), value
 
     def _close(self) -> None:
-        """Closes the connection; lingers after an error response, which a reset by unread bytes would discard."""
+        """Closes the connection, after an early response only once its client had the time to read it."""
         sock, self.socket = self.socket, None
         try:
-            if self.linger:
-                linger(sock)
+            if self.discards_rest:
+                end = clock.now() + (self.idle_s or DEFAULT_IDLE_S) if self.discard_end is None else self.discard_end
+                discard_rest(sock, lambda: self._before_stop(end), self.unread_bytes)
         except OSError:
             pass
         sock.close()
@@ -237,6 +233,11 @@
         self.__dict__.pop("rfile", None)
         self.__dict__.pop("wsgi_input", None)
 
+    def _before_stop(self, end: float) -> float:
+        """Returns `end`, or the end of the server's drain if that comes first (s, this process's clock)."""
+        stop_deadline = self.server.stop_deadline
+        return end if stop_deadline is None else min(end, stop_deadline)
+
     def client_left(self) -> bool:
         """Returns whether the client has closed the connection; a half-close counts too.
 
@@ -244,9 +245,16 @@
         """
         return not self.rfile.buffer and not self.read_side_closed and peer_has_closed(self.socket)
 
-    def close_without_reading(self) -> None:
-        """Closes the connection after this response without waiting for the rest of the request."""
-        self.linger, self.wsgi_input, self.close_connection = True, DiscardedInput(), True
+    def close_without_reading(self, end: float | None = None) -> None:
+        """Closes the connection after this response, without passing on the rest of the request.
+
+        That is discarded until the request's deadline `end` (s, this process's clock), or for as long as a connection
+        may be idle.
+        """
+        self.discards_rest, self.discard_end = True, end
+        if not self.request.chunked:
+            self.unread_bytes = (self.content_length or 0) - self.wsgi_input.position - len(self.rfile.buffer)
+        self.wsgi_input, self.close_connection = DiscardedInput(), True
 
     def log_request(self):
         """Logs nothing: requests are only counted."""
@@ -254,7 +262,7 @@
 
     def _send_error_response_if_possible(self, error_code):
         """Sends an error response with an outcome for a request that failed or was cut off by the end of a drain."""
-        self.close_connection = True
+        self.close_connection = self.discards_rest = True
         if self.response_length:
             return
         cut_off = isinstance(sys.exc_info()[1], GreenletExit)
--- a/mallowvalve/proxy/frontend.py
+++ b/mallowvalve/proxy/frontend.py
@@ -138,7 +138,7 @@
                 return self.capacity_queue.wait(step.service, step.end - clock.now(), step.priority)
 
     def _read_body(self, environ: dict, step: ReadBody) -> Result[bytes | memoryview, tuple[int, str, str]]:
-        length = environ["mallow.head"].length
+        length, environ["mallow.deadline"] = environ["mallow.head"].length, step.end
         if length is not None and length > step.max_bytes:
             return Err((413, "body", f"larger than {step.max_bytes} bytes"))
         expected = SMALL_BODY_BYTES if length is None else length
@@ -195,6 +195,6 @@
             headers.append(("Retry-After", f"{response.retry_after:.2f}"))
         if response.close or (head.length or head.chunked) and "mallow.read" not in environ:
             headers.append(("Connection", "close"))
-            environ["mallow.handler"].close_without_reading()
+            environ["mallow.handler"].close_without_reading(environ.get("mallow.deadline"))
         start_response(STATUS_LINES.get(response.status) or f"{response.status} Refused", headers)
         return [] if head.method == "HEAD" else [body]
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -150,14 +150,14 @@
             if not accepted:
                 return
             if self.full():
-                self._refuse(accepted[0])
+                self._refuse(accepted[0], end)
             else:
                 self.do_handle(*accepted)
 
-    def _refuse(self, sock: socket.socket) -> None:
-        """Answers a connection that no handler can take, and closes it."""
+    def _refuse(self, sock: socket.socket, end: float) -> None:
+        """Answers a connection that no handler can take, and closes it, shortly after `end` at the latest."""
         self.counts.add("connections_refused")
-        self._refusals.spawn(refuse_connection, sock)
+        self._refusals.spawn(refuse_connection, sock, end + EXIT_S)
 
     def _close_idle(self) -> None:
         for handler in list(self.connections):
--- a/tests/test_uploads_answered.py
+++ b/tests/test_uploads_answered.py
@@ -9,12 +9,11 @@
 from mallowvalve.body_budget import BodyBudget
 from mallowvalve.configuration.items import Limits
 from tests.frontend_bench import HttpClient, build_request, serve_frontend
-from tests.upload_bench import MEBIBYTE, DiscardingUpstream, run_proxy, upload
+from tests.upload_bench import MEBIBYTE, DiscardingUpstream, run_proxy, send_slowly, upload
 
 MEMORY_MB = 120.0
 UPLOAD_BYTES = 16 * MEBIBYTE
 UPLOADS = 6
-PART = b"x" * 16384
 SENDING_S = 0.9
 """Longer than a server that does not wait for the end of a body lets a client send after an error response."""
 
@@ -28,13 +27,6 @@
         yield server, upstream, bench
 
 
-def send_slowly(client, size):
-    """Sends `size` bytes over `SENDING_S`, as a client that reads no response before the end of its request."""
-    for sent in range(0, size, len(PART)):
-        client.sock.sendall(PART[: size - sent])
-        gevent.sleep(SENDING_S * len(PART) / size)
-
-
 REFUSED_UPLOADS = {
     "no_room": (b"/o/1", 900_000, 503),
     "too_large": (b"/o/1", 2_000_000, 413),
@@ -54,7 +46,7 @@
     if case == "bad_limit":
         headers += b"Mallow-Limit: soon\r\n"
     client = HttpClient(server).send(build_request(target, b"POST", headers))
-    send_slowly(client, size)
+    send_slowly(client.sock, size, SENDING_S)
     assert client.read_response()[0] == status
     assert upstream.requests == []
 
@@ -63,7 +55,7 @@
     """Guards against the same reset where no request was understood."""
     server, _, _ = frontend
     client = HttpClient(server).send(build_request(headers=b"X-Long: " + b"x" * 4000))
-    send_slowly(client, 300_000)
+    send_slowly(client.sock, 300_000, SENDING_S)
     assert client.read_response()[0] == 431
 
 
@@ -76,7 +68,29 @@
     assert client.closed()
     with gevent.Timeout(2):
         while server.connections or len(server.pool):
-            gevent.sleep(0.01)
+            gevent.idle()
+    assert time.monotonic() - began < 1.0
+
+
+def test_the_rest_of_a_refused_upload_is_discarded_until_its_deadline_only(frontend):
+    server, _, _ = frontend
+    headers = b"Content-Length: 2000000\r\nMallow-Limit: 400\r\n"
+    began = time.monotonic()
+    client = HttpClient(server).send(build_request(b"/o/1", b"POST", headers, b"x" * 1000))
+    assert client.read_response()[0] == 413
+    with gevent.Timeout(2):
+        while len(server.pool):
+            gevent.idle()
+    assert 0.35 < time.monotonic() - began < 1.0
+
+
+def test_a_client_that_still_sends_its_refused_upload_does_not_delay_a_stop(frontend):
+    server, _, _ = frontend
+    client = HttpClient(server).send(build_request(b"/o/1", b"POST", b"Content-Length: 2000000\r\n", b"x" * 1000))
+    assert client.read_response()[0] == 413
+    began = time.monotonic()
+    server.drain(0.0, 0.4)
+    server.shut_down()
     assert time.monotonic() - began < 1.0
 
 
--- a/tests/upload_bench.py
+++ b/tests/upload_bench.py
@@ -32,6 +32,7 @@
 CLIENT_TIMEOUT_S = 30.0
 PART = b"x" * (256 << 10)
 CHUNK = b"%x\r\n%s\r\n" % (len(PART), PART)
+SLOW_PART_BYTES = 16 << 10
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -84,7 +85,6 @@
             self.received_bytes += len(part)
             gevent.sleep(self.part_pause_s)
 
-
     def _read_chunks(self, reader) -> None:
         while size := int(reader.readline() or b"0", 16):
             self._read_body(reader, size)
@@ -161,6 +161,13 @@
     return UploadAnswer(int(lines.split()[1]) if lines else 0, lines, time.monotonic() - began)
 
 
+def send_slowly(sock, size: int, seconds: float) -> None:
+    """Sends `size` bytes over so many seconds, as a client that reads no response before the end of its request."""
+    for sent in range(0, size, SLOW_PART_BYTES):
+        sock.sendall(PART[: min(SLOW_PART_BYTES, size - sent)])
+        gevent.sleep(seconds * SLOW_PART_BYTES / size)
+
+
 class Figures(msgspec.Struct):
     """What was measured for one number and size of uploads at a time."""
 
