Large bodies pass through a proxy instead of lying in it whole

Cause: a body was held whole, from its first byte to the response, so that the room for bodies bounded the uploads in flight: two of 60 MiB in a process of 300 MB. Change: a body of over 1 MiB, or one for which there is no room at once, is held up to 64 KiB (in chunks: 1 MiB) and the rest is passed on as the client sends it, with back pressure, in 256 KiB of room. It is sent again only while nothing of the rest was taken. A body that ends early, is malformed or comes too slowly ends the exchange at the upstream and is answered 400, 413 or 504 with an unknown outcome. A chunked body of over 1 MiB goes on in chunks. The body of a request is read by readers of our own, since pywsgi's wait for whole parts; pages use them too, and refuse a malformed body with 400. Waiting for an upstream and a client no longer uses select, which fails at 1,024 open descriptors. Changed tests: the upstream's wire in tests/upstream_wire.py answers the wait that replaces select, with the same events; the test of memory that falls uploads bodies that are still held (1 MiB), 24 at once instead of 6 of 8 MiB.

--- a/mallowvalve/client_watch.py
+++ b/mallowvalve/client_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from gevent import get_hub, socket
 from gevent.hub import Waiter
@@ -32,6 +32,26 @@
     """Raised while an upstream's response is received, once the client has closed its connection."""
 
 
+def wait_for_first(events: list[tuple[Any, Any]], seconds: float) -> Any:
+    """Waits until one of some watchers fires, for at most `seconds`; returns the value beside it, None after the time.
+
+    Unlike `select`, this works with any number of open descriptors, and lets other greenlets run first.
+    """
+    hub = get_hub()
+    waiter = Waiter(hub)
+    timer = hub.loop.timer(max(0.0, seconds))
+    try:
+        for watcher, value in events:
+            watcher.start(waiter.switch, value)
+        timer.start(waiter.switch, None)
+        return waiter.get()
+    finally:
+        for watcher, _ in events:
+            watcher.stop()
+        timer.stop()
+        timer.close()
+
+
 def wait_for_bytes(upstream: socket.socket, client: ClientConnection, seconds: float) -> WaitResult:
     """Waits until the upstream has sent bytes or the client has left, for at most `seconds`.
 
--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
 
 import msgspec
 from gevent import GreenletExit, socket
-from gevent.pywsgi import Input, WSGIHandler
+from gevent.pywsgi import WSGIHandler
 
 from mallowvalve import clock
 from mallowvalve.body_budget import BodyReservation
 from mallowvalve.connection_close import discard_rest
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
+from mallowvalve.request_body import BodyReader, make_body_reader
 
 OUTCOME = "Mallow-Outcome"
 NOT_RUN = "not-run"
@@ -26,6 +28,8 @@
 DEFAULT_MAX_HEAD_BYTES = 65536
 DEFAULT_HEAD_TIMEOUT_S = 30.0
 DEFAULT_IDLE_S = 30.0
+MIN_DISCARD_S = 1.0
+"""How long the rest of a request is discarded at least, also after the request's deadline."""
 KEEP_ALIVE_MARGIN_S = 2.0
 """The Keep-Alive timeout sent to clients is this much shorter than the idle timeout."""
 
@@ -50,13 +54,6 @@
         discard_rest(sock, lambda: end)
 
 
-class DiscardedInput:
-    """Replaces the input of a request whose remaining body is not read."""
-
-    def _discard(self) -> None:
-        pass
-
-
 class ConnectionHandler(WSGIHandler):
     """A client's connection; each request is subject to the limits that the server has at its start.
 
@@ -71,6 +68,7 @@
     unread_bytes: int | None = None
     idle_s: float | None = None
     body: BodyReservation | None = None
+    body_reader: BodyReader
 
     def __init__(self, sock, address, server, rfile=None):
         """Serves the connection `sock`, which is read through a `RequestReader`."""
@@ -139,8 +137,6 @@
     def reserve_body(self, size: int, wait_s: float = 0.0) -> BodyReservation | None:
         """Reserves room for the request's body until its response has been sent; None if there is none in `wait_s`."""
         self.body = self.server.body_budget.reserve(size, wait_s)
-        if self.body is None:
-            self.server.counts.add("bodies_refused")
         return self.body
 
     def release_body(self) -> None:
@@ -151,15 +147,10 @@
 
     def get_environ(self):
         """Returns the WSGI environment, or a minimal one; `full_environ` returns the complete one later."""
+        head = self.request
+        self.body_reader = self.wsgi_input = make_body_reader(self.rfile, head)
         if not self.server.minimal_environ:
             return self.full_environ()
-        head = self.request
-        self.wsgi_input = Input(
-            self.rfile,
-            head.length,
-            self.socket if head.header_map.get("expect", "").lower() == "100-continue" else None,
-            head.chunked,
-        )
         return {
             "REQUEST_METHOD": head.method,
             "SERVER_PROTOCOL": head.version,
@@ -173,14 +164,18 @@
     def full_environ(self):
         """Returns the complete WSGI environment."""
         environ = super().get_environ()
+        environ["wsgi.input"] = self.wsgi_input = self.body_reader
         environ["mallow.target"] = self.path
         environ["mallow.head"] = self.request
         environ["mallow.handler"] = self
         return environ
 
     def finalize_headers(self):
-        """Sets the Connection and Keep-Alive headers."""
+        """Sets the Connection and Keep-Alive headers; a body that was not read whole ends the connection."""
         self.provided_date = self.provided_date or ""
+        self.body_reader.skip_received()
+        if not self.body_reader.complete:
+            self.close_without_reading()
         if self.server.draining or self.close_connection:
             self.close_connection = True
             self.response_headers = [header for header in self.response_headers if header[0].lower() != b"connection"]
@@ -224,8 +219,7 @@
         sock, self.socket = self.socket, None
         try:
             if self.discards_rest:
-                end = clock.now() + (self.idle_s or DEFAULT_IDLE_S) if self.discard_end is None else self.discard_end
-                discard_rest(sock, lambda: self._before_stop(end), self.unread_bytes)
+                discard_rest(sock, self._make_discard_end(), self.unread_bytes)
         except OSError:
             pass
         sock.close()
@@ -233,10 +227,15 @@
         self.__dict__.pop("rfile", None)
         self.__dict__.pop("wsgi_input", None)
 
-    def _before_stop(self, end: float) -> float:
-        """Returns `end`, or the end of the server's drain if that comes first (s, this process's clock)."""
-        stop_deadline = self.server.stop_deadline
-        return end if stop_deadline is None else min(end, stop_deadline)
+    def _make_discard_end(self) -> Callable[[], float]:
+        """Returns a function that returns until when the rest of a request is discarded (s, this process's clock)."""
+        now = clock.now()
+        if self.discard_end is None:
+            end = now + (self.idle_s or DEFAULT_IDLE_S)
+        else:
+            end = max(self.discard_end, now + MIN_DISCARD_S)
+        server = self.server
+        return lambda: end if server.stop_deadline is None else min(end, server.stop_deadline)
 
     def client_left(self) -> bool:
         """Returns whether the client has closed the connection; a half-close counts too.
@@ -245,16 +244,11 @@
         """
         return not self.rfile.buffer and not self.read_side_closed and peer_has_closed(self.socket)
 
-    def close_without_reading(self, end: float | None = None) -> None:
-        """Closes the connection after this response, without passing on the rest of the request.
-
-        That is discarded until the request's deadline `end` (s, this process's clock), or for as long as a connection
-        may be idle.
-        """
-        self.discards_rest, self.discard_end = True, end
-        if not self.request.chunked:
-            self.unread_bytes = (self.content_length or 0) - self.wsgi_input.position - len(self.rfile.buffer)
-        self.wsgi_input, self.close_connection = DiscardedInput(), True
+    def close_without_reading(self) -> None:
+        """Closes the connection after this response; what is left of the request is discarded."""
+        self.discards_rest = self.close_connection = True
+        left_bytes = self.body_reader.left_bytes
+        self.unread_bytes = None if left_bytes is None else left_bytes - len(self.rfile.buffer)
 
     def log_request(self):
         """Logs nothing: requests are only counted."""
@@ -262,7 +256,7 @@
 
     def _send_error_response_if_possible(self, error_code):
         """Sends an error response with an outcome for a request that failed or was cut off by the end of a drain."""
-        self.close_connection = self.discards_rest = True
+        self.close_without_reading()
         if self.response_length:
             return
         cut_off = isinstance(sys.exc_info()[1], GreenletExit)
--- a/mallowvalve/http_head.py
+++ b/mallowvalve/http_head.py
@@ -152,6 +152,24 @@
         del self.buffer[: end + 4]
         return head
 
+    def take(self, max_bytes: int) -> bytes:
+        """Removes and returns bytes that have been received, at most `max_bytes`; does not wait."""
+        if max_bytes >= len(self.buffer):
+            data, self.buffer = bytes(self.buffer), bytearray()
+            return data
+        data = bytes(self.buffer[:max_bytes])
+        del self.buffer[:max_bytes]
+        return data
+
+    def take_line(self, max_bytes: int) -> bytes | None:
+        """Removes a line and returns it without its line end; None if none of at most `max_bytes` was received."""
+        end = self.buffer.find(b"\r\n", 0, max_bytes)
+        if end < 0:
+            return None
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 2]
+        return line
+
     def read(self, size: int = -1) -> bytes:
         """Reads `size` bytes, fewer only at the end of the connection; a negative size reads to that end."""
         while size < 0 or len(self.buffer) < size:
@@ -159,12 +177,7 @@
             if not data:
                 break
             self.buffer += data
-        if size < 0 or size >= len(self.buffer):
-            data, self.buffer = bytes(self.buffer), bytearray()
-            return data
-        data = bytes(self.buffer[:size])
-        del self.buffer[:size]
-        return data
+        return self.take(len(self.buffer) if size < 0 else size)
 
     def readline(self, max_bytes: int = -1) -> bytes:
         """Reads up to and including the next line end, at most `max_bytes` bytes unless that is negative."""
--- a/mallowvalve/proxy/frontend.py
+++ b/mallowvalve/proxy/frontend.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 from operator import itemgetter
 
-import gevent
 from gevent.event import Event
-from result import Err, Ok, Result
 
 from mallowvalve import clock, web
-from mallowvalve.body_budget import SMALL_BODY_BYTES, BodyRefusedError, BodyTooLargeError, read_body
+from mallowvalve.proxy.body_intake import take_in_body
 from mallowvalve.proxy.host_connection import HostConnection
 from mallowvalve.proxy.host_forwarder import HostForwarder
 from mallowvalve.proxy.host_request import HOP_BY_HOP_HEADERS
@@ -121,7 +119,9 @@
         match step:
             case Exchange():
                 client = environ["mallow.handler"] if step.stop_if_client_leaves else None
-                return step.connection.exchange(step.method, step.request, step.end, step.request_id, client, step.body)
+                return step.connection.exchange(
+                    step.method, step.request, step.end, step.request_id, client, step.body, step.stream
+                )
             case AwaitResponse():
                 return step.connection.receive(
                     step.end, environ["mallow.handler"] if step.stop_if_client_leaves else None
@@ -129,7 +129,7 @@
             case ClientCheck():
                 return CLIENT_LEFT if environ["mallow.handler"].client_left() else None
             case ReadBody():
-                return self._read_body(environ, step)
+                return take_in_body(environ["mallow.handler"], step)
             case OpenConnection():
                 result = HostConnection.open(step.heartbeat, self.id_header, step.end)
                 self.forwarder.counts.add("upstream_connections", result.is_ok())
@@ -137,28 +137,6 @@
             case WaitForCapacity():
                 return self.capacity_queue.wait(step.service, step.end - clock.now(), step.priority)
 
-    def _read_body(self, environ: dict, step: ReadBody) -> Result[bytes | memoryview, tuple[int, str, str]]:
-        length, environ["mallow.deadline"] = environ["mallow.head"].length, step.end
-        if length is not None and length > step.max_bytes:
-            return Err((413, "body", f"larger than {step.max_bytes} bytes"))
-        expected = SMALL_BODY_BYTES if length is None else length
-        reservation = environ["mallow.handler"].reserve_body(expected, step.room_end - clock.now())
-        if reservation is None:
-            return Err((503, "body", "no room for it just now"))
-        try:
-            with gevent.Timeout(max(0.001, step.end - clock.now())):
-                data = read_body(environ["wsgi.input"], length, step.max_bytes, reservation)
-                environ["mallow.read"] = True
-                return Ok(data)
-        except BodyTooLargeError:
-            return Err((413, "body", f"larger than {step.max_bytes} bytes"))
-        except BodyRefusedError:
-            return Err((503, "body", "no room for all of it just now"))
-        except gevent.Timeout:
-            return Err((408, "body", "did not arrive within the limit"))
-        except OSError:
-            return Err((400, "body", "broken off or badly chunked"))
-
     def _respond(self, environ: dict, start_response: Callable, response: ProxyResponse):
         upstream_response = response.answer
         if upstream_response is None:
@@ -183,7 +161,7 @@
         return [upstream_response.body] if upstream_response.body_stream is None else StreamedBody(response)
 
     def _respond_locally(self, environ: dict, start_response: Callable, response: ProxyResponse):
-        """Sends a response of the proxy itself; the connection ends if the request's body was not read."""
+        """Sends a response of the proxy itself; the connection ends if the request's body was not read whole."""
         head = environ["mallow.head"]
         body = web.encode({"outcome": response.outcome, "findings": response.findings})
         headers = [
@@ -193,8 +171,8 @@
         ]
         if response.retry_after is not None:
             headers.append(("Retry-After", f"{response.retry_after:.2f}"))
-        if response.close or (head.length or head.chunked) and "mallow.read" not in environ:
+        if response.close or not environ["wsgi.input"].complete:
             headers.append(("Connection", "close"))
-            environ["mallow.handler"].close_without_reading(environ.get("mallow.deadline"))
+            environ["mallow.handler"].close_without_reading()
         start_response(STATUS_LINES.get(response.status) or f"{response.status} Refused", headers)
         return [] if head.method == "HEAD" else [body]
--- a/mallowvalve/proxy/host_connection.py
+++ b/mallowvalve/proxy/host_connection.py
@@ -3,15 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from enum import Enum
 
-from gevent import select, socket
+from gevent import socket
 from result import Err, Ok, Result
 
 from mallowvalve import clock
-from mallowvalve.client_watch import ClientConnection, ClientLeftError, WaitResult, wait_for_bytes
-from mallowvalve.http_head import wait_until_readable
+from mallowvalve.body_budget import BodyTooLargeError
+from mallowvalve.client_watch import ClientConnection, ClientLeftError, WaitResult, wait_for_bytes, wait_for_first
+from mallowvalve.http_head import peek, wait_until_readable
+from mallowvalve.proxy.request_body_stream import RequestBodyStream
 from mallowvalve.proxy.response_parser import ResponseParser
-from mallowvalve.proxy.steps import CLIENT_LEFT, ClientLeft, UpstreamResponse
+from mallowvalve.proxy.steps import (
+    BAD_REQUEST,
+    CLIENT_LEFT,
+    GATEWAY_TIMEOUT,
+    TOO_LARGE,
+    ClientLeft,
+    RequestBodyFailed,
+    UpstreamResponse,
+)
+from mallowvalve.request_body import BrokenBodyError
 from mallowvalve.upstreams.registry import Upstream
 
 DEFAULT_IDLE_LIFE_S = 4.0
@@ -20,10 +32,12 @@
 READ_BYTES = 65536
 
 
-def wait_readable_or_writable(sock: socket.socket, seconds_left: float) -> tuple[bool, bool]:
-    """Returns whether the socket is readable and whether it is writable; neither after `seconds_left` seconds."""
-    readable, writable, _ = select.select([sock], [sock], [], max(0.0, seconds_left))
-    return bool(readable), bool(writable)
+class SendEvent(Enum):
+    """What a request that is being sent waits for."""
+
+    RESPONSE = "the upstream has sent something"
+    WRITABLE = "the upstream takes more"
+    CLIENT = "the client has sent something"
 
 
 class HostConnection:
@@ -66,10 +80,12 @@
         request_id: str,
         client: ClientConnection | None = None,
         body: bytes | memoryview = b"",
-    ) -> Result[UpstreamResponse, str] | ClientLeft:
-        """Sends a request, with `body` behind it, and receives its response; given `client`, stops once that has left.
+        stream: RequestBodyStream | None = None,
+    ) -> Result[UpstreamResponse, str] | ClientLeft | RequestBodyFailed:
+        """Sends a request, with `body` and what `stream` brings behind it, and receives its response.
 
-        The error begins with `unsent` only if no byte of the request was sent.
+        Given `client`, it stops waiting for the response once that has left. The error begins with `unsent` only if no
+        byte of the request was sent.
         """
         sock = self.sock
         sock.settimeout(max(0.001, end - clock.now()))
@@ -78,42 +94,68 @@
         except OSError as error:
             return Err(f"unsent: {error}")
         self.parser = ResponseParser(method, self.id_header if request_id else "", request_id)
-        for rest in (memoryview(request)[sent:], memoryview(body)):
-            if not rest:
+        for rest, source in ((memoryview(request)[sent:], None), (memoryview(body), stream)):
+            if not rest and source is None:
                 continue
             self.partly_sent = True
-            failure = self._send_rest(rest, end)
+            failure = self._send_rest(rest, end, source)
             if failure is not None:
-                return Err(failure)
+                return failure
             if self.partly_sent:
                 break
         return self.receive(end, client)
 
-    def _send_rest(self, rest: memoryview, end: float) -> str | None:
-        """Sends the rest of a request unless a response comes first; returns the reason of a failure.
+    def _send_rest(
+        self, rest: memoryview, end: float, source: RequestBodyStream | None
+    ) -> Err[str] | RequestBodyFailed | None:
+        """Sends `rest`, then what `source` brings, unless a response comes first; returns the failure, if any.
 
         An upstream that responds early may stop reading, or reset the connection after its response: the response
-        counts.
+        counts. No more is taken from the client than the upstream takes.
         """
-        parser = self.parser
-        while rest:
-            readable, writable = wait_readable_or_writable(self.sock, end - clock.now())
-            if not readable and not writable:
-                return "broken: not sent whole within the limit"
-            if not readable:
+        while True:
+            if not rest and source is not None:
                 try:
-                    rest = rest[self.sock.send(rest) :]
-                except OSError:
-                    return None
-                continue
+                    rest = memoryview(source.next_part(READ_BYTES))
+                except (BodyTooLargeError, BrokenBodyError) as error:
+                    return _body_failure(error)
+            if not rest and (source is None or source.complete):
+                self.partly_sent = False
+                return None
+            event = self._wait_to_send(source if not rest else None, end)
             try:
-                parser.receive(self.sock.recv(READ_BYTES))
+                match event:
+                    case SendEvent.RESPONSE if self._response_has_begun():
+                        return Err(self.parser.error) if self.parser.error else None
+                    case SendEvent.WRITABLE:
+                        rest = rest[self.sock.send(rest) :]
+                    case SendEvent.CLIENT:
+                        source.reader.receive(READ_BYTES)
+                    case None if rest:
+                        return Err("broken: not sent whole within the limit")
+                    case None:
+                        return RequestBodyFailed(GATEWAY_TIMEOUT, "did not arrive within the limit")
             except OSError as error:
-                return f"broken: {error}"
-            if parser.error or parser.complete or parser.must_stream():
-                return parser.error or None
-        self.partly_sent = False
-        return None
+                if event is SendEvent.CLIENT:
+                    return _body_failure(error)
+                return Err(f"broken: {error}") if event is SendEvent.RESPONSE else None
+
+    def _wait_to_send(self, source: RequestBodyStream | None, end: float) -> SendEvent | None:
+        """Waits for the client if `source` is given, else until the upstream takes more; None after `end`."""
+        if peek(self.sock) is not None:
+            return SendEvent.RESPONSE
+        events = [(self.sock._read_event, SendEvent.RESPONSE)]
+        if source is None:
+            events.append((self.sock._write_event, SendEvent.WRITABLE))
+        else:
+            events.append((source.reader.sock._read_event, SendEvent.CLIENT))
+        return wait_for_first(events, end - clock.now())
+
+    def _response_has_begun(self) -> bool:
+        """Receives bytes of the upstream; returns whether no more of the request is to be sent."""
+        parser = self.parser
+        parser.receive(self.sock.recv(READ_BYTES))
+        return bool(parser.error) or parser.complete or parser.must_stream()
 
     def receive(self, end: float, client: ClientConnection | None = None) -> Result[UpstreamResponse, str] | ClientLeft:
         """Receives the response to the request sent last; after the error `limit` it can be called again.
@@ -208,3 +250,9 @@
                 raise ConnectionError("the upstream closed the connection before the end of its response")
             if parser.body:
                 yield parser.drain()
+
+
+def _body_failure(error: Exception) -> RequestBodyFailed:
+    if isinstance(error, BodyTooLargeError):
+        return RequestBodyFailed(TOO_LARGE, "larger than the limit on bodies")
+    return RequestBodyFailed(BAD_REQUEST, f"broken off or badly chunked: {error}")
--- a/mallowvalve/proxy/host_forwarder.py
+++ b/mallowvalve/proxy/host_forwarder.py
@@ -24,6 +24,7 @@
     SERVER_ERROR,
     TOO_SLOW,
     UNAVAILABLE,
+    UNKNOWN,
     AwaitResponse,
     ClientCheck,
     ClientLeft,
@@ -31,7 +32,9 @@
     Exchange,
     ProxyResponse,
     ReadBody,
+    RequestBodyFailed,
     Step,
+    StreamedRequestBody,
     UpstreamResponse,
 )
 from mallowvalve.settings import HeaderNames, Settings
@@ -106,10 +109,13 @@
                 status, place, text = body.err_value
                 retry_after = 1.0 if status in (TOO_SLOW, UNAVAILABLE) else None
                 return local_response(status, NOT_RUN, place, text, retry_after, close=True)
-            if client_request.length is not None and len(body.ok_value) != client_request.length:
+            if isinstance(body.ok_value, StreamedRequestBody):
+                call.body, call.body_stream = body.ok_value.held, body.ok_value.stream
+            elif client_request.length is not None and len(body.ok_value) != client_request.length:
                 return local_response(400, NOT_RUN, "body", "shorter than its length", close=True)
-            call.body = body.ok_value
-        call.head = self.writer.lines(client_request, call.body)
+            else:
+                call.body = body.ok_value
+        call.head = self.writer.lines(client_request, call.body, call.body_stream is not None)
         return (yield from self._send_until_final(call))
 
     def _send_until_final(self, call: HostRequest) -> Generator[Step, object, ProxyResponse]:
@@ -163,7 +169,9 @@
             hedge_at = call.hedge_at(lease.state.latency, now)
             method = call.client_request.method
             data, body = self.writer.whole(call, lease.state.upstream.instance, now)
-            result = yield Exchange(lease.connection, method, data, hedge_at, call.request_id, call.idempotent, body)
+            result = yield Exchange(
+                lease.connection, method, data, hedge_at, call.request_id, call.idempotent, body, call.body_stream
+            )
             if hedge_at < call.end and _is_timeout(result):
                 if self._should_hedge(call, lease):
                     return self._start_hedge(call, lease)
@@ -181,7 +189,10 @@
         self.counts.add("upstream_limit")
 
     def _handle_result(
-        self, call: HostRequest, lease: UpstreamLease, result: Result[UpstreamResponse, str] | ClientLeft
+        self,
+        call: HostRequest,
+        lease: UpstreamLease,
+        result: Result[UpstreamResponse, str] | ClientLeft | RequestBodyFailed,
     ) -> ProxyResponse | None:
         """Returns the final response, or None if the request is to be sent again."""
         now, state, sent_at = self.now(), lease.state, lease.sent_at
@@ -189,20 +200,27 @@
             call.may_have_run = True
             lease.abandon()
             return self.rejections.client_left(call)
+        if isinstance(result, RequestBodyFailed):
+            call.may_have_run = True
+            lease.abandon()
+            self.counts.add("bodies_ended_early")
+            return local_response(result.status, UNKNOWN, "body", result.text, close=True)
         if result.is_err():
             lease.release(keep=False)
             if result.err_value.startswith("unsent"):
                 self._on_broken_connection(lease, sent_at, now)
                 return self._reject_unless_retryable(call, "the connection broke before anything was sent")
             call.may_have_run = True
-            if result.err_value == "limit":
+            if result.err_value == "limit" and call.body_stream is None:
                 self.hosts.on_timeout(state, sent_at, now)
+            elif result.err_value == "limit":
+                self.hosts.on_abandon(state)
             else:
                 self._on_broken_connection(lease, sent_at, now)
             self.counts.add(f"upstream_{result.err_value.partition(':')[0]}")
             return self._reject_unless_retryable(call, result.err_value)
         response: UpstreamResponse = result.ok_value
-        self.hosts.on_response(state, response, now - sent_at, now)
+        self.hosts.on_response(state, response, _latency(call, lease, now), now)
         if response.status == MISDIRECTED or self._not_run and self._not_run in response.header_map:
             self.counts.add("upstream_turned_away")
             self.hosts.on_rejection(state, response.status, now)
@@ -217,6 +235,7 @@
             response.status >= SERVER_ERROR
             and call.route.kind == "read"
             and call.sends < call.route.tries
+            and call.replayable
             and call.end - now > MIN_TIME_LEFT_S
         ):
             lease.release(keep=response.reusable)
@@ -240,7 +259,7 @@
         self.hosts.idle_connections.record_forgotten(lease.idle_s, now)
 
     def _reject_unless_retryable(self, call: HostRequest, why: str) -> ProxyResponse | None:
-        if call.sends >= call.route.tries or call.may_have_run and not call.idempotent:
+        if call.sends >= call.route.tries or not call.replayable or call.may_have_run and not call.idempotent:
             return self.rejections.reject(call, why)
         return None
 
@@ -266,5 +285,13 @@
         return self.hosts.budget(call.service).take_retry(now)
 
 
+def _latency(call: HostRequest, lease: UpstreamLease, now: float) -> float:
+    """Returns how long the upstream took (s), from the end of the request where the client sent it meanwhile."""
+    if call.body_stream is None:
+        return now - lease.sent_at
+    ended_at = call.body_stream.ended_at
+    return lease.state.latency if ended_at is None else now - ended_at
+
+
 def _is_timeout(result: Result[UpstreamResponse, str] | ClientLeft) -> bool:
     return isinstance(result, Err) and result.err_value == "limit"
--- a/mallowvalve/proxy/host_request.py
+++ b/mallowvalve/proxy/host_request.py
@@ -7,6 +7,7 @@
 from mallowvalve.configuration.items import HostRoute
 from mallowvalve.finding import Finding
 from mallowvalve.proxy.host_upstreams import UpstreamLease
+from mallowvalve.proxy.request_body_stream import RequestBodyStream
 from mallowvalve.proxy.steps import ClientRequest, ProxyResponse
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -38,7 +39,7 @@
 
     `retry_reserved`: the retry budget has already granted the next retry. `client_left`: the client has closed its
     connection. `silent_leases`: leases of upstreams that have not responded yet and still may, while the request is
-    hedged to another upstream.
+    hedged to another upstream. `body` is the body, or the held part of it if `body_stream` brings the rest.
     """
 
     client_request: ClientRequest
@@ -50,6 +51,7 @@
     end: float
     request_id: str = ""
     body: bytes | memoryview = b""
+    body_stream: RequestBodyStream | None = None
     head: str = ""
     tried: set = msgspec.field(default_factory=set)
     sends: int = 0
@@ -64,6 +66,11 @@
         """Whether the request may run more than once."""
         return self.route.kind == "read"
 
+    @property
+    def replayable(self) -> bool:
+        """Whether all of the body that was taken from the client is still held, so that it can be sent again."""
+        return self.body_stream is None or not self.body_stream.started
+
     @property
     def queue_end(self) -> float:
         """Until when the request may wait for capacity (s)."""
@@ -75,7 +82,7 @@
 
         `latency_s` is the usual time to a response of the upstream.
         """
-        if not self.idempotent or self.sends >= self.route.tries:
+        if not self.idempotent or self.sends >= self.route.tries or self.body_stream is not None:
             return self.end
         left = self.end - now
         delay = max(MIN_HEDGE_DELAY_SHARE * left, HEDGE_LATENCY_FACTOR * latency_s)
--- a/mallowvalve/proxy/request_writer.py
+++ b/mallowvalve/proxy/request_writer.py
@@ -21,8 +21,11 @@
         self._id_header = terms.ask.lower()
         self._dropped = HOP_BY_HOP_HEADERS | {terms.limit.lower(), terms.expect.lower()}
 
-    def lines(self, request: ClientRequest, body: bytes | memoryview) -> str:
-        """Returns the request line and the headers that are the same for every upstream."""
+    def lines(self, request: ClientRequest, body: bytes | memoryview, streamed: bool = False) -> str:
+        """Returns the request line and the headers that are the same for every upstream.
+
+        The rest of a `streamed` body follows `body`, in chunks if its length is unknown.
+        """
         dropped = self._dropped
         if "connection" in request.headers:
             named = {name.strip().lower() for name in request.headers["connection"].split(",")}
@@ -33,7 +36,11 @@
             for name, value in request.header_pairs or request.headers.items()
             if name.lower() not in dropped
         ]
-        if body or request.length is not None or "transfer-encoding" in request.headers:
+        if streamed and request.length is None:
+            lines.append("Transfer-Encoding: chunked\r\n")
+        elif streamed:
+            lines.append(f"Content-Length: {request.length}\r\n")
+        elif body or request.length is not None or "transfer-encoding" in request.headers:
             lines.append(f"Content-Length: {len(body)}\r\n")
         return "".join(lines)
 
@@ -48,6 +55,8 @@
         if self._terms.expect:
             head += f"{self._terms.expect}: {instance}\r\n"
         data = (head + "\r\n").encode("latin-1")
+        if request.body_stream is not None:
+            return data, request.body_stream.frame(bytes(request.body))
         if len(request.body) > MAX_COMBINED_BYTES:
             return data, request.body
         return data + request.body, b""
--- a/mallowvalve/proxy/steps.py
+++ b/mallowvalve/proxy/steps.py
@@ -8,12 +8,15 @@
 
 from mallowvalve.finding import Finding
 from mallowvalve.ledger.ledger import Claim, Done, Forfeit, Release
+from mallowvalve.proxy.request_body_stream import RequestBodyStream
 from mallowvalve.upstreams.board import Heartbeat
 from mallowvalve.upstreams.registry import Upstream
 
 OK = 200
 REDIRECT = 300
+BAD_REQUEST = 400
 TOO_SLOW = 408
+TOO_LARGE = 413
 MISDIRECTED = 421
 SERVER_ERROR = 500
 UNAVAILABLE = 503
@@ -38,7 +41,10 @@
 
 
 class ReadBody(msgspec.Struct, frozen=True):
-    """Reads the request body, at most `max_bytes`, until the deadline `end`; waits until `room_end` for room for it."""
+    """Reads the request body, at most `max_bytes`, until the deadline `end`; waits until `room_end` for room for it.
+
+    The result of a large body is a `StreamedRequestBody`.
+    """
 
     end: float
     max_bytes: int | None = None
@@ -85,7 +91,8 @@
     """Sends a request and waits for its response; the first byte leaves before other code of this process runs.
 
     With `stop_if_client_leaves` the result is `CLIENT_LEFT` once the client has closed its connection. `body` is what
-    follows `request`, which has a small body in it.
+    follows `request`, which has a small body in it, and `stream` what follows `body`. The result is a
+    `RequestBodyFailed` if the client does not bring the rest of its body.
     """
 
     connection: object
@@ -95,6 +102,7 @@
     request_id: str = ""
     stop_if_client_leaves: bool = False
     body: bytes | memoryview = b""
+    stream: RequestBodyStream | None = None
 
 
 class AwaitResponse(msgspec.Struct, frozen=True):
@@ -129,6 +137,23 @@
 CLIENT_LEFT = ClientLeft()
 
 
+class StreamedRequestBody(msgspec.Struct, frozen=True):
+    """A request body whose beginning is held; the rest is read from the client while it is sent to an upstream."""
+
+    held: bytes
+    stream: RequestBodyStream
+
+
+class RequestBodyFailed(msgspec.Struct, frozen=True):
+    """The result of an exchange whose request could not be sent whole because of its client.
+
+    `status` is that of the response.
+    """
+
+    status: int
+    text: str
+
+
 class UpstreamResponse(msgspec.Struct):
     """An upstream's response, its body in `body` or streamed from `body_stream`.
 
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -29,6 +29,7 @@
 )
 from mallowvalve.http_head import peek
 from mallowvalve.metrics import Counts, log_event
+from mallowvalve.request_body import BrokenBodyError
 from mallowvalve.types import Address
 
 if TYPE_CHECKING:
@@ -229,6 +230,8 @@
     budget = BodyBudget.of_memory(DEFAULT_MEMORY_MB)
     reservation = budget.reserve(size) if handler is None else handler.reserve_body(size)
     if reservation is None:
+        if handler is not None:
+            handler.server.counts.add("bodies_refused")
         raise BodyRefusedError
     return reservation
 
@@ -307,6 +310,7 @@
     )
     app.add_error_handler(Exception, _handle_error)
     app.add_error_handler(BodyRefusedError, _refuse_body)
+    app.add_error_handler(BrokenBodyError, _reject_broken_body)
     return app
 
 
@@ -315,6 +319,10 @@
     reject_early(req, resp, HTTPStatus.SERVICE_UNAVAILABLE, found, BODY_RETRY_AFTER_S)
 
 
+def _reject_broken_body(req, resp, _error, _params) -> None:
+    reject_early(req, resp, HTTPStatus.BAD_REQUEST, [Finding("body", "broken off or badly chunked")])
+
+
 def _handle_error(req, resp, error, _params) -> None:
     from falcon import HTTPError
 
