--- a/mallowvalve/request_body.py
+++ b/mallowvalve/request_body.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from abc import ABC, abstractmethod
 from contextlib import suppress
 
@@ -15,6 +16,7 @@
 """The longest line of a chunk's size with its extensions, or of a trailer."""
 
 MAX_TRAILERS = 64
+RECEIVED_PART_BYTES = 64 << 10
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 
 
@@ -74,13 +76,13 @@
             raise BrokenBodyError("the client closed the connection before the end of the body")
         self._connection.buffer += data
 
-    def read(self, size: int) -> bytes:
-        """Returns `size` bytes, fewer only at the end of the body; waits for them.
+    def read(self, size: int = -1) -> bytes:
+        """Returns `size` bytes, fewer only at the end of the body, or all if it is negative; waits for them.
 
         Raises BrokenBodyError if the body is malformed or ends early.
         """
         parts: list[bytes] = []
-        missing_bytes = size
+        missing_bytes = sys.maxsize if size < 0 else size
         while missing_bytes > 0:
             part = self.take(missing_bytes)
             parts.append(part)
@@ -88,7 +90,7 @@
             if self.complete:
                 break
             if not part:
-                self.receive(max(missing_bytes, MAX_CHUNK_LINE_BYTES))
+                self.receive(RECEIVED_PART_BYTES)
         return b"".join(parts) if len(parts) != 1 else parts[0]
 
     def _discard(self) -> None:
--- a/tests/test_streamed_bodies.py
+++ b/tests/test_streamed_bodies.py
@@ -5,9 +5,12 @@
 from gevent import socket
 from gevent.event import Event
 
+from mallowvalve import web
 from mallowvalve.body_budget import BodyBudget
 from mallowvalve.configuration.items import Limits
+from mallowvalve.metrics import Counts
 from mallowvalve.proxy.body_intake import MAX_HELD_BODY_BYTES, STREAM_BYTES
+from mallowvalve.types import Address
 from tests.frontend_bench import RESPONSE_HEAD, HttpClient, build_request, serve_frontend
 
 BODY_BYTES = 3 << 20
@@ -298,3 +301,21 @@
     server, scripted, _ = frontend
     client = HttpClient(server).send(build_request(b"/r/1", b"GET", b"Content-Length: 5\r\n", b"abcde"))
     assert client.read_response()[0] == 200 and scripted.requests[0][1] == b"abcde"
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_an_application_reads_a_whole_body_at_once(framing):
+    """Guards against an input that wants a size: applications of other programs read without one."""
+    bodies = []
+
+    def app(environ, start_response):
+        bodies.append(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    with web.Server(Address("127.0.0.1", 0), app, Counts(), 16) as server:
+        headers = b"Transfer-Encoding: chunked\r\n" if framing == "chunked" else b"Content-Length: %d\r\n" % BODY_BYTES
+        data = chunks(BODY) + b"0\r\n\r\n" if framing == "chunked" else BODY
+        client = HttpClient(server).send(build_request(b"/", b"POST", headers, data))
+        assert client.read_response()[0] == 200
+    assert bodies == [BODY]
