--- a/mallowvalve/body_budget.py
+++ b/mallowvalve/body_budget.py
@@ -8,6 +8,10 @@
 
 from gevent.event import Event
 
+from mallowvalve import clock
+from mallowvalve.metrics import Counts, log_event
+from mallowvalve.resident_memory import resident_bytes
+
 BYTES_PER_MB = 1 << 20
 BODY_MEMORY_RATIO = 0.5
 """The part of a process's memory that bodies may take."""
@@ -20,6 +24,7 @@
 """A larger body is read into a mapping of its own, whose pages the system gets back when the body is dropped."""
 
 PART_BYTES = 64 << 10
+REFUSAL_LOG_INTERVAL_S = 1.0
 EXTENSION_BYTES = 1 << 20
 """A body of unknown length reserves room in steps of this size."""
 
@@ -55,6 +60,11 @@
         """Returns the budget of a process that may use `memory_mb` megabytes in all."""
         return cls(int(memory_mb * BYTES_PER_MB * BODY_MEMORY_RATIO))
 
+    @property
+    def waiting(self) -> int:
+        """How many bodies wait for room."""
+        return len(self._waiting)
+
     def capacity(self, size: int) -> int:
         """Returns how many bytes may be in use, with a body of this size among them."""
         if size <= SMALL_BODY_BYTES:
@@ -99,6 +109,35 @@
             self._waiting.popleft()[1].set()
 
 
+class BodyRefusals:
+    """Counts the bodies that a server refuses for want of room, and logs them, at most once a second."""
+
+    __slots__ = ("_counts", "_unlogged", "_next_log_at")
+
+    def __init__(self, counts: Counts):
+        """Counts as `bodies_refused`."""
+        self._counts = counts
+        self._unlogged = 0
+        self._next_log_at = float("-inf")
+
+    def record(self, budget: BodyBudget) -> None:
+        """Records that a body found no room in `budget`."""
+        self._counts.add("bodies_refused")
+        self._unlogged += 1
+        now = clock.now()
+        if now < self._next_log_at:
+            return
+        log_event(
+            "bodies_refused",
+            refused=self._unlogged,
+            waiting=budget.waiting,
+            used_bytes=budget.used_bytes,
+            total_bytes=budget.total_bytes,
+            resident_bytes=resident_bytes(),
+        )
+        self._unlogged, self._next_log_at = 0, now + REFUSAL_LOG_INTERVAL_S
+
+
 class BodyReservation:
     """The bytes that one request holds of a budget."""
 
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -19,6 +19,7 @@
 from mallowvalve.directory import pages as directory
 from mallowvalve.fault import FaultyDisk, InjectedFaults
 from mallowvalve.finding import Finding, Findings
+from mallowvalve.memory_gauges import register_memory_gauges
 from mallowvalve.node import Node
 from mallowvalve.settings import Settings
 from mallowvalve.storage.disk import Disk, Folder
@@ -124,6 +125,7 @@
     http_upstreams.add_routes(node.app, task, registry)
     http_plain.add_routes(node.app, task, settings.coordination_at)
     node.set_service_filter(lambda service: service in task.tree().doc.services)
+    register_memory_gauges(node)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
     node.gauge("votes", lambda: task.core.raft.counts.snapshot() if task.core.raft else {})
     pages = directory_pages(node, task)
--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -139,6 +139,10 @@
         self.body = self.server.body_budget.reserve(size, wait_s)
         return self.body
 
+    def record_refused_body(self) -> None:
+        """Records that there was no room for the request's body."""
+        self.server.body_refusals.record(self.server.body_budget)
+
     def release_body(self) -> None:
         """Gives the room of the request's body back."""
         if self.body is not None:
--- a/mallowvalve/proxy/body_intake.py
+++ b/mallowvalve/proxy/body_intake.py
@@ -39,7 +39,7 @@
         return too_large
     reservation = _reserve(handler, length, step.room_end - clock.now())
     if reservation is None:
-        handler.server.counts.add("bodies_refused")
+        handler.record_refused_body()
         return Err((UNAVAILABLE, "body", "no room for it just now"))
     try:
         with gevent.Timeout(max(0.001, step.end - clock.now())):
@@ -49,7 +49,7 @@
     except BodyTooLargeError:
         return too_large
     except BodyRefusedError:
-        handler.server.counts.add("bodies_refused")
+        handler.record_refused_body()
         return Err((UNAVAILABLE, "body", "no room for all of it just now"))
     except gevent.Timeout:
         return Err((TOO_SLOW, "body", "did not arrive within the limit"))
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -10,6 +10,7 @@
 
 from mallowvalve import clock, web
 from mallowvalve.control.replica_task import ReplicaTask
+from mallowvalve.memory_gauges import register_memory_gauges
 from mallowvalve.metrics import exit_on_failure
 from mallowvalve.node import Node
 from mallowvalve.proxy.frontend import Frontend
@@ -101,6 +102,7 @@
     hosts = HostUpstreams(replica.replica, settings, random.Random(), clock.now)
     host_forwarder = HostForwarder(replica.replica, hosts, settings, node.counts, clock.now, random.Random())
     _mount(node, tenant_frontend, hosts, host_forwarder)
+    register_memory_gauges(node)
     node.gauge(
         "busy",
         lambda: sum(pool.chooser.in_flight.values()) + sum(state.in_flight for state in hosts.upstreams.values()),
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -14,7 +14,14 @@
 from gevent.pywsgi import WSGIServer
 
 from mallowvalve import body_budget, clock, finding
-from mallowvalve.body_budget import SMALL_BODY_BYTES, BodyBudget, BodyRefusedError, BodyReservation, BodyTooLargeError
+from mallowvalve.body_budget import (
+    SMALL_BODY_BYTES,
+    BodyBudget,
+    BodyRefusals,
+    BodyRefusedError,
+    BodyReservation,
+    BodyTooLargeError,
+)
 from mallowvalve.configuration.items import Limits
 from mallowvalve.finding import Finding, Findings, parse_json
 from mallowvalve.handshake_filter import refuse_handshakes
@@ -67,6 +74,7 @@
         self.minimal_environ = False
         self.stop_deadline: float | None = None
         self.body_budget = BodyBudget.of_memory(DEFAULT_MEMORY_MB)
+        self.body_refusals = BodyRefusals(counts)
         self._refusals = Group()
         self.limits: Callable[[], Limits | None] = lambda: None
 
@@ -231,7 +239,7 @@
     reservation = budget.reserve(size) if handler is None else handler.reserve_body(size)
     if reservation is None:
         if handler is not None:
-            handler.server.counts.add("bodies_refused")
+            handler.record_refused_body()
         raise BodyRefusedError
     return reservation
 
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -12,11 +12,14 @@
     MAPPED_BODY_BYTES,
     SMALL_BODY_BYTES,
     BodyBudget,
+    BodyRefusals,
     BodyRefusedError,
     BodyTooLargeError,
     read_body,
 )
 from mallowvalve.configuration.items import Limits
+from mallowvalve.memory_gauges import register_memory_gauges
+from mallowvalve.metrics import Counts, recent_events
 from mallowvalve.node import Node
 from mallowvalve.proxy.body_intake import MAX_HELD_BODY_BYTES
 from tests.frontend_bench import HttpClient, build_request, serve_frontend
@@ -183,3 +186,27 @@
     assert node.server.body_budget is node.pages.body_budget is node.body_budget
     assert node.body_budget.total_bytes == 100 << 20
     assert settings.check("proxy", doc | {"memory_mb": 0.0}).unwrap_err()[0].place == "memory_mb"
+
+
+def test_a_refused_body_is_counted_and_logged_with_the_memory_once_a_second():
+    """Guards against refusals whose cause, the room or the memory, nobody can tell afterwards."""
+    budget, counts = BodyBudget(1000), Counts()
+    refusals, before = BodyRefusals(counts), len(recent_events.about("bodies_refused"))
+    budget.reserve(600)
+    for _ in range(3):
+        refusals.record(budget)
+    logged = recent_events.about("bodies_refused")[before:]
+    assert counts.get("bodies_refused") == 3 and len(logged) == 1
+    event = logged[0]
+    assert (event["refused"], event["waiting"], event["used_bytes"], event["total_bytes"]) == (1, 0, 600, 1000)
+    assert event["resident_bytes"] > 1 << 20
+
+
+def test_a_process_tells_its_memory_and_the_room_for_bodies(tmp_path):
+    doc = {"name": "p", "locality": "eu/a", "transport": "127.0.0.1:1", "web": "127.0.0.1:2", "memory_mb": 100.0}
+    node = Node(settings.check("proxy", doc).unwrap())
+    register_memory_gauges(node)
+    node.body_budget.reserve(5000)
+    gauges = node.gauges()
+    assert gauges["resident_bytes"] > 1 << 20
+    assert (gauges["body_room_bytes"], gauges["body_room_used_bytes"], gauges["bodies_waiting"]) == (50 << 20, 5000, 0)
