A short unread body keeps its connection, as before

A page that does not read its body, such as a redirection, closed the connection since the readers of bodies are our own unless the body had arrived with its head. Up to 64 KiB of known length are read after the response again.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -54,6 +54,13 @@
         discard_rest(sock, lambda: end)
 
 
+class UnreadInput:
+    """Replaces the input of a request whose rest is discarded when its connection is closed."""
+
+    def _discard(self) -> None:
+        pass
+
+
 class ConnectionHandler(WSGIHandler):
     """A client's connection; each request is subject to the limits that the server has at its start.
 
@@ -175,10 +182,9 @@
         return environ
 
     def finalize_headers(self):
-        """Sets the Connection and Keep-Alive headers; a body that was not read whole ends the connection."""
+        """Sets the Connection and Keep-Alive headers; a long rest of a body ends the connection."""
         self.provided_date = self.provided_date or ""
-        self.body_reader.skip_received()
-        if not self.body_reader.complete:
+        if not self.body_reader.may_skip():
             self.close_without_reading()
         if self.server.draining or self.close_connection:
             self.close_connection = True
@@ -251,6 +257,7 @@
     def close_without_reading(self) -> None:
         """Closes the connection after this response; what is left of the request is discarded."""
         self.discards_rest = self.close_connection = True
+        self.wsgi_input = UnreadInput()
         left_bytes = self.body_reader.left_bytes
         self.unread_bytes = None if left_bytes is None else left_bytes - len(self.rfile.buffer)
 
--- a/mallowvalve/request_body.py
+++ b/mallowvalve/request_body.py
@@ -5,7 +5,6 @@
 import re
 import sys
 from abc import ABC, abstractmethod
-from contextlib import suppress
 
 from gevent import socket
 
@@ -17,6 +16,9 @@
 
 MAX_TRAILERS = 64
 RECEIVED_PART_BYTES = 64 << 10
+MAX_SKIPPED_BYTES = 64 << 10
+"""The longest rest of a body that is read after its response to keep the connection."""
+
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 
 
@@ -58,10 +60,11 @@
             return b""
         return self._take(max_bytes)
 
-    def skip_received(self) -> None:
-        """Drops what has arrived of the body."""
-        with suppress(BrokenBodyError):
-            self.take(len(self._connection.buffer))
+    def may_skip(self) -> bool:
+        """Returns whether what is left of the body is to be skipped after the response, which keeps the connection."""
+        if self.complete:
+            return True
+        return self.left_bytes is not None and self.left_bytes <= MAX_SKIPPED_BYTES and not self._expects_continue
 
     def receive(self, max_bytes: int) -> None:
         """Receives bytes from the client, at most `max_bytes`; waits for them.
@@ -94,8 +97,9 @@
         return b"".join(parts) if len(parts) != 1 else parts[0]
 
     def _discard(self) -> None:
-        """Does nothing, for pywsgi after a response: by then the body was read, or its connection is to be closed."""
-        return
+        """Reads a short rest of the body; pywsgi calls this after a response."""
+        if self.may_skip():
+            self.read()
 
 
 class SizedBodyReader(BodyReader):
