--- a/mallowvalve/__main__.py
+++ b/mallowvalve/__main__.py
@@ -1,6 +1,6 @@
 """`python -m mallowvalve`; a daemon ignores SIGHUP until its settings are loaded, as the signal would end it."""
 
-import platform
+import os
 import signal
 import sys
 
@@ -12,7 +12,8 @@
 
     main()
 except ImportError as error:
+    version = ".".join(map(str, sys.version_info[:3]))
     raise SystemExit(
-        f"mallowvalve: a library cannot be loaded: {error}. Python {platform.python_version()} on {platform.machine()} "
+        f"mallowvalve: a library cannot be loaded: {error}. Python {version} on {os.uname().machine} "
         "needs libraries of its own: remove those of another one, and install requirements.txt again."
     ) from error
