A chunked body waits for room as one of known length does, and lies in a mapping

Cause: a chunked body beyond its first 64 KiB had to find more room at once, and up to 1 MiB of it lay in the heap. Change: without room for 1 MiB at once it waits for that of a stream; what is held lies in a mapping of its own.

--- a/mallowvalve/proxy/body_intake.py
+++ b/mallowvalve/proxy/body_intake.py
@@ -43,9 +43,12 @@
         return Err((UNAVAILABLE, "body", "no room for it just now"))
     try:
         with gevent.Timeout(max(0.001, step.end - clock.now())):
-            if length is not None and length <= reservation.size:
-                return Ok(read_body(handler.wsgi_input, length, step.max_bytes, reservation))
-            return Ok(_begin_stream(handler.wsgi_input, length, step.max_bytes, reservation))
+            if length is None:
+                return Ok(_take_in_chunks(handler, step, reservation))
+            if length <= reservation.size:
+                return Ok(read_body(handler.body_reader, length, step.max_bytes, reservation))
+            held = handler.body_reader.read(SMALL_BODY_BYTES)
+            return Ok(_stream(handler.body_reader, held, step, chunked=False))
     except BodyTooLargeError:
         return too_large
     except BodyRefusedError:
@@ -66,21 +69,41 @@
     return handler.reserve_body(STREAM_BYTES, wait_s)
 
 
-def _begin_stream(
-    reader: BodyReader, length: int | None, max_bytes: int, reservation: BodyReservation
-) -> bytes | StreamedRequestBody:
-    """Reads the beginning of a body, and returns the stream of the rest unless the body ends there.
+def _take_in_chunks(
+    handler: ConnectionHandler, step: ReadBody, reservation: BodyReservation
+) -> bytes | memoryview | StreamedRequestBody:
+    """Returns a body of unknown length, held whole if it is small and there is room at once.
 
-    Raises BodyRefusedError if there is no room for a stream, BodyTooLargeError if the body is larger than `max_bytes`.
+    Raises BodyRefusedError if there is no room for a stream, BodyTooLargeError if the body is larger than its limit.
     """
-    held = reader.read(SMALL_BODY_BYTES)
-    if length is None and not reader.complete:
-        if reservation.grow(MAX_HELD_BODY_BYTES):
-            held += reader.read(MAX_HELD_BODY_BYTES - len(held))
-        elif not reservation.grow(STREAM_BYTES):
+    reader = handler.body_reader
+    held: bytes | memoryview = reader.read(SMALL_BODY_BYTES)
+    if not reader.complete and reservation.grow(MAX_HELD_BODY_BYTES):
+        held = read_body(PrefixedStream(held, reader), MAX_HELD_BODY_BYTES, MAX_HELD_BODY_BYTES, reservation)
+    elif not reader.complete:
+        handler.release_body()
+        if handler.reserve_body(STREAM_BYTES, step.room_end - clock.now()) is None:
             raise BodyRefusedError
-    if len(held) > max_bytes:
+    if len(held) > step.max_bytes:
         raise BodyTooLargeError
-    if reader.complete:
-        return held
-    return StreamedRequestBody(held, RequestBodyStream(reader, max_bytes - len(held), length is None))
+    return held if reader.complete else _stream(reader, held, step, chunked=True)
+
+
+def _stream(reader: BodyReader, held: bytes | memoryview, step: ReadBody, chunked: bool) -> StreamedRequestBody:
+    return StreamedRequestBody(held, RequestBodyStream(reader, step.max_bytes - len(held), chunked))
+
+
+class PrefixedStream:
+    """A body of which a first part was read already."""
+
+    __slots__ = ("_prefix", "_reader")
+
+    def __init__(self, prefix: bytes, reader: BodyReader):
+        """`prefix` comes before what `reader` brings."""
+        self._prefix = prefix
+        self._reader = reader
+
+    def read(self, size: int) -> bytes:
+        """Returns `size` bytes, fewer only at the end of the body."""
+        prefix, self._prefix = self._prefix[:size], self._prefix[size:]
+        return prefix + self._reader.read(size - len(prefix))
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -57,13 +57,14 @@
         assert proxy.peak_mb < idle_mb + 40 * 1.2
 
 
-def test_the_memory_falls_after_the_uploads():
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_the_memory_falls_after_the_uploads(chunked):
     with run_proxy(DiscardingUpstream(work_s=0.5), 300.0) as proxy:
         upload(proxy.port, 100, "warm")
         idle_mb = proxy.resident_mb()
         clients = Group()
         for index in range(4 * UPLOADS):
-            clients.spawn(upload, proxy.port, MAX_HELD_BODY_BYTES, f"u{index}")
+            clients.spawn(upload, proxy.port, MAX_HELD_BODY_BYTES, f"u{index}", chunked)
         clients.join()
         assert proxy.peak_mb > idle_mb + 8
         assert proxy.resident_mb() < idle_mb + 8
--- a/tests/test_streamed_bodies.py
+++ b/tests/test_streamed_bodies.py
@@ -266,6 +266,19 @@
     assert upload.send(BODY[MAX_HELD_BODY_BYTES + 1 :]).read_response()[0] == 200
 
 
+def test_a_chunked_body_waits_for_the_room_of_a_stream(frontend):
+    """Guards against a refusal of a chunked body, although room becomes free while it may wait."""
+    server, scripted, _ = frontend
+    server.body_budget = BodyBudget(2 * STREAM_BYTES)
+    upstream = StreamUpstream(scripted, lambda up, sock, i: (read_chunked(up, sock, i), sock.sendall(OK_RESPONSE)))
+    occupied = server.body_budget.reserve(STREAM_BYTES)
+    client = begin_chunked(server).send(chunks(BODY[:HALF]))
+    wait_until(lambda: server.body_budget.waiting)
+    occupied.release()
+    assert client.send(chunks(BODY[HALF:]) + b"0\r\n\r\n").read_response()[0] == 200
+    assert unchunk(upstream.body()) == BODY
+
+
 @pytest.mark.parametrize("size", [1000, BODY_BYTES])
 def test_a_client_that_expects_100_gets_it_before_its_body_is_read(frontend, size):
     server, _, _ = frontend
