The measurement of uploads counts their ends, unread bytes and processor time

python -m tests.upload_bench takes cases of size and number, with length and chunked; it shows how many were served, refused with a response, and cut, the memory with the bytes that lie unread at the sockets and 5 s afterwards, processor time a MiB, and small requests beside them.

--- a/tests/upload_bench.py
+++ b/tests/upload_bench.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 import time
@@ -29,7 +30,13 @@
 MEBIBYTE = 1 << 20
 LIMIT_MS = 10_000.0
 WATCH_INTERVAL_S = 0.005
+UNREAD_INTERVAL_S = 0.05
+USER_TIME_FIELD, SYSTEM_TIME_FIELD = 11, 12
+"""Places in /proc/PID/stat behind the name."""
+
+SETTLING_S = 5.0
 CLIENT_TIMEOUT_S = 30.0
+SMALL_CLIENTS = 4
 PART = b"x" * (256 << 10)
 CHUNK = b"%x\r\n%s\r\n" % (len(PART), PART)
 SLOW_PART_BYTES = 16 << 10
@@ -93,10 +100,11 @@
 
 
 class ProxyProcess:
-    """The proxy's process; `peak_mb` is the most resident memory that was seen."""
+    """The proxy's process; `peak_mb` is the most resident memory that was seen, `peak_unread_mb` with unread bytes."""
 
-    def __init__(self, popen, port: int):
-        self.popen, self.port, self.peak_mb = popen, port, 0.0
+    def __init__(self, popen, port: int, upstream_port: int):
+        self.popen, self.port, self.upstream_port = popen, port, upstream_port
+        self.peak_mb = self.peak_unread_mb = 0.0
 
     def resident_mb(self) -> float:
         for line in Path(f"/proc/{self.popen.pid}/status").read_text().splitlines():
@@ -104,11 +112,32 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    def unread_mb(self) -> float:
+        """Returns what has arrived at the proxy's sockets and was not read yet."""
+        unread_bytes = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, remote, _, queues = line.split()[:5]
+            ports = int(local.partition(":")[2], 16), int(remote.partition(":")[2], 16)
+            if ports[0] == self.port or ports[1] == self.upstream_port:
+                unread_bytes += int(queues.partition(":")[2], 16)
+        return unread_bytes / MEBIBYTE
+
+    def processor_s(self) -> float:
+        """Returns the processor time that the process has used."""
+        fields = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[USER_TIME_FIELD]) + int(fields[SYSTEM_TIME_FIELD])) / os.sysconf("SC_CLK_TCK")
+
     def watch(self) -> None:
         while self.popen.poll() is None:
-            self.peak_mb = max(self.peak_mb, self.resident_mb())
+            resident_mb = self.resident_mb()
+            self.peak_mb = max(self.peak_mb, resident_mb)
             gevent.sleep(WATCH_INTERVAL_S)
 
+    def watch_unread(self) -> None:
+        while self.popen.poll() is None:
+            self.peak_unread_mb = max(self.peak_unread_mb, self.resident_mb() + self.unread_mb())
+            gevent.sleep(UNREAD_INTERVAL_S)
+
 
 @contextmanager
 def run_proxy(upstream: DiscardingUpstream, memory_mb: float):
@@ -118,7 +147,7 @@
     with subprocess.Popen(
         [*command, "--memory", str(memory_mb)], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
     ) as popen:
-        proxy = ProxyProcess(popen, int(popen.stdout.readline()))
+        proxy = ProxyProcess(popen, int(popen.stdout.readline()), upstream.server.server_port)
         watcher = gevent.spawn(proxy.watch)
         try:
             yield proxy
@@ -173,55 +202,74 @@
 
     uploads: int
     size_mib: float
-    slow_upstream: bool
+    chunked: bool
+    served: int
+    refused: int
+    no_answer: int
     idle_mb: float
     peak_mb: float
+    peak_with_unread_mb: float
     after_mb: float
-    answered: int
-    refused: int
-    no_answer: int
     mib_per_s: float
-    small_p99_ms: float
+    processor_ms_per_mib: float
+    small_served: int
     small_failed: int
+    small_p50_ms: float
+    small_p99_ms: float
 
 
-def measure(uploads: int, size: int, slow: bool, memory_mb: float, seconds: float) -> Figures:
+class Load:
+    """Uploads and small requests that are sent at the same time until `end`."""
+
+    def __init__(self, port: int, end: float):
+        self.port, self.end = port, end
+        self.clients = Group()
+
+    def add(self, answers: list[UploadAnswer], clients: int, size: int, pause_s: float, chunked: bool = False) -> None:
+        for index in range(clients):
+            self.clients.spawn(self._send, answers, f"{size}-{index}", size, pause_s, chunked)
+
+    def _send(self, answers: list[UploadAnswer], name: str, size: int, pause_s: float, chunked: bool) -> None:
+        while time.monotonic() < self.end:
+            answers.append(upload(self.port, size, f"{name}-{len(answers)}", chunked))
+            gevent.sleep(pause_s)
+
+
+def measure(uploads: int, size: int, chunked: bool, part_pause_s: float, memory_mb: float, seconds: float) -> Figures:
     """Uploads `uploads` bodies at a time for `seconds`, with small requests beside them."""
-    upstream = DiscardingUpstream(part_pause_s=0.02 if slow else 0.0)
+    upstream = DiscardingUpstream(part_pause_s=part_pause_s)
     answers: list[UploadAnswer] = []
     small: list[UploadAnswer] = []
     with run_proxy(upstream, memory_mb) as proxy:
+        gevent.spawn(proxy.watch_unread)
         upload(proxy.port, 100, "warm")
-        idle_mb, began = proxy.resident_mb(), time.monotonic()
-
-        def send(into: list[UploadAnswer], bytes_: int, name: str, pause_s: float) -> None:
-            while time.monotonic() < began + seconds:
-                into.append(upload(proxy.port, bytes_, f"{name}-{len(into)}"))
-                gevent.sleep(pause_s)
-
-        clients = Group()
-        for index in range(uploads):
-            clients.spawn(send, answers, size, f"u{index}", 0.05)
-        for index in range(4):
-            clients.spawn(send, small, 100, f"s{index}", 0.02)
-        clients.join()
-        lasted = time.monotonic() - began
-        gevent.sleep(1.0)
+        idle_mb, processor_s, began = proxy.resident_mb(), proxy.processor_s(), time.monotonic()
+        load = Load(proxy.port, began + seconds)
+        load.add(answers, uploads, size, 0.05, chunked)
+        load.add(small, SMALL_CLIENTS, 100, 0.02)
+        load.clients.join()
+        lasted, processor_s = time.monotonic() - began, proxy.processor_s() - processor_s
+        received_mib = upstream.received_bytes / MEBIBYTE
+        gevent.sleep(SETTLING_S)
         after_mb = proxy.resident_mb()
-    times = sorted(answer.seconds for answer in small if answer.status == 200)
+    times = sorted(answer.seconds for answer in small if answer.status == 200) or [0.0]
     return Figures(
         uploads,
         size / MEBIBYTE,
-        slow,
+        chunked,
+        sum(answer.status == 200 for answer in answers),
+        sum(answer.status == 503 for answer in answers),
+        sum(answer.status not in (200, 503) for answer in answers),
         round(idle_mb, 1),
         round(proxy.peak_mb, 1),
+        round(proxy.peak_unread_mb, 1),
         round(after_mb, 1),
-        sum(answer.status == 200 for answer in answers),
-        sum(answer.status == 503 for answer in answers),
-        sum(answer.status == 0 for answer in answers),
-        round(upstream.received_bytes / MEBIBYTE / lasted, 1),
-        round(1000 * times[int(0.99 * (len(times) - 1))], 1) if times else 0.0,
+        round(received_mib / lasted, 1),
+        round(1000 * processor_s / max(1.0, received_mib), 2),
+        sum(answer.status == 200 for answer in small),
         sum(answer.status != 200 for answer in small),
+        round(1000 * times[len(times) // 2], 1),
+        round(1000 * times[int(0.99 * (len(times) - 1))], 1),
     )
 
 
@@ -229,18 +277,18 @@
 @click.option("--serve", type=int, help="serve as the proxy of this upstream's port")
 @click.option("--memory", default=300.0, help="memory that the proxy may use (megabytes)")
 @click.option("--seconds", default=6.0, help="duration of each measurement")
-@click.option("--uploads", default="1,4,16,64", help="numbers of uploads at a time")
-@click.option("--sizes", default="1,8,60", help="sizes of bodies (MiB)")
-def main(serve: int | None, memory: float, seconds: float, uploads: str, sizes: str) -> None:
-    """Measure a proxy's memory under uploads, and small requests beside them."""
+@click.option("--cases", default="60x6,30x12,8x48,1x200", help="sizes of bodies (MiB) x uploads at a time")
+@click.option("--part-pause", default=0.0, help="pause of the upstream after each 256 KiB (s)")
+def main(serve: int | None, memory: float, seconds: float, cases: str, part_pause: float) -> None:
+    """Measure a proxy's memory under uploads, their ends, and small requests beside them."""
     if serve is not None:
         serve_proxy(serve, memory)
         return
-    for size in sizes.split(","):
-        for slow in (False, True):
-            for count in uploads.split(","):
-                figures = measure(int(count), int(float(size) * MEBIBYTE), slow, memory, seconds)
-                click.echo(msgspec.json.encode(figures).decode())
+    for case in cases.split(","):
+        size_mib, _, uploads = case.partition("x")
+        for chunked in (False, True):
+            figures = measure(int(uploads), int(float(size_mib) * MEBIBYTE), chunked, part_pause, memory, seconds)
+            click.echo(msgspec.json.encode(figures).decode())
 
 
 if __name__ == "__main__":
