hostsoak uploads bodies up to and beyond the limit, and finds requests that are cut at a calm machine

Its judge passed over a request that could not be sent whole and one that got no answer in its client's time, so the cuts of uploads could not be found by it. New findings: CUT and MEMORY, each with a planted breach.

--- a/mallowvalve/localfleet/deployed/clients.py
+++ b/mallowvalve/localfleet/deployed/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import uuid
 from urllib.parse import urlencode
@@ -23,7 +24,7 @@
 UNPROMISING_END = (RequestEnd.NO_ANSWER, RequestEnd.TIMED_OUT, RequestEnd.NOT_SENT)
 DEADLINE_MS = 2000
 ANSWER_MARGIN_S = 2.0
-UPLOAD_BYTES = 1 << 20
+MEBIBYTE = 1 << 20
 UPLOAD_DEADLINE_MS = 4000
 NEW_CONNECTION_SHARE = 0.3
 LONG_LIFE_FACTOR = 3
@@ -59,22 +60,38 @@
     RequestKind(1, "GET", READ_PREFIX + STREAM_PATH),
     RequestKind(1, "GET", CHANGING_PREFIX + "item"),
 ]
-UPLOAD = RequestKind(1, "POST", ORDER_PREFIX + "upload", UPLOAD_BYTES, UPLOAD_DEADLINE_MS, part_pause_s=0.02)
+UPLOAD_PATH = ORDER_PREFIX + "upload"
+UPLOADS = [
+    RequestKind(4, "POST", UPLOAD_PATH, MEBIBYTE, UPLOAD_DEADLINE_MS, part_pause_s=0.02),
+    RequestKind(2, "POST", UPLOAD_PATH, MEBIBYTE, UPLOAD_DEADLINE_MS, chunked=True),
+    RequestKind(2, "POST", UPLOAD_PATH, 8 * MEBIBYTE, UPLOAD_DEADLINE_MS),
+    RequestKind(2, "POST", UPLOAD_PATH, 8 * MEBIBYTE, UPLOAD_DEADLINE_MS, chunked=True),
+    RequestKind(1, "POST", UPLOAD_PATH, 60 * MEBIBYTE, UPLOAD_DEADLINE_MS),
+    RequestKind(1, "POST", UPLOAD_PATH, 65 * MEBIBYTE, UPLOAD_DEADLINE_MS),
+]
+"""Bodies up to the limit of the configuration, and one beyond it."""
+
+
+@functools.cache
+def body_of(size: int) -> bytes:
+    """Returns a body of `size` bytes, the same object for all requests."""
+    return b"b" * size
 
 
 class Client:
     """A client that sends one request at a time.
 
     `heeds_close`: it opens a new connection after an answer that announces the end of the old one. Others use theirs
-    until it is gone.
+    until it is gone. `reads_after_failure`: it reads an answer also if it could not send its request whole.
     """
 
     def __init__(self, fleet: Fleet, records: Records, rng: random.Random, pause_s: float, uploads: bool):
         """Draws its habits; `pause_s` is the mean time between two requests."""
         self.fleet, self.records, self.rng, self.pause_s = fleet, records, rng, pause_s
-        self.kinds = [*KINDS, UPLOAD] if uploads else KINDS
+        self.kinds = UPLOADS if uploads else KINDS
         self.zone = rng.choice(sorted(fleet.shape.zones))
         self.heeds_close = rng.random() < 0.7
+        self.reads_after_failure = not uploads or rng.random() < 0.5
         self.life_factor = rng.choice((1, 1, LONG_LIFE_FACTOR))
         self._connection: ClientConnection | None = None
         self._named: list[Machine] = []
@@ -100,11 +117,12 @@
             kind.method,
             kind.path,
             headers,
-            b"b" * kind.body_bytes,
+            body_of(kind.body_bytes),
             kind.deadline_ms / 1000 + ANSWER_MARGIN_S,
             kind.part_pause_s,
             kind.read_pause_s,
             kind.chunked,
+            self.reads_after_failure,
         )
         answer = connection.exchange(record, outgoing)
         if answer is not None and answer.status == STATUS_OK:
--- a/mallowvalve/localfleet/deployed/connection.py
+++ b/mallowvalve/localfleet/deployed/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import http.client
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from contextlib import suppress
 
 import gevent
@@ -18,7 +18,10 @@
 
 
 class Outgoing(msgspec.Struct, frozen=True):
-    """A request to be sent. `part_pause_s` is the pause between two parts of its body, or of its answer."""
+    """A request to be sent. `part_pause_s` is the pause between two parts of its body, or of its answer.
+
+    Without `reads_after_failure` the client gives up if it cannot send the request whole, as many clients do.
+    """
 
     method: str
     path: str
@@ -28,6 +31,7 @@
     part_pause_s: float = 0.0
     read_pause_s: float = 0.0
     chunked: bool = False
+    reads_after_failure: bool = True
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -79,6 +83,8 @@
             self._send(outgoing)
         except OSError as error:
             record.detail = repr(error)
+            if not outgoing.reads_after_failure:
+                raise
         else:
             record.sent_at = clock.now()
             record.end = RequestEnd.NO_ANSWER
@@ -90,10 +96,8 @@
         headers = {**outgoing.headers, **(framing if outgoing.body else {})}
         lines = [f"{outgoing.method} {outgoing.path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
         head = "\r\n".join(lines).encode("latin-1")
-        parts = [outgoing.body[i : i + PART_BYTES] for i in range(0, len(outgoing.body), PART_BYTES)]
-        if outgoing.chunked:
-            parts = [b"%x\r\n%s\r\n" % (len(part), part) for part in parts] + [b"0\r\n\r\n"]
-        self.sock.sendall(head + (parts.pop(0) if parts else b""))
+        parts = _parts(outgoing)
+        self.sock.sendall(head + next(parts, b""))
         for part in parts:
             gevent.sleep(outgoing.part_pause_s)
             self.sock.sendall(part)
@@ -119,3 +123,12 @@
             with suppress(OSError):
                 self.sock.close()
         self.sock, self.used, self.announced_close = None, False, False
+
+
+def _parts(outgoing: Outgoing) -> Iterator[bytes]:
+    """Yields the body as it is sent, in parts or in chunks."""
+    for begin in range(0, len(outgoing.body), PART_BYTES):
+        part = outgoing.body[begin : begin + PART_BYTES]
+        yield b"%x\r\n%s\r\n" % (len(part), part) if outgoing.chunked else part
+    if outgoing.chunked:
+        yield b"0\r\n\r\n"
--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -6,7 +6,7 @@
 from itertools import pairwise
 
 from mallowvalve.localfleet.deployed.judge_coordination import check_coordination
-from mallowvalve.localfleet.deployed.records import Records, RequestEnd, RequestRecord, Stop
+from mallowvalve.localfleet.deployed.records import MemoryPeak, Records, RequestEnd, RequestRecord, Stop
 
 LOSS_SLACK_S = 0.2
 """A connection that ends without an answer later than this after the request's last byte was read by its process."""
@@ -21,12 +21,15 @@
 """Statuses that promise that the request did not run."""
 
 SUCCESS = range(200, 300)
+CUT_ENDS = (RequestEnd.NOT_SENT, RequestEnd.TIMED_OUT)
 
 
 def check_records(records: Records, grace_s: float) -> list[str]:
     """Returns all findings; `grace_s` is the grace period of a stop."""
     return [
         *check_lost(records, grace_s),
+        *check_cut(records, grace_s),
+        *check_memory(records.memory),
         *check_runs(records),
         *check_answers(records),
         *check_stops(records.stops, grace_s),
@@ -52,6 +55,49 @@
     return found
 
 
+def check_cut(records: Records, grace_s: float) -> list[str]:
+    """Requests that ended before they were sent whole, or got no answer in their client's time, at a calm machine.
+
+    A machine that is held to a share of its processor time may be late.
+    """
+    ran = {run.id for run in records.runs}
+    found = []
+    for request in records.requests:
+        if request.is_call or request.end not in CUT_ENDS or _was_disturbed(records, request):
+            continue
+        if request.end is RequestEnd.TIMED_OUT and records.share < 1.0:
+            continue
+        if request.id not in ran and _crossed_close(request):
+            continue
+        found.append(f"CUT: {describe(request, records, grace_s)}: {request.end}, and its machine was calm")
+    return found
+
+
+def _crossed_close(request: RequestRecord) -> bool:
+    """Returns whether the connection may have been closed as idle, or as announced, before the request arrived."""
+    ended_at_once = request.ended_at - request.began_at <= LOSS_SLACK_S
+    return request.after_close or not request.first and ended_at_once
+
+
+def _was_disturbed(records: Records, request: RequestRecord) -> bool:
+    """Returns whether the machine was being stopped or started, or was killed, while the request lasted."""
+    spans = [(stop.machine, stop.signalled_at, stop.ready_at) for stop in records.stops]
+    spans += [(kill.machine, kill.at, kill.ready_at) for kill in records.kills]
+    return any(
+        machine == request.machine and begun <= request.ended_at and (not ready or request.began_at <= ready)
+        for machine, begun, ready in spans
+    )
+
+
+def check_memory(peaks: list[MemoryPeak]) -> list[str]:
+    """Machines whose process took more memory than it may use: the platform kills it."""
+    return [
+        f"MEMORY: {peak.machine} had {peak.most_mb:.0f} MB resident, {peak.allowed_mb:.0f} at most"
+        for peak in peaks
+        if peak.most_mb > peak.allowed_mb
+    ]
+
+
 def _loss(request: RequestRecord, ran: set[str]) -> str | None:
     if request.id in ran:
         return "passed on to an upstream"
@@ -142,6 +188,7 @@
         "unanswered_passed_on": sum(request.id in ran for request in unanswered),
         "unanswered_late": sum(request.ended_at - request.sent_at > LOSS_SLACK_S for request in unanswered),
         "ends": dict(sorted(ends.items())),
+        "memory_mb_most": round(max((peak.most_mb for peak in records.memory), default=0.0), 1),
         "stops": len(records.stops),
         "kills": len(records.kills),
         "stop_s_p50": round(lasted[len(lasted) // 2], 2) if lasted else None,
--- a/mallowvalve/localfleet/deployed/machines.py
+++ b/mallowvalve/localfleet/deployed/machines.py
@@ -14,6 +14,7 @@
 
 import gevent
 import msgspec
+import psutil
 
 from mallowvalve import clock, settings
 from mallowvalve.localfleet.deployed.shape import MACHINE_FILE, DeployFile, Role, Shape
@@ -26,8 +27,8 @@
 
 MAX_SEEDS = 3
 CORE_MEMORY_MB = 296
-EDGE_MEMORY_MB = 300
 POLL_S = 0.02
+BYTES_PER_MB = 1 << 20
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 FIRST_HOST = 10
 NETWORK = "127.{}.{}"
@@ -68,6 +69,21 @@
         """The address of the readiness check."""
         return self.address, self.fleet.ports.pages if self.role == "proxy" else self.fleet.ports.web
 
+    @property
+    def memory_mb(self) -> int:
+        """The memory that its process may use (megabytes)."""
+        return CORE_MEMORY_MB if self.data is not None else self.fleet.shape.edge_memory_mb
+
+    @property
+    def resident_mb(self) -> float:
+        """The resident memory of its process (megabytes), 0.0 if it does not run."""
+        if self.popen is None or not self.is_running:
+            return 0.0
+        try:
+            return float(psutil.Process(self.popen.pid).memory_info().rss) / BYTES_PER_MB
+        except psutil.Error:
+            return 0.0
+
     @property
     def is_running(self) -> bool:
         """Whether its process runs."""
@@ -158,7 +174,7 @@
             "first_start": machine.first_start,
             "keeps_state": machine.data is not None,
             "data": str(machine.data) if machine.data is not None else None,
-            "memory_mb": CORE_MEMORY_MB if machine.data is not None else EDGE_MEMORY_MB,
+            "memory_mb": machine.memory_mb,
             "grace_s": self.shape.grace_s,
         }
         return fill((self.root / role.template).read_text(), json.loads(fill(self._machine_form, values)))
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -68,6 +68,14 @@
     ready_at: float
 
 
+class MemoryPeak(msgspec.Struct):
+    """The most resident memory that the processes of a machine were seen with, and what they may use (megabytes)."""
+
+    machine: str
+    most_mb: float
+    allowed_mb: float
+
+
 class LookUp(msgspec.Struct, frozen=True):
     """An answer of a directory: the names of the machines that it named."""
 
@@ -149,12 +157,14 @@
 
 
 class Records(msgspec.Struct):
-    """All records of a soak."""
+    """All records of a soak; `share` is the share of processor time that the processes got."""
 
+    share: float = 1.0
     requests: list[RequestRecord] = []
     runs: list[Run] = []
     stops: list[Stop] = []
     kills: list[Kill] = []
+    memory: list[MemoryPeak] = []
     look_ups: list[LookUp] = []
     numbers: list[NumberDrawn] = []
     reads: list[KeyRead] = []
--- a/mallowvalve/localfleet/deployed/shape.py
+++ b/mallowvalve/localfleet/deployed/shape.py
@@ -28,7 +28,7 @@
     upstreams of each service. `connections` is the number of clients, `callers` the number of applications that use
     locks, numbers and keys, `rate` the requests a second of all clients, `grace_s` the grace period of a stop. With
     `lookups` clients ask a directory for addresses; else they choose among all edge machines. `uploads` is the number
-    of clients that also send large bodies.
+    of clients that send large bodies, up to the limit, and `edge_memory_mb` the memory of an edge machine (megabytes).
     """
 
     zones: dict[str, str]
@@ -41,6 +41,7 @@
     grace_s: float = 6.0
     lookups: bool = False
     uploads: int = 2
+    edge_memory_mb: int = 300
 
 
 class Role(msgspec.Struct, frozen=True):
@@ -73,7 +74,7 @@
     for place in ("core", "edge", "connections"):
         if getattr(shape, place) < 1:
             found.append(Finding(place, "must be at least 1"))
-    for place in ("rate", "grace_s"):
+    for place in ("rate", "grace_s", "edge_memory_mb"):
         if getattr(shape, place) <= 0:
             found.append(Finding(place, "must be positive"))
     for place in ("callers", "uploads"):
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -16,7 +16,7 @@
 from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
 from mallowvalve.localfleet.deployed.operator import Operator
-from mallowvalve.localfleet.deployed.records import Kill, Records, RequestRecord, Stop
+from mallowvalve.localfleet.deployed.records import Kill, MemoryPeak, Records, RequestRecord, Stop
 from mallowvalve.localfleet.deployed.upstream import StandinUpstream
 from mallowvalve.localfleet.schedule import ActKind, Schedule, ScheduledAct
 
@@ -26,6 +26,7 @@
 SETTLE_S = 60.0
 READY_S = 40.0
 POLL_S = 0.05
+MEMORY_POLL_S = 0.1
 READY_TIMEOUT_S = 1.0
 RELEASE_OVERLAP_S = 0.5
 END_SLACK_S = 20.0
@@ -40,7 +41,7 @@
         With `closing`, all processes are killed at one moment after the load, before everything is read back.
         """
         self.fleet, self.schedule, self.share, self.closing = fleet, schedule, share, closing
-        self.records = Records()
+        self.records = Records(share)
         self.upstreams: dict[str, list[StandinUpstream]] = {name: [] for name in fleet.shape.services}
         self.operator = Operator(fleet, self.records, self._rng("operator"))
         self._serving = Group()
@@ -67,6 +68,7 @@
         began = clock.now()
         end = began + self.schedule.seconds
         load = self._start_load(end)
+        load.spawn(self._watch_memory, end)
         with ProcessorShare(self.fleet.machines, self.share, PERIOD_S, self._rng("share")):
             acts = Group()
             for act in self.schedule.acts:
@@ -79,6 +81,15 @@
         self.records.final = self.operator.read_back()
         return self.records
 
+    def _watch_memory(self, end: float) -> None:
+        """Records the most resident memory of each machine until `end` (s, this process's clock)."""
+        peaks = [MemoryPeak(machine.name, 0.0, machine.memory_mb) for machine in self.fleet.machines]
+        self.records.memory = peaks
+        while clock.now() < end:
+            for machine, peak in zip(self.fleet.machines, peaks, strict=True):
+                peak.most_mb = max(peak.most_mb, machine.resident_mb)
+            gevent.sleep(MEMORY_POLL_S)
+
     def _kill_all(self) -> None:
         """Kills all processes right after a change was acknowledged, and starts them again."""
         self.operator.change()
--- a/mallowvalve/localfleet/deployed/upstream.py
+++ b/mallowvalve/localfleet/deployed/upstream.py
@@ -15,6 +15,7 @@
 from mallowvalve.localfleet.deployed.machines import Fleet
 from mallowvalve.localfleet.deployed.records import Records, Run
 from mallowvalve.metrics import Counts
+from mallowvalve.request_body import BrokenBodyError
 from mallowvalve.types import Address
 
 HEARTBEAT_S = 1.5
@@ -23,6 +24,7 @@
 """The time between the acknowledged notice that it leaves and its end."""
 
 SLOTS = 8
+PART_BYTES = 64 << 10
 MAX_CONNECTIONS = 4096
 LARGE_ANSWER_BYTES = 512 << 10
 LARGE_PATH = "large"
@@ -98,7 +100,12 @@
                 start_response, HTTPStatus.MISDIRECTED_REQUEST, {terms.ask: request_id, terms.not_run: "1"}, b""
             )
         deadline = clock.now() + int(head.get(terms.limit, "5000")) / 1000
-        body_bytes = len(environ["wsgi.input"].read())
+        try:
+            body_bytes = sum(map(len, iter(lambda: environ["wsgi.input"].read(PART_BYTES), b"")))
+        except BrokenBodyError:
+            return self._respond(
+                start_response, HTTPStatus.BAD_REQUEST, {terms.ask: request_id, terms.not_run: "1"}, b""
+            )
         self.records.runs.append(Run(request_id, self.instance, clock.now()))
         gevent.sleep(min(self.rng.uniform(0.02, 0.3), max(0.0, deadline - clock.now() - DEADLINE_MARGIN_S)))
         answer = {"id": request_id, "by": self.instance, "bytes": body_bytes}
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -23,6 +23,7 @@
     Kill,
     LockHold,
     LookUp,
+    MemoryPeak,
     NumberDrawn,
     Records,
     RequestEnd,
@@ -51,12 +52,21 @@
     return request(end=RequestEnd.NO_ANSWER, status=0, answered_id="", **changes)
 
 
+def cut(end: RequestEnd, **changes) -> RequestRecord:
+    """Returns a request without an answer at a machine that is neither stopped nor killed at the time."""
+    times = {"began_at": 20.0, "sent_at": 20.1, "ended_at": 20.15}
+    return request(**{"id": "cut", "end": end, "status": 0, "answered_id": ""} | times | changes)
+
+
 CLEAN = Records(
     requests=[
         request(),
         lost(id="crossed", first=False),
         lost(id="told", first=False, after_close=True, ended_at=11.0),
         request(id="refused", status=503, answered_id=""),
+        request(id="stopped", status=0, answered_id="", end=RequestEnd.NOT_SENT, sent_at=0.0),
+        cut(RequestEnd.NOT_SENT, sent_at=0.0, first=False),
+        cut(RequestEnd.NOT_SENT, sent_at=0.0, first=False, after_close=True, ended_at=20.5),
     ],
     runs=[Run("a", "i-1", 10.1)],
     stops=[Stop("edge-0", 9.0, 13.0, 0, ready_at=15.0)],
@@ -78,6 +88,10 @@
     "LOST passed on": {"requests": [lost(first=False)]},
     "LOST first": {"requests": [lost(id="new")]},
     "LOST late": {"requests": [lost(id="kept", first=False, ended_at=10.4)]},
+    "CUT not sent whole": {"requests": [cut(RequestEnd.NOT_SENT, sent_at=0.0)]},
+    "CUT kept connection": {"requests": [cut(RequestEnd.NOT_SENT, sent_at=0.0, first=False, ended_at=20.5)]},
+    "CUT timed out": {"requests": [cut(RequestEnd.TIMED_OUT, ended_at=24.0)]},
+    "MEMORY": {"memory": [MemoryPeak("edge-0", 100.5, 100.0)]},
     "TWICE": {"runs": [Run("a", "i-1", 10.1), Run("a", "i-2", 10.2)]},
     "REFUSED request": {"requests": [request(status=503, answered_id="")]},
     "MIXED answer": {"requests": [request(answered_id="b")]},
@@ -120,6 +134,11 @@
     assert judge.check_lost(records, GRACE_S) == []
 
 
+def test_a_late_answer_of_a_process_that_is_held_to_a_share_is_no_finding():
+    records = Records(share=0.2, requests=[cut(RequestEnd.TIMED_OUT, ended_at=24.0)])
+    assert judge.check_cut(records, GRACE_S) == []
+
+
 def test_the_figures_count_requests_without_an_answer_and_how_long_a_stopping_machine_is_named():
     records = msgspec.structs.replace(CLEAN, look_ups=[LookUp(9.4, ["edge-0"]), LookUp(14.0, ["edge-0"])])
     figures = judge.statistics(records)
