--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -183,7 +183,8 @@
     node = Node(settings.check("proxy", doc | {"memory_mb": 200.0}).unwrap())
     assert node.server.body_budget is node.pages.body_budget is node.body_budget
     assert node.body_budget.total_bytes == 100 << 20
-    assert settings.check("proxy", doc | {"memory_mb": 0.0}).unwrap_err()[0].place == "memory_mb"
+    for invalid in (0.0, -1.0, "much", None):
+        assert settings.check("proxy", doc | {"memory_mb": invalid}).unwrap_err()[0].place == "memory_mb"
 
 
 def test_a_refused_body_is_counted_and_logged_with_the_memory_once_a_second():
--- a/tests/test_streamed_bodies.py
+++ b/tests/test_streamed_bodies.py
@@ -215,7 +215,17 @@
 
 
 @pytest.mark.parametrize(
-    "end, status", [(b"zz\r\n", 400), (chunks(b"x" * BODY_BYTES), 413), (b"1\r\nxx\r\n", 400), (b"f" * 3000, 400)]
+    "end, status",
+    [
+        (b"ffffffffffffffff\r\n" + BODY, 413),
+        (b"1" + b"0" * 16 + b"\r\n", 400),
+        (b"0\r\n" + b"X-Trailer: a\r\n" * 65 + b"\r\n", 400),
+        (b"0\r\nno colon\r\n\r\n", 400),
+        (b"zz\r\n", 400),
+        (chunks(b"x" * BODY_BYTES), 413),
+        (b"1\r\nxx\r\n", 400),
+        (b"f" * 3000, 400),
+    ],
 )
 def test_a_chunked_body_that_is_malformed_or_too_large_midway_is_not_completed(frontend, end, status):
     server, scripted, _ = frontend
