--- a/sim/measure.py
+++ b/sim/measure.py
@@ -1,4 +1,4 @@
-"""Bytes that an object keeps, and processor time that an act takes."""
+"""Bytes that an object keeps, and processor time that an action takes."""
 
 from __future__ import annotations
 
@@ -7,25 +7,30 @@
 import tracemalloc
 from collections.abc import Callable
 
+MIN_COUNTED_S = 1e-6
+"""A repetition counts as at least this long, so that the measurement ends."""
+
 
 def kept(make: Callable[[], object]) -> tuple[object, int]:
-    """What `make` makes, and the bytes it keeps; slow, for each allocation is traced."""
+    """Returns what `make` makes, and the bytes it keeps; slow, for each allocation is traced."""
     gc.collect()
     tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    x = make()
+    before_bytes = tracemalloc.get_traced_memory()[0]
+    made = make()
     gc.collect()
-    n = tracemalloc.get_traced_memory()[0] - before
+    kept_bytes = tracemalloc.get_traced_memory()[0] - before_bytes
     tracemalloc.stop()
-    return x, n
+    return made, kept_bytes
 
 
-def spent(act: Callable[[], object], most: float = 0.3) -> float:
-    """Processor seconds of one `act`: the least of as many turns as fit into `most` seconds."""
-    best, total = 1e9, 0.0
-    while total < most:
-        t = time.process_time()
+def spent(act: Callable[[], object], duration_s: float = 0.3) -> float:
+    """Returns the processor time of one `act` (s): the least of as many repetitions as fit into `duration_s`."""
+    least_s = float("inf")
+    total_s = 0.0
+    while total_s < duration_s:
+        began = time.process_time()
         act()
-        one = time.process_time() - t
-        best, total = min(best, one), total + max(one, 1e-6)
-    return best
+        repetition_s = time.process_time() - began
+        least_s = min(least_s, repetition_s)
+        total_s += max(repetition_s, MIN_COUNTED_S)
+    return least_s
--- a/sim/queueing.py
+++ b/sim/queueing.py
@@ -8,27 +8,40 @@
 
 from sim.target import NODES
 
+FLEET_REQUESTS_PER_S = 1_300_000
+REQUEST_WORK_MS = (3.3, 1.6, 0.8, 0.5, 0.3)
+PROCESS_COUNTS = (1, 2, 4)
+WORK_SHAPE = 4
+"""The shape of the gamma distribution of the work: its squared coefficient of variation is 1/4."""
+
+P99 = 0.99
+
 
 def queue(_: float) -> None:
-    """Time in a node at 236 requests a second (1.3 million over 5,500), Poisson, by work a request and processes."""
-    for work_ms in (3.3, 1.6, 0.8, 0.5, 0.3):
-        row = []
-        for procs in (1, 2, 4):
-            mean, p99 = sojourn(1_300_000 / NODES, work_ms / 1e3, procs)
-            row.append(f"{procs}: {mean * 1e3:.2f}/{p99 * 1e3:.2f}")
+    """Prints the time in a node at its share of the fleet's requests, Poisson, by work a request and processes."""
+    requests_per_s = FLEET_REQUESTS_PER_S / NODES
+    for work_ms in REQUEST_WORK_MS:
+        columns = []
+        for processes in PROCESS_COUNTS:
+            mean_s, p99_s = sojourn(requests_per_s, work_ms / 1e3, processes)
+            columns.append(f"{processes}: {mean_s * 1e3:.2f}/{p99_s * 1e3:.2f}")
+        core_percent = requests_per_s * work_ms / 10
         click.echo(
-            f"queue   {work_ms} ms a request, {236.4 * work_ms / 10:.0f}% of a core; mean/p99 ms by processes  {'  '.join(row)}"
+            f"queue   {work_ms} ms a request, {core_percent:.0f}% of a core; "
+            f"mean/p99 ms by processes  {'  '.join(columns)}"
         )
 
 
-def sojourn(rate: float, work: float, procs: int, n: int = 200_000) -> tuple[float, float]:
-    """Mean and 99th of 100 of wait and work; each process has its own share of the arrivals, work has a c2 of 1/4."""
+def sojourn(requests_per_s: float, work_s: float, processes: int, requests: int = 200_000) -> tuple[float, float]:
+    """Returns the mean and the 99th percentile of wait and work (s); arrivals go to a process at random."""
     rng = random.Random(1)
-    free, now, out = [0.0] * procs, 0.0, []
-    for _ in range(n):
-        now += rng.expovariate(rate)
-        k = rng.randrange(procs)
-        free[k] = max(free[k], now) + rng.gammavariate(4, work / 4)
-        out.append(free[k] - now)
-    out.sort()
-    return sum(out) / n, out[int(n * 0.99)]
+    free_at = [0.0] * processes
+    now = 0.0
+    times = []
+    for _ in range(requests):
+        now += rng.expovariate(requests_per_s)
+        process = rng.randrange(processes)
+        free_at[process] = max(free_at[process], now) + rng.gammavariate(WORK_SHAPE, work_s / WORK_SHAPE)
+        times.append(free_at[process] - now)
+    times.sort()
+    return sum(times) / requests, times[int(requests * P99)]
