The wait after a refusal does not end with the deadline of an earlier request

A client that uploads on a kept connection and is refused without a deadline of its own (no route, no settings, a stop) was read for 1 s only once an earlier request of that connection had had a deadline: that stayed. It is forgotten with each request now. Found by reading; the new test failed before with a broken pipe.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -108,7 +108,7 @@
                 limits.header_ms / 1000,
                 limits.idle_ms / 1000,
             )
-        self.idle_s = idle_s
+        self.idle_s, self.discard_end = idle_s, None
         try:
             if not self.rfile.wait_for_request(idle_s):
                 return None
--- a/tests/test_uploads_answered.py
+++ b/tests/test_uploads_answered.py
@@ -53,6 +53,17 @@
     assert upstream.requests == []
 
 
+def test_the_deadline_of_an_earlier_request_does_not_end_the_wait_for_a_later_one(frontend):
+    """Guards against a refused upload that is cut since an earlier request of its connection had a short deadline."""
+    server, _, _ = frontend
+    headers = b"Content-Length: 3\r\nMallow-Limit: 300\r\n"
+    client = HttpClient(server).send(build_request(b"/o/1", b"POST", headers, b"abc"))
+    assert client.read_response()[0] == 200
+    client.send(build_request(b"/elsewhere/1", b"POST", b"Content-Length: 900000\r\n"))
+    send_slowly(client.sock, 900_000, 2 * SENDING_S)
+    assert client.read_response()[0] == 404
+
+
 def test_a_client_reads_the_refusal_of_a_head_that_is_too_long(frontend):
     """Guards against the same reset where no request was understood."""
     server, _, _ = frontend
