--- a/mallowvalve/http_head.py
+++ b/mallowvalve/http_head.py
@@ -96,7 +96,7 @@
 
 
 class RequestReader:
-    """A buffered reader of what a client sends, used by pywsgi as its input file.
+    """A buffered reader of what a client sends; pywsgi holds it as its input file.
 
     `has_received`: the connection has brought any bytes yet.
     """
@@ -170,26 +170,6 @@
         del self.buffer[: end + 2]
         return line
 
-    def read(self, size: int = -1) -> bytes:
-        """Reads `size` bytes, fewer only at the end of the connection; a negative size reads to that end."""
-        while size < 0 or len(self.buffer) < size:
-            data = self.sock.recv(65536)
-            if not data:
-                break
-            self.buffer += data
-        return self.take(len(self.buffer) if size < 0 else size)
-
-    def readline(self, max_bytes: int = -1) -> bytes:
-        """Reads up to and including the next line end, at most `max_bytes` bytes unless that is negative."""
-        while (newline := self.buffer.find(b"\n")) < 0 and (max_bytes < 0 or len(self.buffer) < max_bytes):
-            data = self.sock.recv(65536)
-            if not data:
-                break
-            self.buffer += data
-        size = newline + 1 if newline >= 0 else len(self.buffer)
-        size = size if max_bytes < 0 else min(size, max_bytes)
-        return self.read(size)
-
     def close(self) -> None:
         """Marks the reader as closed; the server closes the socket."""
         self.closed = True
