The test of a slow body waits for the upstreams' present lives

Cause: an earlier test kills all upstreams of a service and starts them again; those that were killed stay listed as ready for up to 8 s, so the wait for five ready ones was over at once (5 of 5 ready, none of the new lives known, right after the start). A request to the old lives is refused as not run, which is right.

--- a/tests/test_localfleet.py
+++ b/tests/test_localfleet.py
@@ -169,13 +169,20 @@
     assert wait_until(lambda: call(port, "GET", "/rankings/empty", None, {"Mallow-Tenant": "overlay"})[0] == 200, 20)
 
 
-def count_ready_upstreams(port):
-    return sum(upstream["status"] == "ready" for upstream in call(port, "GET", "/-/upstreams")[1]["upstreams"])
+def knows_present_lives(fleet, port):
+    """Returns whether a proxy has heard from all upstreams as they run now; killed ones stay listed for a while."""
+    rows = {row["instance"]: row for row in call(port, "GET", "/-/upstreams")[1]["upstreams"]}
+    for upstream in fleet.with_role("upstream"):
+        status, life, _ = call(upstream.web_port, "GET", "/health")
+        row = rows.get(life.get("instance")) if status == 200 else None
+        if row is None or (row["status"], row["incarnation"]) != ("ready", life["incarnation"]):
+            return False
+    return len(rows) == len(fleet.with_role("upstream"))
 
 
 def test_a_request_whose_body_is_slow_goes_by_the_settings_in_force_at_its_first_byte(fleet):
     control, proxy = fleet.with_role("control")[0].web_port, fleet.with_role("proxy")[0].web_port
-    assert wait_until(lambda: count_ready_upstreams(proxy) == len(fleet.with_role("upstream")), 20)
+    assert wait_until(lambda: knows_present_lives(fleet, proxy), 20)
     original = call(control, "GET", "/config")[1]["doc"]
     long_route = {**original["routes"]["submit"], "policy": "limit 30s"}
     lengthened = {**original, "routes": {**original["routes"], "submit": long_route}}
