--- a/mallowvalve/localfleet/deployed/clients.py
+++ b/mallowvalve/localfleet/deployed/clients.py
@@ -112,6 +112,7 @@
             return False
         terms = self.fleet.terms
         record = RequestRecord(uuid.uuid4().hex[:16], connection.machine, True, kind.repeatable, clock.now())
+        record.deadline_s = kind.deadline_ms / 1000
         headers = {"Host": HOST_NAME, terms.ask: record.id, terms.limit: str(kind.deadline_ms)}
         outgoing = Outgoing(
             kind.method,
--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -58,7 +58,8 @@
 def check_cut(records: Records, grace_s: float) -> list[str]:
     """Requests that ended before they were sent whole, or got no answer in their client's time, at a calm machine.
 
-    A machine that is held to a share of its processor time may be late.
+    A machine that is held to a share of its processor time may be late. A client that still sends after its deadline
+    may be cut.
     """
     ran = {run.id for run in records.runs}
     found = []
@@ -67,6 +68,8 @@
             continue
         if request.end is RequestEnd.TIMED_OUT and records.share < 1.0:
             continue
+        if request.end is RequestEnd.NOT_SENT and request.ended_at - request.began_at > request.deadline_s:
+            continue
         if request.id not in ran and _crossed_close(request):
             continue
         found.append(f"CUT: {describe(request, records, grace_s)}: {request.end}, and its machine was calm")
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 NO_STATUS = 0
+NO_DEADLINE_S = 1e9
 
 
 class RequestEnd(enum.StrEnum):
@@ -23,7 +24,8 @@
     """A request of a client; times are seconds of this process's clock, 0.0 before they are known.
 
     `first`: the first request on its connection. `repeatable`: it may run more than once. `sent_at` is when its last
-    byte was sent. `after_close`: the last answer on the connection had announced its end.
+    byte was sent. `after_close`: the last answer on the connection had announced its end. `deadline_s` is the time
+    that the client gave it (s), `NO_DEADLINE_S` if it gave none.
     """
 
     id: str
@@ -39,6 +41,7 @@
     detail: str = ""
     after_close: bool = False
     is_call: bool = False
+    deadline_s: float = NO_DEADLINE_S
 
 
 class Run(msgspec.Struct, frozen=True):
