A stopping server discards refused uploads until 1 s before its deadline

Cause: since refusals are read, a stop waits for clients that still send until the deadline of its answers, 0.6 s before the end of its grace; a process with few turns needs longer than that for its own end. Change: it waits until 1 s before that deadline.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -30,6 +30,9 @@
 DEFAULT_IDLE_S = 30.0
 MIN_DISCARD_S = 1.0
 """How long the rest of a request is discarded at least, also after the request's deadline."""
+DISCARD_STOP_MARGIN_S = 1.0
+"""A stopping server discards until this long before its deadline: where it gets few turns, its own end takes that."""
+
 KEEP_ALIVE_MARGIN_S = 2.0
 """The Keep-Alive timeout sent to clients is this much shorter than the idle timeout."""
 
@@ -245,7 +248,7 @@
         else:
             end = max(self.discard_end, now + MIN_DISCARD_S)
         server = self.server
-        return lambda: end if server.stop_deadline is None else min(end, server.stop_deadline)
+        return lambda: end if server.stop_deadline is None else min(end, server.stop_deadline - DISCARD_STOP_MARGIN_S)
 
     def client_left(self) -> bool:
         """Returns whether the client has closed the connection; a half-close counts too.
