hostsoak: an end by itself, a hang and a slow start are findings

A watch now records each end that nobody caused with its exit code and the last lines of its log, starts the machine again as the platform does, and records processes that answer no readiness check for 10 s though they have all their processor time, and starts that take too long.

--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -27,6 +27,7 @@
 def check_records(records: Records, grace_s: float) -> list[str]:
     """Returns all findings; `grace_s` is the grace period of a stop."""
     return [
+        *check_faults(records),
         *check_lost(records, grace_s),
         *check_cut(records, grace_s),
         *check_memory(records.memory),
@@ -37,6 +38,17 @@
     ]
 
 
+def check_faults(records: Records) -> list[str]:
+    """Processes that ended by themselves, that hang, and that do not become ready, with the end of their logs."""
+    found = [
+        f"FAULT: {end.machine} ended by itself with code {end.code}, {end.lasted_s} s after its start: {end.log}"
+        for end in records.own_ends
+    ]
+    found += [f"FAULT: {hang.machine} gave no answer for {hang.silent_s} s: {hang.log}" for hang in records.hangs]
+    found += [f"FAULT: {slow.machine} not ready after {slow.waited_s} s: {slow.log}" for slow in records.slow_starts]
+    return found
+
+
 def check_lost(records: Records, grace_s: float) -> list[str]:
     """Requests whose connection ended without an answer.
 
@@ -194,6 +206,9 @@
         "memory_mb_most": round(max((peak.most_mb for peak in records.memory), default=0.0), 1),
         "stops": len(records.stops),
         "kills": len(records.kills),
+        "own_ends": dict(sorted(Counter(f"{end.machine} code {end.code}" for end in records.own_ends).items())),
+        "hangs": len(records.hangs),
+        "slow_starts": len(records.slow_starts),
         "stop_s_p50": round(lasted[len(lasted) // 2], 2) if lasted else None,
         "stop_s_most": round(lasted[-1], 2) if lasted else None,
         "named_after_sigterm_s_most": round(max(named_s), 2) if named_s else None,
--- a/mallowvalve/localfleet/deployed/machines.py
+++ b/mallowvalve/localfleet/deployed/machines.py
@@ -17,6 +17,7 @@
 import psutil
 
 from mallowvalve import clock, settings
+from mallowvalve.localfleet.deployed.records import OwnEnd
 from mallowvalve.localfleet.deployed.shape import MACHINE_FILE, DeployFile, Role, Shape
 from mallowvalve.localfleet.ports import free_ports
 from mallowvalve.localfleet.template import fill
@@ -31,6 +32,7 @@
 BYTES_PER_MB = 1 << 20
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 FIRST_HOST = 10
+LAST_LINES_BYTES = 2000
 NETWORK = "127.{}.{}"
 
 
@@ -57,6 +59,8 @@
         self.data = self.folder / "data" if role == "control" else None
         self.popen: subprocess.Popen[bytes] | None = None
         self.first_start = True
+        self.started_at = 0.0
+        self.end_expected = False
         (self.data or self.folder).mkdir(parents=True, exist_ok=True)
 
     @property
@@ -90,7 +94,9 @@
         return self.popen is not None and self.popen.poll() is None
 
     def start(self) -> None:
-        """Starts the process by the deploy file's command, with settings in the platform's form."""
+        """Starts the process by the deploy file's command, with settings in the platform's form, if none runs."""
+        if self.is_running:
+            return
         path = self.write_settings()
         _, *words = shlex.split(self.fleet.deploy.roles[self.role].run.replace(SETTINGS_PATH, str(path)))
         environment = {name: os.environ[name] for name in PASSED_ENVIRONMENT if name in os.environ}
@@ -100,6 +106,24 @@
                 [sys.executable, *words], cwd=self.fleet.root, env=environment, stdout=log, stderr=log
             )
         self.first_start = False
+        self.started_at = clock.now()
+        self.end_expected = False
+
+    def own_end(self) -> OwnEnd | None:
+        """Returns the end of its process if nobody stopped or killed it; None while it runs."""
+        if self.popen is None or self.is_running or self.end_expected:
+            return None
+        now = clock.now()
+        return OwnEnd(self.name, now, self.popen.returncode, round(now - self.started_at, 2), self.last_lines())
+
+    def last_lines(self) -> str:
+        """Returns the end of its log."""
+        path = self.folder / "log"
+        if not path.exists():
+            return ""
+        with path.open("rb") as log:
+            log.seek(max(0, path.stat().st_size - LAST_LINES_BYTES))
+            return log.read().decode(errors="replace")
 
     def write_settings(self) -> Path:
         """Fills the template of the role; returns the path of the settings file."""
@@ -110,6 +134,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process runs."""
         if self.popen is not None and self.is_running:
+            self.end_expected |= number in (signal.SIGTERM, signal.SIGKILL)
             with suppress(ProcessLookupError):
                 self.popen.send_signal(number)
 
@@ -125,6 +150,7 @@
     def kill(self) -> None:
         """Kills the process and waits for its end."""
         if self.popen is not None and self.is_running:
+            self.end_expected = True
             self.popen.kill()
             self.popen.wait()
 
--- a/mallowvalve/localfleet/deployed/main.py
+++ b/mallowvalve/localfleet/deployed/main.py
@@ -14,7 +14,7 @@
 from result import Err
 
 from mallowvalve.finding import Finding, Findings
-from mallowvalve.localfleet.deployed.judge import check_records, statistics
+from mallowvalve.localfleet.deployed.judge import check_faults, check_records, statistics
 from mallowvalve.localfleet.deployed.machines import Fleet
 from mallowvalve.localfleet.deployed.plan import draw_schedule, load_schedule
 from mallowvalve.localfleet.deployed.shape import Shape, load_deploy_file, load_shape
@@ -118,10 +118,11 @@
     main_greenlet = gevent.getcurrent()
     gevent.signal_handler(signal.SIGTERM, main_greenlet.throw, SystemExit(INTERRUPTED_EXIT_CODE))
     fleet = soak.fleet
-    with fleet:
+    with fleet, soak.watch:
         try:
             if not soak.settle():
-                click.echo("finding: not settled")
+                for line in ("not settled", *check_faults(soak.records)):
+                    click.echo(f"finding: {line}")
                 return FINDINGS_EXIT_CODE
             records = soak.run()
         finally:
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -71,6 +71,37 @@
     ready_at: float
 
 
+class OwnEnd(msgspec.Struct, frozen=True):
+    """A process that ended though nobody stopped or killed it; `code` is negative for a signal.
+
+    `lasted_s` is the time since its start, `log` the last lines that it wrote.
+    """
+
+    machine: str
+    at: float
+    code: int
+    lasted_s: float
+    log: str
+
+
+class Hang(msgspec.Struct, frozen=True):
+    """A process that ran and gave no answer to readiness checks for `silent_s`."""
+
+    machine: str
+    at: float
+    silent_s: float
+    log: str
+
+
+class SlowStart(msgspec.Struct, frozen=True):
+    """A process that was not ready within `waited_s` of its start."""
+
+    machine: str
+    at: float
+    waited_s: float
+    log: str
+
+
 class MemoryPeak(msgspec.Struct):
     """The most resident memory that the processes of a machine were seen with, and what they may use (megabytes)."""
 
@@ -167,6 +198,9 @@
     runs: list[Run] = []
     stops: list[Stop] = []
     kills: list[Kill] = []
+    own_ends: list[OwnEnd] = []
+    hangs: list[Hang] = []
+    slow_starts: list[SlowStart] = []
     memory: list[MemoryPeak] = []
     look_ups: list[LookUp] = []
     numbers: list[NumberDrawn] = []
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -12,12 +12,12 @@
 from mallowvalve import clock
 from mallowvalve.localfleet.deployed.applications import GROUPS, Application
 from mallowvalve.localfleet.deployed.clients import Client
-from mallowvalve.localfleet.deployed.connection import ClientConnection, Outgoing
 from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
 from mallowvalve.localfleet.deployed.operator import Operator
-from mallowvalve.localfleet.deployed.records import Kill, MemoryPeak, Records, RequestRecord, Stop
+from mallowvalve.localfleet.deployed.records import Kill, Records, SlowStart, Stop
 from mallowvalve.localfleet.deployed.upstream import StandinUpstream
+from mallowvalve.localfleet.deployed.watch import Watch, answers_readiness
 from mallowvalve.localfleet.schedule import ActKind, Schedule, ScheduledAct
 
 PERIOD_S = 0.25
@@ -26,8 +26,9 @@
 SETTLE_S = 60.0
 READY_S = 40.0
 POLL_S = 0.05
-MEMORY_POLL_S = 0.1
 READY_TIMEOUT_S = 1.0
+RESTART_DELAY_S = 0.3
+"""The platform starts a process again this long after it ended by itself."""
 RELEASE_OVERLAP_S = 0.5
 END_SLACK_S = 20.0
 
@@ -44,6 +45,7 @@
         self.records = Records(share)
         self.upstreams: dict[str, list[StandinUpstream]] = {name: [] for name in fleet.shape.services}
         self.operator = Operator(fleet, self.records, self._rng("operator"))
+        self.watch = Watch(fleet, self.records, RESTART_DELAY_S)
         self._serving = Group()
         self._reserved: set[str] = set()
         self._stopping: set[str] = set()
@@ -68,7 +70,6 @@
         began = clock.now()
         end = began + self.schedule.seconds
         load = self._start_load(end)
-        load.spawn(self._watch_memory, end)
         with ProcessorShare(self.fleet.machines, self.share, PERIOD_S, self._rng("share")):
             acts = Group()
             for act in self.schedule.acts:
@@ -81,15 +82,6 @@
         self.records.final = self.operator.read_back()
         return self.records
 
-    def _watch_memory(self, end: float) -> None:
-        """Records the most resident memory of each machine until `end` (s, this process's clock)."""
-        peaks = [MemoryPeak(machine.name, 0.0, machine.memory_mb) for machine in self.fleet.machines]
-        self.records.memory = peaks
-        while clock.now() < end:
-            for machine, peak in zip(self.fleet.machines, peaks, strict=True):
-                peak.most_mb = max(peak.most_mb, machine.resident_mb)
-            gevent.sleep(MEMORY_POLL_S)
-
     def _kill_all(self) -> None:
         """Kills all processes right after a change was acknowledged, and starts them again."""
         self.operator.change()
@@ -185,19 +177,13 @@
         return clock.now() if ready else 0.0
 
     def _await_ready(self, machine: Machine, limit_s: float) -> bool:
-        end = clock.now() + limit_s
-        while clock.now() < end:
-            if not machine.is_running:
-                machine.start()
-            connection = ClientConnection(machine.ready_at, machine.name)
-            record = RequestRecord("", machine.name, True, True, clock.now(), is_call=True)
-            answer = connection.exchange(
-                record, Outgoing("GET", "/-/ready", {"Host": "platform"}, timeout_s=READY_TIMEOUT_S)
-            )
-            connection.close()
-            if answer is not None and answer.status == STATUS_OK:
+        begun = clock.now()
+        while clock.now() < begun + limit_s:
+            if answers_readiness(machine, READY_TIMEOUT_S) == STATUS_OK:
                 return True
             gevent.sleep(POLL_S)
+        waited_s = round(clock.now() - begun, 1)
+        self.records.slow_starts.append(SlowStart(machine.name, begun, waited_s, machine.last_lines()))
         return False
 
     def _release(self, service: str) -> None:
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -11,13 +11,16 @@
 import psutil
 import pytest
 from click.testing import CliRunner
+from gevent.event import Event
 
 from mallowvalve.cli import main
 from mallowvalve.localfleet.deployed import judge, judge_coordination
+from mallowvalve.localfleet.deployed.machines import Fleet
 from mallowvalve.localfleet.deployed.plan import draw_schedule, load_schedule
 from mallowvalve.localfleet.deployed.records import (
     Change,
     FinalState,
+    Hang,
     KeyRead,
     KeyWrite,
     Kill,
@@ -25,14 +28,17 @@
     LookUp,
     MemoryPeak,
     NumberDrawn,
+    OwnEnd,
     Records,
     RequestEnd,
     RequestRecord,
     Run,
+    SlowStart,
     Stop,
     WatchAnswer,
 )
 from mallowvalve.localfleet.deployed.shape import Shape, check_shape, load_deploy_file, load_shape
+from mallowvalve.localfleet.deployed.watch import Watch
 from mallowvalve.localfleet.schedule import ActKind, save_schedule
 
 ROOT = Path(__file__).parent.parent
@@ -93,6 +99,9 @@
     "CUT kept connection": {"requests": [cut(RequestEnd.NOT_SENT, sent_at=0.0, first=False, ended_at=20.5)]},
     "CUT before its deadline": {"requests": [cut(RequestEnd.NOT_SENT, deadline_s=4.0, ended_at=23.9)]},
     "CUT timed out": {"requests": [cut(RequestEnd.TIMED_OUT, ended_at=24.0)]},
+    "FAULT end by itself": {"own_ends": [OwnEnd("core-0", 12.0, 2, 0.4, "in use")]},
+    "FAULT hang": {"hangs": [Hang("core-0", 12.0, 10.5, "")]},
+    "FAULT slow start": {"slow_starts": [SlowStart("edge-0", 12.0, 40.0, "")]},
     "MEMORY": {"memory": [MemoryPeak("edge-0", 100.5, 100.0)]},
     "TWICE": {"runs": [Run("a", "i-1", 10.1), Run("a", "i-2", 10.2)]},
     "REFUSED request": {"requests": [request(status=503, answered_id="")]},
@@ -254,3 +263,19 @@
         soak.send_signal(signal.SIGTERM)
         assert soak.wait(timeout=30) == 143
     assert psutil.wait_procs(started, timeout=10)[1] == []
+
+
+def test_a_process_that_ends_by_itself_is_recorded_and_started_again(tmp_path):
+    """Guards against a soak that starts a machine again without a word of its end."""
+    shape = msgspec.structs.replace(SHAPE, core=1, edge=1)
+    fleet = Fleet(shape, ROOT, load_deploy_file(ROOT).unwrap(), tmp_path)
+    records = Records()
+    machine = fleet.edge[0]
+    with Watch(fleet, records, 0.01):
+        machine.popen = subprocess.Popen([sys.executable, "-c", "raise SystemExit(70)"])
+        while not records.own_ends or not machine.is_running:
+            Event().wait(timeout=0.01)
+        machine.kill()
+        Event().wait(timeout=0.2)
+    machine.kill()
+    assert [(end.machine, end.code) for end in records.own_ends] == [("edge-0", 70)]
