Lines of the log go through a bounded queue, and closed streams end no start

With descriptors 0, 1 and 2 closed each start ended with code 1.

Cause: each line was written by the event loop, to a stream that may block or be missing.

Change: a thread (logging.handlers.QueueListener) writes the lines from a queue of 10,000; only it may block. Lines without room, and those that cannot be written, are counted, and the count is logged later. All of sys.stderr goes the same way, tracebacks among it. Closed standard streams become the null device before anything else is opened, as a socket or file would get their descriptors. An end by an error waits up to 1 s for its last lines, with the traceback; a process without room for another thread writes its lines itself. Supervision of tasks has a module of its own. deploy/daemon.py needs no exceptions of the linter any more.

Tests: tests/test_log_queue.py, tests/test_process_starts.py.

--- a/deploy/daemon.py
+++ b/deploy/daemon.py
@@ -9,6 +9,8 @@
 import os
 import sys
 
+STANDARD_STREAMS = (0, 1, 2)
+
 
 def _end_cleanly(*_: object) -> None:
     """Ends a process that is told to stop while it starts: it has accepted nothing yet."""
@@ -20,17 +22,22 @@
 _signal.signal(_signal.SIGINT, _end_cleanly)
 
 
-def _load_site() -> None:
-    """Makes the installed libraries available, as a start without `-S` does first."""
-    if sys.flags.no_site:
-        import site  # noqa: PLC0415
-
-        site.main()
+def _open_standard_streams() -> None:
+    """Opens the null device for closed standard streams: a socket or file would get their descriptors otherwise."""
+    for descriptor in STANDARD_STREAMS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
 
 
-sys.path[0] = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-_load_site()
+def _run() -> None:
+    """Loads the installed libraries, as a start without `-S` does first, and runs the command line."""
+    sys.path[0] = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    if sys.flags.no_site:
+        __import__("site").main()
+    __import__("runpy").run_module("mallowvalve", run_name="__main__")
 
-from mallowvalve.__main__ import run  # noqa: E402
 
-run()
+_open_standard_streams()
+_run()
--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -30,7 +30,7 @@
 def fail(found: Findings) -> NoReturn:
     """Prints findings and exits."""
     for one in found:
-        click.echo(f"mallowvalve: {one}", err=True)
+        click.echo(f"mallowvalve: {one}", file=sys.stderr)
     sys.exit(START_FAILURE_EXIT_CODE)
 
 
--- a/mallowvalve/control/registry_task.py
+++ b/mallowvalve/control/registry_task.py
@@ -14,7 +14,8 @@
 from mallowvalve.control.outcome import Code
 from mallowvalve.control.state import encode
 from mallowvalve.control.task import ControlTask
-from mallowvalve.metrics import exit_on_failure, log_event
+from mallowvalve.metrics import log_event
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.types import Address
 from mallowvalve.upstreams.liveness import HeardInstance, LivenessTracker
 from mallowvalve.upstreams.registry import Registered, Registry, Upstream
--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -22,9 +22,10 @@
 from mallowvalve.control.snapshot_transfer import SnapshotLabel
 from mallowvalve.control.state import Change, decode_command
 from mallowvalve.finding import Findings
-from mallowvalve.metrics import exit_on_failure, log_event
+from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
 from mallowvalve.raft.messages import COMMAND, Entry
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.types import Address
 
 REVISION_QUERY_INTERVAL_S = 0.3
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -26,11 +26,12 @@
 from mallowvalve.control.state import ReplicatedState
 from mallowvalve.finding import Findings
 from mallowvalve.membership.wire import FAILED, LEFT
-from mallowvalve.metrics import exit_on_failure, log_event
+from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
 from mallowvalve.raft.messages import Envelope, GroupId, InstallSnapshot, Message, RaftSnapshot, decode_envelope, encode
 from mallowvalve.raft.progress import RaftTimings
 from mallowvalve.storage.log import DiskLog
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.types import Address
 
 SNAPSHOT_RETRY_DELAY_S = 2.0
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -12,7 +12,8 @@
 from mallowvalve.membership.dissemination import DIRECT_SEND_MEMBERS_MAX, OutgoingDatagrams
 from mallowvalve.membership.members import DepartedMember
 from mallowvalve.membership.wire import ALIVE, MemberRecord, MemberState, decode, encode
-from mallowvalve.metrics import exit_on_failure, log_event
+from mallowvalve.metrics import log_event
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.types import Address
 
 STATE_NAMES = {state: state.name.lower() for state in MemberState}
--- a/mallowvalve/metrics.py
+++ b/mallowvalve/metrics.py
@@ -1,21 +1,14 @@
-"""Counters, the event log, and supervision of the tasks that a process cannot run without."""
+"""Counters and the event log."""
 
 from __future__ import annotations
 
-import os
-import sys
 import time
 from collections import Counter, deque
-from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import eliot
 
-if TYPE_CHECKING:
-    from gevent import Greenlet
-
-TASK_DIED_EXIT_CODE = 70
-"""Exit code of a process whose vital task died: EX_SOFTWARE of sysexits.h."""
+from mallowvalve.log_queue import open_log
 
 
 class Counts:
@@ -72,17 +65,6 @@
     eliot.log_message(message_type=event, **fields)
 
 
-def exit_on_failure(task: Greenlet) -> Greenlet:
-    """Returns the same task; an exception in it ends the process with exit code 70."""
-    task.link_exception(_exit_process)
-    return task
-
-
-def _exit_process(task: Greenlet) -> None:
-    log_event("task_died", task=str(task), error=repr(task.exception))
-    os._exit(TASK_DIED_EXIT_CODE)
-
-
 def log_to(path: str | None) -> None:
-    """Sets the log's destination: a file that is appended to without a buffer, or standard error."""
-    eliot.to_file(sys.stderr if path is None else Path(path).open("ab", buffering=0))
+    """Sets the log's destination: a file that is appended to, or standard error; raises OSError."""
+    eliot.to_file(open_log(path))
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -11,7 +11,6 @@
 from mallowvalve import clock, web
 from mallowvalve.control.replica_task import ReplicaTask
 from mallowvalve.memory_gauges import register_memory_gauges
-from mallowvalve.metrics import exit_on_failure
 from mallowvalve.node import Node
 from mallowvalve.proxy.frontend import Frontend
 from mallowvalve.proxy.host_forwarder import HostForwarder
@@ -21,6 +20,7 @@
 from mallowvalve.proxy.tenant_frontend import RejectionsPage, TenantFrontend
 from mallowvalve.proxy.tenant_upstream_pool import TenantUpstreamPool
 from mallowvalve.settings import Settings
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.types import is_evacuated
 
 
--- a/mallowvalve/proxy/retry_detector.py
+++ b/mallowvalve/proxy/retry_detector.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 
 from mallowvalve import clock
-from mallowvalve.metrics import exit_on_failure
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 
--- a/mallowvalve/reload.py
+++ b/mallowvalve/reload.py
@@ -13,8 +13,9 @@
 
 from mallowvalve import settings
 from mallowvalve.finding import Finding, Findings
-from mallowvalve.metrics import Counts, exit_on_failure, log_event
+from mallowvalve.metrics import Counts, log_event
 from mallowvalve.settings import Settings
+from mallowvalve.supervision import exit_on_failure
 
 CHECK_INTERVAL_S = 2.0
 """Time between two checks of the file's modification time."""
--- a/mallowvalve/upstreams/task.py
+++ b/mallowvalve/upstreams/task.py
@@ -10,7 +10,8 @@
 
 from mallowvalve import clock
 from mallowvalve.membership.task import MembershipTask
-from mallowvalve.metrics import exit_on_failure, log_event
+from mallowvalve.metrics import log_event
+from mallowvalve.supervision import exit_on_failure
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 from mallowvalve.upstreams.board import AgedHeartbeat, Heartbeat, HeartbeatRow, HeartbeatTable
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -1,4 +1,4 @@
-"""Starts of the deploy file's processes."""
+"""Starts of the deploy file's processes: signals, standard streams, and what the process before still holds."""
 
 import shlex
 import signal
@@ -8,7 +8,7 @@
 import pytest
 
 from mallowvalve.localfleet.deployed.shape import load_deploy_file
-from tests.deployed_processes import ROOT, answers, handles, planned_fleet, start, wait_until
+from tests.deployed_processes import ROOT, answers, command_of, environment, handles, planned_fleet, start, wait_until
 
 ROLES = ("core", "edge")
 FIRST_SIGNAL = """
@@ -58,3 +58,11 @@
     assert wait_until(lambda: handles(process, signal.SIGTERM), step_s=0.001)
     process.send_signal(signal.SIGTERM)
     assert process.wait(timeout=30) == 0
+
+
+def test_a_process_starts_without_standard_streams(machine):
+    """Guards against an end with code 1 at each start where descriptors 0, 1 and 2 are closed."""
+    words = shlex.join(command_of(machine))
+    machine.popen = subprocess.Popen(["sh", "-c", f"exec {words} <&- >&- 2>&-"], cwd=ROOT, env=environment())
+    assert wait_until(lambda: machine.popen.poll() is not None or answers(machine))
+    assert machine.popen.poll() is None
