A daemon that has stopped ends at once, so that no signal ends it instead

Found by a test of signals by phase of life: a second SIGTERM, or a SIGHUP, at the end of a stop ended the process by that signal (-15 in both roles, in each run).

Cause: the interpreter's end restores the default of each signal whose handler was set through Python, which the first instructions of the start now do, and that is before the process is gone.

Change: after its last lines have been written (0.2 s at most) a daemon that has stopped calls _exit. Nothing is left to do then: files are synced as they are written, and the kernel closes the rest.

Test: tests/test_process_starts.py::test_signals_during_a_stop_leave_it_a_clean_end, which failed on the commit before for both roles.

--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import sys
 from importlib import import_module
 from typing import Any, NoReturn
@@ -12,6 +13,7 @@
 
 from mallowvalve import __version__, metrics, settings
 from mallowvalve.finding import Finding, Findings
+from mallowvalve.log_queue import END_FLUSH_S, drain_log
 
 TOOLS = {
     "planner": "mallowvalve.planner.main",
@@ -94,6 +96,13 @@
         fail([Finding("start", str(error))])
     if result is not None and result.is_err():
         fail(result.err_value)
+    _end()
+
+
+def _end() -> NoReturn:
+    """Ends a daemon that has stopped: at once, since a signal during the interpreter's own end would end it instead."""
+    drain_log(END_FLUSH_S)
+    os._exit(0)
 
 
 add_daemon("directory", "Directory: tells clients which proxies to use.")
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -66,3 +66,15 @@
     machine.popen = subprocess.Popen(["sh", "-c", f"exec {words} <&- >&- 2>&-"], cwd=ROOT, env=environment())
     assert wait_until(lambda: machine.popen.poll() is not None or answers(machine))
     assert machine.popen.poll() is None
+
+
+def test_signals_during_a_stop_leave_it_a_clean_end(machine):
+    """Guards against an end by a signal whose handler goes before the process does."""
+    process = start(machine)
+    assert wait_until(lambda: answers(machine))
+    process.send_signal(signal.SIGTERM)
+    while process.poll() is None:
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            machine.signal(number)
+        wait_until(lambda: process.poll() is not None, limit_s=0.001, step_s=0.0005)
+    assert process.returncode == 0
