An entry that cannot be applied is refused by all replicas alike, and ends none

What it would do: a command that no code of ours makes (a lock for infinity, a roster entry without an address, an upstream whose numbers cannot be encoded) ends every control process that applies it or reads it later, and again at each start; a document that is not JSON ends every proxy.

Cause: commands were checked by their shape only; what applies and reads them raised.

Change: numbers of commands are bounded by their types, addresses are checked before a command is proposed, and an entry whose application raises an error that follows from the entry and the state alone is refused with INVALID, counted in the state. MemoryError, RecursionError and OSError still end the process, as replicas could differ by them. Readers pass over an address in the roster that cannot be read, and keep the last tree where a document cannot be.

--- a/mallowvalve/configuration/build.py
+++ b/mallowvalve/configuration/build.py
@@ -26,6 +26,11 @@
     return Err(sorted(set(found))) if found else Ok(Tree(doc, cell_of, plans))
 
 
+def build_document(document: bytes) -> Result[Tree, Findings]:
+    """Returns the tree of an encoded document (JSON), or all findings."""
+    return finding.parse_json(document, "document").and_then(build)
+
+
 def _check_names(doc: Document) -> Findings:
     found = []
     for section in ("services", "regions", "cells", "routes"):
--- a/mallowvalve/control/acknowledgement.py
+++ b/mallowvalve/control/acknowledgement.py
@@ -6,6 +6,7 @@
 from itertools import islice
 
 import msgspec
+from result import Err
 
 from mallowvalve.control.replica import FRESHNESS_WINDOW_S
 from mallowvalve.control.state import Enrol, ReplicatedSettings, Seats, Strike
@@ -202,7 +203,10 @@
         if now < self._prior_windows_end + STRIKE_AFTER_S:
             return
         for text in sorted(settings.roster):
-            address = Address.read(text).unwrap()
+            read = Address.read(text)
+            if isinstance(read, Err):
+                continue
+            address = read.ok_value
             last = self.status_by_address.get(address)
             if last is None or now - last.requested_at > STRIKE_AFTER_S:
                 yield Strike(address, settings.roster[text].boot)
--- a/mallowvalve/control/replica.py
+++ b/mallowvalve/control/replica.py
@@ -4,10 +4,9 @@
 
 from collections.abc import Callable, Iterator
 
-import msgspec
 from result import Ok, Result
 
-from mallowvalve.configuration.build import EMPTY_TREE, build
+from mallowvalve.configuration.build import EMPTY_TREE, build_document
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control.snapshot import encode_pieces, encode_settings_pieces
 from mallowvalve.control.snapshot_transfer import SnapshotLabel, label_of
@@ -157,7 +156,8 @@
 
     def roster(self) -> list[Address]:
         """Returns the addresses of the replicas on the roster."""
-        return [Address.read(a).ok_value for a in self.state.settings.roster] if self.state else []
+        addresses = map(Address.read, self.state.settings.roster) if self.state else []
+        return [address.ok_value for address in addresses if isinstance(address, Ok)]
 
     def answer_revision_query(self, query: RevisionQuery) -> RevisionReply:
         """Returns the reply to another replica's query."""
@@ -240,7 +240,7 @@
         is_new = settings.doc != self._document
         if is_new:
             self._document = settings.doc
-            built = build(msgspec.json.decode(settings.doc))
+            built = build_document(settings.doc)
             self.document_is_valid = built.is_ok()
             if built.is_ok():
                 self.tree = built.ok_value
--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -6,13 +6,12 @@
 import secrets
 
 import gevent
-import msgspec
 from gevent.event import Event
 from gevent.queue import Empty, Queue
 from result import Result
 
 from mallowvalve import clock
-from mallowvalve.configuration.build import build
+from mallowvalve.configuration.build import build_document
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control import wire
 from mallowvalve.control.outcome import RETRYABLE, Code
@@ -20,7 +19,7 @@
 from mallowvalve.control.sessions import Session, SessionCall
 from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, CURRENT_SNAPSHOT, SETTINGS_SNAPSHOT, SnapshotExchange
 from mallowvalve.control.snapshot_transfer import SnapshotLabel
-from mallowvalve.control.state import Change, decode_command
+from mallowvalve.control.state import Change, decode_command, is_command
 from mallowvalve.finding import Findings
 from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
@@ -355,10 +354,10 @@
 def large_docs(entries: list[Entry]) -> list[bytes]:
     """Returns the configuration documents among the entries that take long to parse."""
     datas = [entry.data for entry in entries if entry.kind == COMMAND and len(entry.data) > LARGE_DOC_BYTES]
-    return [command.doc for command in map(decode_command, datas) if isinstance(command, Change)]
+    return [command.doc for command in map(decode_command, filter(is_command, datas)) if isinstance(command, Change)]
 
 
 def prebuild_trees(docs: list[bytes]) -> None:
     """Builds large trees in the thread pool, so that the event loop later finds their parts cached."""
     for doc in docs:
-        gevent.get_hub().threadpool.apply(build, (msgspec.json.decode(doc),))
+        gevent.get_hub().threadpool.apply(build_document, (doc,))
--- a/mallowvalve/control/state.py
+++ b/mallowvalve/control/state.py
@@ -104,12 +104,30 @@
 """The findings in the response to a request that is not a command."""
 
 
+UNAPPLICABLE_FINDINGS = encode([Finding("command", "cannot be applied")])
+"""The findings in the outcome of an entry that cannot be applied."""
+
+UNAPPLICABLE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+"""Errors that follow from an entry and the state alone, so that they are the same on every replica."""
+
+
 def is_command(data: bytes) -> bool:
     """Whether the bytes are a command, with an origin or without, as every command entry in the log must be."""
     try:
-        decode_command(data)
-    except msgspec.DecodeError:
+        return has_valid_addresses(decode_command(data))
+    except ValueError:
         return False
+
+
+def has_valid_addresses(command: Command) -> bool:
+    """Whether all processes that the command names can be reached; the end of an upstream needs no address."""
+    match command:
+        case Enrol() | Strike():
+            return command.addr.is_valid
+        case Seats():
+            return all(step.addr.is_valid for step in command.steps)
+        case Registered():
+            return all(upstream.state == "gone" or upstream.address.is_valid for upstream in command.changes)
     return True
 
 
@@ -178,11 +196,14 @@
         "plain",
         "sessions",
         "settings_sessions",
+        "refused_entries",
+        "last_refusal",
     )
 
     def __init__(self, generation: int):
         """Creates the empty state of a generation."""
         self.generation, self.index, self.clock = generation, 0, 0
+        self.refused_entries, self.last_refusal = 0, ""
         self.settings, self.ledger, self.coordination, self.asks = (
             ReplicatedSettings(),
             Ledger(),
@@ -213,11 +234,23 @@
         self.index, self.clock = max(self.index, other.index), max(self.clock, other.clock)
 
     def apply(self, index: int, at: int, data: bytes) -> Outcome:
-        """Applies the entry at an index, with its time (ms, fleet clock), and returns the outcome for its proposer."""
+        """Applies the entry at an index, with its time (ms, fleet clock), and returns the outcome for its proposer.
+
+        An entry that cannot be applied is refused in the same way by every replica, as it would end all of them, and
+        again at each start.
+        """
         self.index = index
         self.clock = max(self.clock, at)
         if not data:
             return Outcome(Code.OK, self.revision)
+        try:
+            return self._apply_command(at, data)
+        except UNAPPLICABLE_ERRORS as error:
+            self.refused_entries += 1
+            self.last_refusal = f"entry {index}: {error!r}"
+            return Outcome(Code.INVALID, self.settings.revision, UNAPPLICABLE_FINDINGS)
+
+    def _apply_command(self, at: int, data: bytes) -> Outcome:
         origin, body = split_origin(data)
         command = _decode(body)
         if origin is None:
@@ -320,6 +353,8 @@
         return self._update(lambda settings: settings.evacuated.pop(zone))
 
     def _enrol(self, enrol: Enrol) -> Outcome:
+        if not enrol.addr.is_valid:
+            return Outcome(Code.INVALID, self.settings.revision, UNAPPLICABLE_FINDINGS)
         name, seat = str(enrol.addr), Seat(enrol.boot, enrol.locality)
         if self.settings.roster.get(name) == seat:
             return Outcome(Code.OK, self.settings.revision)
--- a/mallowvalve/coordination/plain.py
+++ b/mallowvalve/coordination/plain.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from mallowvalve.types import BoundedInt, Milliseconds
+
 HISTORY_MS = 60_000
 """How long revisions and write outcomes are retained."""
 
@@ -31,7 +33,7 @@
 
     name: str
     holder: str
-    hold_ms: float
+    hold_ms: Milliseconds
 
 
 class Extend(msgspec.Struct, frozen=True, array_like=True, tag="extend"):
@@ -39,8 +41,8 @@
 
     name: str
     holder: str
-    token: int
-    hold_ms: float
+    token: BoundedInt
+    hold_ms: Milliseconds
 
 
 class Free(msgspec.Struct, frozen=True, array_like=True, tag="free"):
@@ -48,7 +50,7 @@
 
     name: str
     holder: str
-    token: int
+    token: BoundedInt
 
 
 class Count(msgspec.Struct, frozen=True, array_like=True, tag="count"):
@@ -62,7 +64,7 @@
 
     name: str
     value: str
-    base: int | None = None
+    base: BoundedInt | None = None
 
 
 class PlainResultCode(enum.StrEnum):
--- a/mallowvalve/coordination/state.py
+++ b/mallowvalve/coordination/state.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from mallowvalve.types import BoundedInt
+
 HISTORY_MS = 60_000
 """How long events are retained."""
 
@@ -18,7 +20,7 @@
 
     name: str
     holder: str
-    ttl_ms: int
+    ttl_ms: BoundedInt
     ask: str = ""
 
 
@@ -27,8 +29,8 @@
 
     name: str
     holder: str
-    token: int
-    ttl_ms: int
+    token: BoundedInt
+    ttl_ms: BoundedInt
     ask: str = ""
 
 
@@ -37,7 +39,7 @@
 
     name: str
     holder: str
-    token: int
+    token: BoundedInt
     ask: str = ""
 
 
--- a/mallowvalve/ledger/ledger.py
+++ b/mallowvalve/ledger/ledger.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec.structs import replace
 
+from mallowvalve.types import BoundedInt
+
 KEY_RETENTION_MS = 900_000
 """How long a key is retained after its claim."""
 
@@ -41,7 +43,7 @@
     digest: str
     holder: str
     nonce: str
-    seen: int = 0
+    seen: BoundedInt = 0
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
@@ -49,7 +51,7 @@
 
     key: str
     nonce: str
-    status: int
+    status: BoundedInt
     kind: str
     body: bytes | None
 
--- a/mallowvalve/types.py
+++ b/mallowvalve/types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -17,6 +18,16 @@
 ELSEWHERE = 2
 
 
+MAX_MAGNITUDE = 1 << 60
+"""A bound for numbers from other processes: sums of a few of them can still be encoded."""
+
+BoundedInt = Annotated[int, msgspec.Meta(ge=-MAX_MAGNITUDE, le=MAX_MAGNITUDE)]
+"""An integer that a decoder refuses beyond `MAX_MAGNITUDE`."""
+
+Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_MAGNITUDE))]
+"""A duration (ms) that a decoder refuses if it is negative or no finite number."""
+
+
 class Revision(int):
     """A position in the replicated log: the core's generation in the high bits, the index below. It only increases."""
 
@@ -39,10 +50,10 @@
 
 
 class Address(msgspec.Struct, frozen=True, order=True, array_like=True):
-    """An IPv4 address and a port."""
+    """An IPv4 address and a port; a decoder refuses a port that no address has."""
 
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=0, lt=PORT_LIMIT)]
 
     @classmethod
     def read(cls, text: str) -> Result[Address, str]:
@@ -57,6 +68,11 @@
             return Err("host must be an IPv4 number")
         return Ok(cls(host, int(port)))
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether `read` would return this address, which a decoder does not check."""
+        return Address.read(str(self)).is_ok()
+
     def __str__(self) -> str:
         """HOST:PORT."""
         return f"{self.host}:{self.port}"
--- a/mallowvalve/upstreams/registry.py
+++ b/mallowvalve/upstreams/registry.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from mallowvalve.types import Address, Locality
+from mallowvalve.types import MAX_MAGNITUDE, Address, BoundedInt, Locality
 
 TOMBSTONE_MS = 60_000
 """How long a gone upstream stays in the registry, so that a late heartbeat does not bring it back."""
@@ -30,11 +30,11 @@
     service: str
     address: Address
     locality: Locality
-    slots: int
+    slots: BoundedInt
     state: UpstreamStatus
-    sequence: int = 0
-    since: int = 0
-    cold_until: int = 0
+    sequence: BoundedInt = 0
+    since: BoundedInt = 0
+    cold_until: BoundedInt = 0
 
 
 class Registered(msgspec.Struct, frozen=True, array_like=True, tag="registered"):
@@ -110,6 +110,7 @@
         """Stores the upstream's row; its cold phase ends at the later of the known and the reported end."""
         old = self.rows.get(upstream.instance)
         cold = max(cold_until, fleet_time_ms + upstream.cold_until) if upstream.cold_until > 0 else cold_until
+        cold = min(cold, MAX_MAGNITUDE)
         new = replace(upstream, since=since, cold_until=cold)
         if old is not None and replace(new, sequence=old.sequence) == old:
             return False
