A frame or datagram that no program of ours sends is dropped, and ends no process

Cause: 'here' was decoded within the control process's event loop, responses of other processes within tasks whose error ends the process, datagrams' records used as they came.

Transport.request decodes a response, and one that does not decode is a failure of its call. An error in a handler or in one datagram's handling is counted, logged with its traceback and dropped: no promise rests on the membership, and handlers leave the log to the event loop. An error in the core's event loop, in Raft, in the log or in a replica's application of entries still ends the process: a wrong answer is worse.

--- a/mallowvalve/control/bootstrap_task.py
+++ b/mallowvalve/control/bootstrap_task.py
@@ -114,14 +114,10 @@
         return answers + self._query(voters - to - {settings.transport})
 
     def _query(self, to: set[Address], limit: float = STATUS_QUERY_TIMEOUT_S) -> list[wire.ProcessStatus]:
-        call = self.control.node.transport.call
-        jobs = [gevent.spawn(call, address, "who", b"", limit) for address in sorted(to)]
+        request = self.control.node.transport.request
+        jobs = [gevent.spawn(request, address, "who", b"", limit, wire.decode_status) for address in sorted(to)]
         gevent.joinall(jobs)
-        statuses = []
-        for job in jobs:
-            if job.value is not None and job.value.is_ok():
-                statuses.append(wire.decode_status(job.value.ok_value))
-        return statuses
+        return [job.value.ok_value for job in jobs if isinstance(job.value, Ok)]
 
     def _execute(self, decision: Decision | None, answers: list[wire.ProcessStatus]) -> None:
         if isinstance(decision, FoundGroup):
--- a/mallowvalve/control/registry_task.py
+++ b/mallowvalve/control/registry_task.py
@@ -15,7 +15,7 @@
 from mallowvalve.control.state import encode
 from mallowvalve.control.task import ControlTask
 from mallowvalve.metrics import log_event
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import restart_on_failure
 from mallowvalve.types import Address
 from mallowvalve.upstreams.liveness import HeardInstance, LivenessTracker
 from mallowvalve.upstreams.registry import Registered, Registry, Upstream
@@ -61,7 +61,11 @@
     def __enter__(self) -> RegistryTask:
         """Starts to batch changes and to check for silence."""
         self._last_contact_at = clock.now()
-        self._jobs = [exit_on_failure(gevent.spawn(self._collect)), exit_on_failure(gevent.spawn(self._run))]
+        counts = self.task.node.counts
+        self._jobs = [
+            restart_on_failure("registry_changes", self._collect, counts),
+            restart_on_failure("registry", self._run, counts),
+        ]
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -24,7 +24,7 @@
 from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
 from mallowvalve.raft.messages import COMMAND, Entry
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import exit_on_failure, restart_on_failure
 from mallowvalve.types import Address
 
 REVISION_QUERY_INTERVAL_S = 0.3
@@ -100,9 +100,13 @@
 
     def __enter__(self) -> ReplicaTask:
         """Starts to follow the leader."""
-        self._jobs = [exit_on_failure(gevent.spawn(self._follow)), exit_on_failure(gevent.spawn(self._query_revisions))]
+        counts = self.node.counts
+        self._jobs = [
+            exit_on_failure(gevent.spawn(self._follow)),
+            restart_on_failure("revision_queries", self._query_revisions, counts),
+        ]
         if self.node.settings.serve_on:
-            self._jobs.append(exit_on_failure(gevent.spawn(self._fetch_initial_settings)))
+            self._jobs.append(restart_on_failure("initial_settings", self._fetch_initial_settings, counts))
         return self
 
     def __exit__(self, *_) -> None:
@@ -144,13 +148,14 @@
                 continue
             left = min(left, ATTEMPT_TIMEOUT_S)
             data = call.encoded_command(self.replica.clock(now := clock.now()), now)
-            reply = self.node.transport.call(to, "offer", wire.encode(wire.CommandRequest(data, left)), left)
+            body = wire.encode(wire.CommandRequest(data, left))
+            reply = self.node.transport.request(to, "offer", body, left, wire.decode_command_response)
             if reply.is_err():
                 call.on_response(wire.CommandResponse(Code.UNDECIDED), clock.now())
                 self._avoid(to)
                 gevent.sleep(min(0.05, left))
                 continue
-            response = call.on_response(wire.decode_command_response(reply.ok_value), clock.now())
+            response = call.on_response(reply.ok_value, clock.now())
             if response.code not in RETRYABLE:
                 return call.final_response(response, RETRYABLE)
             self.replica.leader = response.leader
@@ -208,8 +213,8 @@
 
     def _request_entries(self, to: Address, max_wait_s: float, limit: float) -> wire.ReplicationResponse | None:
         request = self.replica.replication_request(clock.now(), max_wait_s)
-        reply = self.node.transport.call(to, "want", wire.encode(request), limit)
-        return wire.decode_replication_response(reply.ok_value) if reply.is_ok() else None
+        body = wire.encode(request)
+        return self.node.transport.request(to, "want", body, limit, wire.decode_replication_response).ok()
 
     def _handle_response(self, sender: Address, response: wire.ReplicationResponse) -> None:
         prebuild_trees(large_docs(response.entries))
@@ -284,7 +289,7 @@
         for address in to:
             gevent.spawn(
                 lambda address=address: replies.put(
-                    self.node.transport.call(address, "who", b"", STATUS_QUERY_TIMEOUT_S)
+                    self.node.transport.request(address, "who", b"", STATUS_QUERY_TIMEOUT_S, wire.decode_status)
                 )
             )
         statuses: list[wire.ProcessStatus] = []
@@ -294,7 +299,7 @@
                 reply = replies.get(timeout=max(0.001, end - clock.now()))
             except Empty:
                 break
-            status = wire.decode_status(reply.ok_value) if reply.is_ok() else None
+            status = reply.ok()
             if status is None or status.group is None or status.voters is None:
                 continue
             if not statuses and wait is not None:
@@ -339,8 +344,8 @@
                 gevent.spawn(self._query_revision, address, body)
 
     def _query_revision(self, address: Address, body: bytes) -> None:
-        reply = self.node.transport.call(address, "round", body, 1.0)
-        if reply.is_err() or not self.replica.receive_revision_reply(wire.decode_revision_reply(reply.ok_value)):
+        reply = self.node.transport.request(address, "round", body, 1.0, wire.decode_revision_reply)
+        if reply.is_err() or not self.replica.receive_revision_reply(reply.ok_value):
             return
         if self._fetching:
             return
--- a/mallowvalve/control/snapshot_fetch.py
+++ b/mallowvalve/control/snapshot_fetch.py
@@ -8,7 +8,7 @@
 import gevent
 import msgspec
 from gevent.lock import RLock
-from result import Err, Ok, Result
+from result import Err, Result
 
 from mallowvalve import clock
 from mallowvalve.control.snapshot_transfer import (
@@ -86,11 +86,10 @@
         """
         quick = what == SETTINGS_SNAPSHOT
         if quick:
-            response = self.transport.call(to, "whole", what, SETTINGS_LABEL_TIMEOUT_S)
-            label, received = decode_whole(response.ok_value) if isinstance(response, Ok) else (None, [])
+            whole = self.transport.request(to, "whole", what, SETTINGS_LABEL_TIMEOUT_S, decode_whole)
+            label, received = whole.unwrap_or((None, []))
         else:
-            response = self.transport.call(to, "label", what, LABEL_TIMEOUT_S)
-            label, received = decode_label(response.ok_value) if isinstance(response, Ok) else None, []
+            label, received = self.transport.request(to, "label", what, LABEL_TIMEOUT_S, decode_label).ok(), []
         if label is None or not wanted(label):
             return Err("the process has no acceptable snapshot")
         collector, failures = PieceCollector(label), 0
@@ -112,11 +111,11 @@
         return self._snapshot_cache.retains_log(clock.now())
 
     def _fetch_piece(self, to: Address, collector: PieceCollector, request: bytes, timeout: float) -> str | None:
-        response = self.transport.call(to, "piece", request, timeout)
+        response = self.transport.request(to, "piece", request, timeout, decode_piece)
         if isinstance(response, Err):
             gevent.sleep(RETRY_DELAY_S)
             return response.err_value
-        piece = decode_piece(response.ok_value)
+        piece = response.ok_value
         if piece is None:
             return "the snapshot is no longer available"
         refusal = collector.accept(piece).err()
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -11,14 +11,16 @@
 from gevent.event import AsyncResult
 from gevent.lock import RLock
 from gevent.queue import Empty, Queue
-from result import Result
+from result import Err, Result
 
 from mallowvalve import clock
-from mallowvalve.configuration.build import EMPTY_TREE, build
+from mallowvalve.configuration.build import EMPTY_TREE, build, build_document
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control import store, wire
 from mallowvalve.control.bootstrap_task import BootstrapTask
 from mallowvalve.control.core import Core
+from mallowvalve.control.core_events import CoreEvents
+from mallowvalve.control.frames import register_frames
 from mallowvalve.control.outcome import RETRYABLE, Code
 from mallowvalve.control.sessions import Session, SessionCall
 from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, SnapshotExchange, collect_pieces
@@ -28,10 +30,17 @@
 from mallowvalve.membership.wire import FAILED, LEFT
 from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
-from mallowvalve.raft.messages import Envelope, GroupId, InstallSnapshot, Message, RaftSnapshot, decode_envelope, encode
+from mallowvalve.raft.messages import (
+    Envelope,
+    GroupId,
+    InstallSnapshot,
+    RaftSnapshot,
+    encode,
+    without_snapshot_pieces,
+)
 from mallowvalve.raft.progress import RaftTimings
 from mallowvalve.storage.log import DiskLog
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import exit_on_failure, restart_on_failure
 from mallowvalve.types import Address
 
 SNAPSHOT_RETRY_DELAY_S = 2.0
@@ -50,7 +59,7 @@
         "_events",
         "_jobs",
         "stalled",
-        "_logged_role",
+        "_core_events",
         "_tree",
         "snapshot_exchange",
         "_compacting",
@@ -75,7 +84,7 @@
             self.core.start(loaded.snapshot, loaded.hard, loaded.entries, clock.now())
         self._events: Queue = Queue()
         self.stalled = self._compacting = self._stopping = False
-        self._logged_role = ""
+        self._core_events = CoreEvents(self.core, node.counts)
         self._tree: tuple[int, Tree] = (0, EMPTY_TREE)
         self.snapshot_exchange = SnapshotExchange(
             node.transport, self.core.snapshot, self.core.base_snapshot, self.core.settings_snapshot
@@ -87,23 +96,17 @@
         self._leader_hint: Address | None = None
         self._session = Session(lambda: secrets.randbits(64))
         self.bootstrap_task = BootstrapTask(self)
-        transport, on = node.transport, node.transport.on
-        transport.on_peer_disconnected = lambda peer: self.post(lambda now: self.core.peer_disconnected(peer, now))
-        on("raft", self._on_raft_message, inline=True)
-        on("want", lambda _, body: wire.encode(self._replicate(wire.decode_replication_request(body))))
-        on("offer", lambda _, body: wire.encode(self._offer_locally(wire.decode_command_request(body))))
-        on("read", lambda _, body: wire.encode(self._read_locally(2.0)))
-        on("who", lambda _, body: wire.encode(self.process_status()), inline=True)
-        on(
-            "here",
-            lambda _, body: self.post(lambda now: self.core.announced(wire.decode_status(body), now)),
-            inline=True,
-        )
+        node.transport.on_peer_disconnected = lambda peer: self.post(lambda now: self.core.peer_disconnected(peer, now))
+        register_frames(self)
 
     def __enter__(self) -> ControlTask:
         """Starts the event loop, the bootstrap task and the failure detector poll."""
-        jobs = (self._run, self.bootstrap_task.run, self._report_detector_verdicts)
-        self._jobs = [exit_on_failure(gevent.spawn(job)) for job in jobs]
+        counts = self.node.counts
+        self._jobs = [
+            exit_on_failure(gevent.spawn(self._run)),
+            restart_on_failure("bootstrap", self.bootstrap_task.run, counts),
+            restart_on_failure("detector_verdicts", self._report_detector_verdicts, counts),
+        ]
         return self
 
     def __exit__(self, *_) -> None:
@@ -119,8 +122,10 @@
         if state is None:
             return EMPTY_TREE
         if self._tree[0] != state.settings.doc_revision or self._tree[0] == 0:
-            doc = msgspec.json.decode(state.settings.doc)
-            self._tree = (state.settings.doc_revision, build(doc).unwrap())
+            built = build_document(state.settings.doc)
+            if isinstance(built, Err):
+                log_event("document_not_understood", findings=[str(problem) for problem in built.err_value])
+            self._tree = (state.settings.doc_revision, built.unwrap_or(self._tree[1]))
         return self._tree[1]
 
     def check(self, doc: dict) -> Result[Tree, Findings]:
@@ -150,7 +155,7 @@
         """Offers the command once; a process that is blank or whose disk refuses writes passes it to another one."""
         other = self._choose_control_process() if self.core.raft is None or self.stalled else None
         request, local = wire.CommandRequest(command, limit), other is None and not self.stalled
-        response = self._offer_locally(request) if local else wire.CommandResponse(Code.LEADER, leader=other)
+        response = self.offer_locally(request) if local else wire.CommandResponse(Code.LEADER, leader=other)
         if response.code != Code.LEADER or response.leader is None or response.leader == self.node.settings.transport:
             return response
         to, self._leader_hint = response.leader, None
@@ -170,7 +175,7 @@
         if self.stalled:
             return wire.CommandResponse(Code.LEADER, leader=self._choose_control_process())
         end = clock.now() + limit
-        response = self._read_locally(limit)
+        response = self.read_locally(limit)
         if response.code != Code.LEADER or response.leader is None or response.leader == self.node.settings.transport:
             return response
         reply = self.node.transport.call(response.leader, "read", b"", limit)
@@ -183,7 +188,8 @@
             gevent.sleep(0.01)
         return response
 
-    def _read_locally(self, limit: float) -> wire.CommandResponse:
+    def read_locally(self, limit: float) -> wire.CommandResponse:
+        """Returns the outcome of a read at this process, which must lead, within `limit` (s)."""
         if self._stopping:
             return wire.CommandResponse(Code.LEADER)
         response = self._await_reply(lambda token, now: self.core.read(token, now + limit, now), limit + 0.5)
@@ -209,7 +215,8 @@
             verdicts = departed, reassigned_addresses
             self.post(lambda now, verdicts=verdicts: self.core.members.update_detector_verdicts(*verdicts))
 
-    def _offer_locally(self, request: wire.CommandRequest) -> wire.CommandResponse:
+    def offer_locally(self, request: wire.CommandRequest) -> wire.CommandResponse:
+        """Returns the outcome of a command at this process, which must lead."""
         if self._stopping:
             return wire.CommandResponse(Code.LEADER)
         response = self._await_reply(
@@ -232,13 +239,14 @@
         """Queues `event`, which the event loop calls with the time (s)."""
         self._events.put(event)
 
-    def _replicate(self, request: wire.ReplicationRequest) -> wire.ReplicationResponse:
+    def replicate(self, request: wire.ReplicationRequest) -> wire.ReplicationResponse:
+        """Returns the entries that a replica asks for, as soon as there are some."""
         self.bootstrap_task.record_state_holder(request)
         response = self._await_reply(lambda token, now: self.core.replicate(request, token, now), 2.0)
         return response or wire.ReplicationResponse(None)
 
-    def _on_raft_message(self, sender: Address, body: bytes) -> None:
-        envelope = decode_envelope(body)
+    def receive(self, envelope: Envelope) -> None:
+        """Passes a Raft message to the core, and begins to fetch the snapshot that it announces."""
         self.post(lambda now: self.core.receive(envelope, now))
         if (
             isinstance(envelope.body, InstallSnapshot)
@@ -297,7 +305,7 @@
                 event(clock.now())
             self.core.tick(clock.now())
             self._flush()
-            self._log_changes()
+            self._core_events.log()
 
     def _take_events(self, wait: float) -> list:
         events: list = []
@@ -352,8 +360,12 @@
 
     def _compact(self, snapshot: RaftSnapshot, pieces: Iterator[bytes]) -> None:
         """Encodes and stores a snapshot while the core keeps running, then restarts the log from it."""
-        snapshot = collect_pieces(snapshot, pieces)
-        name = self._store_snapshot(snapshot)
+        try:
+            snapshot = collect_pieces(snapshot, pieces)
+            name = self._store_snapshot(snapshot)
+        except (ArithmeticError, ValueError) as error:
+            self.node.counts.add("snapshots_not_stored")
+            name = log_event("snapshot_not_encoded", error=repr(error))
         if name is None:
             gevent.sleep(SNAPSHOT_RETRY_DELAY_S)
             self._compacting = False
@@ -378,24 +390,3 @@
                 continue
             envelope = Envelope(group, self.core.id, to, self.node.settings.transport, without_snapshot_pieces(message))
             self.node.transport.cast(address, "raft", encode(envelope))
-
-    def _log_changes(self) -> None:
-        decided, self.core.decided = self.core.decided, []
-        raft = self.core.raft
-        term = raft.term if raft else 0
-        for command, outcome in decided:
-            fields = {f: str(getattr(command, f)) for f in command.__struct_fields__ if f not in ("doc", "digest")}
-            code, revision = outcome.code, outcome.revision
-            log_event(f"decided_{type(command).__name__.lower()}", said=code, revision=revision, term=term, **fields)
-        role = raft.role if raft else "blank"
-        if role in (self._logged_role, "pre"):
-            return
-        self._logged_role = role
-        log_event("raft_role", role=role, term=term, generation=raft.group.generation if raft else 0)
-
-
-def without_snapshot_pieces(message: Message) -> Message:
-    """Returns the message with only the label of its snapshot, if any: the receiver fetches the pieces."""
-    if not isinstance(message, InstallSnapshot):
-        return message
-    return msgspec.structs.replace(message, snapshot=msgspec.structs.replace(message.snapshot, state=[]))
--- a/mallowvalve/control/wire.py
+++ b/mallowvalve/control/wire.py
@@ -5,12 +5,21 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from mallowvalve.control.outcome import Code
 from mallowvalve.raft.messages import ClusterConfiguration, Entry, GroupId
 from mallowvalve.types import Address, Locality
 
+MAX_LIMIT_S = 600.0
+"""The longest time that a caller may give a command or a request."""
+LimitSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LIMIT_S)]
+"""A time that a process waits for a caller (s); a decoder refuses what is no finite number."""
+ClockSeconds = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+"""A steady clock's time (s); a decoder refuses what is no finite number."""
+
 
 class ProcessStatus(msgspec.Struct, array_like=True, frozen=True):
     """The status of a process; `index` applies to the whole state, or to its settings part without `holds_all`.
@@ -46,9 +55,9 @@
     group: GroupId | None
     index: int
     revision: int
-    sent_at: float
-    scope: str = "all"
-    max_wait_s: float = 0.5
+    sent_at: ClockSeconds
+    scope: Literal["all", "settings"] = "all"
+    max_wait_s: LimitSeconds = 0.5
 
 
 class ReplicationResponse(msgspec.Struct, array_like=True, frozen=True):
@@ -74,7 +83,7 @@
     """Asks a replica which revision of the settings it holds."""
 
     sender: Address
-    sent_at: float
+    sent_at: ClockSeconds
 
 
 class RevisionReply(msgspec.Struct, array_like=True, frozen=True):
@@ -82,7 +91,7 @@
 
     sender: Address
     boot: int
-    sent_at: float
+    sent_at: ClockSeconds
     group: GroupId | None
     revision: int
     index: int
@@ -92,7 +101,7 @@
     """Submits a command; the caller waits for the response for `limit` (s)."""
 
     command: bytes
-    limit: float
+    limit: LimitSeconds
 
 
 class CommandResponse(msgspec.Struct, array_like=True, frozen=True):
--- a/mallowvalve/log_queue.py
+++ b/mallowvalve/log_queue.py
@@ -14,6 +14,7 @@
 import time
 from logging.handlers import QueueListener
 from queue import SimpleQueue
+from typing import cast
 
 MAX_QUEUED_LINES = 10_000
 END_FLUSH_S = 0.2
@@ -38,7 +39,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a line."""
-        remaining = memoryview(record.msg)
+        remaining = memoryview(cast(bytes, record.msg))
         try:
             while remaining:
                 remaining = remaining[os.write(self.descriptor, remaining) :]
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import traceback
+
 import gevent
 import msgspec
 from gevent import socket
@@ -11,9 +13,9 @@
 from mallowvalve.membership.detector import Membership
 from mallowvalve.membership.dissemination import DIRECT_SEND_MEMBERS_MAX, OutgoingDatagrams
 from mallowvalve.membership.members import DepartedMember
-from mallowvalve.membership.wire import ALIVE, MemberRecord, MemberState, decode, encode
+from mallowvalve.membership.wire import ALIVE, MemberRecord, MemberState, Message, decode, encode
 from mallowvalve.metrics import log_event
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import restart_on_failure
 from mallowvalve.types import Address
 
 STATE_NAMES = {state: state.name.lower() for state in MemberState}
@@ -45,9 +47,13 @@
     def __enter__(self) -> MembershipTask:
         """Binds the member's UDP address and starts."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind(self.membership.me.addr.pair)
+        try:
+            self._socket.bind(self.membership.me.addr.pair)
+        except OSError:
+            self._socket.close()
+            raise
         self._socket.setblocking(False)
-        self._greenlet = exit_on_failure(gevent.spawn(self._run))
+        self._greenlet = restart_on_failure("membership", self._run, self.membership.counts)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -101,7 +107,7 @@
                 continue
             try:
                 self._socket.sendto(encode(message), to.pair)
-            except OSError:
+            except (OSError, ValueError, TypeError, OverflowError):
                 self.membership.counts.add("membership_send_error")
         self._log()
 
@@ -134,7 +140,15 @@
             except msgspec.DecodeError:
                 self.membership.counts.add("membership_garbage")
                 continue
+            self._receive(message)
+
+    def _receive(self, message: Message) -> None:
+        """Handles a message; an error concerns this message alone, as no promise rests on the membership."""
+        try:
             self._send(self.membership.receive(message, clock.now()))
+        except Exception as error:
+            self.membership.counts.add("membership_failed")
+            log_event("datagram_failed", error=repr(error), trace=traceback.format_exc())
 
     def _log(self) -> None:
         """Logs changes of members' states; in large groups, new members that are alive are not logged."""
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -11,6 +11,7 @@
 from mallowvalve import clock, web
 from mallowvalve.control.replica_task import ReplicaTask
 from mallowvalve.memory_gauges import register_memory_gauges
+from mallowvalve.metrics import Counts
 from mallowvalve.node import Node
 from mallowvalve.proxy.frontend import Frontend
 from mallowvalve.proxy.host_forwarder import HostForwarder
@@ -20,7 +21,7 @@
 from mallowvalve.proxy.tenant_frontend import RejectionsPage, TenantFrontend
 from mallowvalve.proxy.tenant_upstream_pool import TenantUpstreamPool
 from mallowvalve.settings import Settings
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import exit_on_failure, restart_on_failure
 from mallowvalve.types import is_evacuated
 
 
@@ -56,15 +57,15 @@
 class ConnectionPruner:
     """Closes connections to removed upstreams, once a second, and all connections at the end."""
 
-    __slots__ = ("pool", "hosts", "_greenlet")
+    __slots__ = ("pool", "hosts", "counts", "_greenlet")
 
-    def __init__(self, pool: TenantUpstreamPool, hosts: HostUpstreams):
+    def __init__(self, pool: TenantUpstreamPool, hosts: HostUpstreams, counts: Counts):
         """Prunes the connections of `pool` (tenants' services) and `hosts` (host routes)."""
-        self.pool, self.hosts = pool, hosts
+        self.pool, self.hosts, self.counts = pool, hosts, counts
 
     def __enter__(self) -> ConnectionPruner:
         """Starts to prune."""
-        self._greenlet = exit_on_failure(gevent.spawn(self._run))
+        self._greenlet = restart_on_failure("pruner", self._run, self.counts)
         return self
 
     def __exit__(self, *_) -> None:
@@ -111,7 +112,7 @@
     with (
         node,
         replica,
-        ConnectionPruner(pool, hosts),
+        ConnectionPruner(pool, hosts, node.counts),
         retry_detector,
         DeferredListener(node, replica) if node.defers_web_server else contextlib.nullcontext(),
     ):
--- a/mallowvalve/proxy/retry_detector.py
+++ b/mallowvalve/proxy/retry_detector.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 
 from mallowvalve import clock
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import restart_on_failure
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 
@@ -61,7 +61,7 @@
 
     def __enter__(self) -> RetryDetectorTask:
         """Starts the broadcasts."""
-        self._job = exit_on_failure(gevent.spawn(self._run))
+        self._job = restart_on_failure("retry_detector", self._run, self.transport.counts)
         return self
 
     def __exit__(self, *_) -> None:
--- a/mallowvalve/raft/messages.py
+++ b/mallowvalve/raft/messages.py
@@ -178,6 +178,13 @@
 Message = RequestVote | VoteResponse | AppendEntries | AppendEntriesResponse | InstallSnapshot | TimeoutNow
 
 
+def without_snapshot_pieces(message: Message) -> Message:
+    """Returns the message with only the label of its snapshot, if any: the receiver fetches the pieces."""
+    if not isinstance(message, InstallSnapshot):
+        return message
+    return msgspec.structs.replace(message, snapshot=msgspec.structs.replace(message.snapshot, state=[]))
+
+
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
     """A message between two members; `address` is the address at which the sender is reachable."""
 
--- a/mallowvalve/reload.py
+++ b/mallowvalve/reload.py
@@ -15,7 +15,7 @@
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.metrics import Counts, log_event
 from mallowvalve.settings import Settings
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import restart_on_failure
 
 CHECK_INTERVAL_S = 2.0
 """Time between two checks of the file's modification time."""
@@ -72,7 +72,7 @@
         """Starts to check the file and to handle SIGHUP."""
         if self.settings.path is not None:
             gevent.signal_handler(signal.SIGHUP, self._reload_requested.set)
-            self._jobs = [exit_on_failure(gevent.spawn(self._run))]
+            self._jobs = [restart_on_failure("settings", self._run, self.counts)]
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/mallowvalve/transport/calls.py
+++ b/mallowvalve/transport/calls.py
@@ -24,11 +24,12 @@
     UNREACHABLE = "unreachable"
     UNSENT = "unsent"
     CLOSED = "closed"
+    GARBAGE = "garbage"
 
     @property
     def may_have_run(self) -> bool:
         """Whether the peer may have executed the call; false only if certainly no byte of the call was sent."""
-        return self in (CallFailure.LIMIT, CallFailure.CLOSED)
+        return self in (CallFailure.LIMIT, CallFailure.CLOSED, CallFailure.GARBAGE)
 
 
 class PendingCalls(Generic[Waiter]):
--- a/mallowvalve/transport/frame.py
+++ b/mallowvalve/transport/frame.py
@@ -126,6 +126,8 @@
             return Err(StreamError.GARBAGE)
         if hello.version != PROTOCOL_VERSION or hello.fleet != self.fleet:
             return Err(StreamError.FOREIGN)
+        if not hello.sender.is_valid:
+            return Err(StreamError.GARBAGE)
         self._hello_received = True
         return Ok(hello)
 
--- a/mallowvalve/transport/task.py
+++ b/mallowvalve/transport/task.py
@@ -12,22 +12,25 @@
 
 from collections import Counter
 from collections.abc import Callable
+from traceback import format_exc
+from typing import TypeVar
 
 import gevent
 from gevent import socket
 from gevent.pool import Pool
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
-from result import Err, Result
+from result import Err, Ok, Result
 
 from mallowvalve import clock
 from mallowvalve.fault import InjectedFaults
-from mallowvalve.metrics import Counts
+from mallowvalve.metrics import Counts, log_event
 from mallowvalve.transport.calls import CallFailure
 from mallowvalve.transport.channel import QUEUED_FRAMES_MAX, READ_BYTES, Channel, set_tcp_options
 from mallowvalve.transport.frame import PROTOCOL_VERSION, FrameDecoder, FrameEncoder, Hello, TransportFrame
 from mallowvalve.types import Address
 
+Answer = TypeVar("Answer")
 Handler = Callable[[Address, bytes], bytes | None]
 CHANNEL_IDLE_S = 60.0
 """Channels unused for this long are closed when a new one is opened."""
@@ -65,7 +68,8 @@
     def on(self, kind: str, handler: Handler, inline: bool = False) -> None:
         """Registers the handler for a kind of frame; an inline handler must not block: it runs in the reading greenlet.
 
-        A handler returns the response body, or None for no response; it raises ValueError for an invalid body.
+        A handler returns the response body, or None for no response; it raises ValueError for an invalid body. Any
+        other error is logged: it concerns this frame alone, since handlers leave changes of the log to an event loop.
         """
         self._handlers[kind] = (handler, inline)
 
@@ -89,6 +93,19 @@
         """Sends a call at most once and waits at most `limit` seconds for the response."""
         return self._channel(to, clock.now()).call(kind, body, limit)
 
+    def request(
+        self, to: Address, kind: str, body: bytes, limit: float, decode: Callable[[bytes], Answer]
+    ) -> Result[Answer, CallFailure]:
+        """Sends a call as `call` does, and decodes its response; one that does not decode is a failure of the call."""
+        response = self.call(to, kind, body, limit)
+        if isinstance(response, Err):
+            return response
+        try:
+            return Ok(decode(response.ok_value))
+        except ValueError:
+            self.counts.add("transport_garbage")
+            return Err(CallFailure.GARBAGE)
+
     def _channel(self, to: Address, now: float) -> Channel:
         channel = self._channels.get(to)
         if channel is None:
@@ -184,6 +201,10 @@
         except ValueError:
             self.counts.add("transport_garbage")
             return
+        except Exception as error:
+            self.counts.add("transport_failed")
+            log_event("frame_failed", kind=frame.kind, sender=str(sender), error=repr(error), trace=format_exc())
+            return
         if body is None:
             return
         try:
--- a/mallowvalve/upstreams/task.py
+++ b/mallowvalve/upstreams/task.py
@@ -11,7 +11,7 @@
 from mallowvalve import clock
 from mallowvalve.membership.task import MembershipTask
 from mallowvalve.metrics import log_event
-from mallowvalve.supervision import exit_on_failure
+from mallowvalve.supervision import restart_on_failure
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 from mallowvalve.upstreams.board import AgedHeartbeat, Heartbeat, HeartbeatRow, HeartbeatTable
@@ -42,7 +42,7 @@
 
     def __enter__(self) -> HeartbeatTask:
         """Starts the exchange."""
-        self._job = exit_on_failure(gevent.spawn(self._run))
+        self._job = restart_on_failure("heartbeats", self._run, self.transport.counts)
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/sim/control.py
+++ b/sim/control.py
@@ -22,7 +22,6 @@
 from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, CURRENT_SNAPSHOT
 from mallowvalve.control.snapshot_transfer import FetchProgress, decode_piece_request
 from mallowvalve.control.state import ReplicatedState
-from mallowvalve.control.task import without_snapshot_pieces
 from mallowvalve.raft.messages import (
     Envelope,
     GroupId,
@@ -31,6 +30,7 @@
     RaftSnapshot,
     decode_envelope,
     encode,
+    without_snapshot_pieces,
 )
 from mallowvalve.raft.progress import RaftTimings
 from mallowvalve.settings import Acks
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,7 @@
 import zlib
 
 import gevent
+import msgspec
 import pytest
 from gevent import socket
 from gevent.event import Event
@@ -201,3 +202,30 @@
     server.stop()
     assert [message.body for message in messages if isinstance(message, TransportFrame)] == [b"once", b"next"]
     assert len(accepted) == 2
+
+
+def test_a_handler_that_fails_drops_its_frame_and_the_connection_goes_on(transports):
+    """Guards against a frame whose handler fails and takes the connection of all others with it."""
+    caller, callee = transports
+
+    def fail(sender, body):
+        raise KeyError("planted")
+
+    callee.on("broken", fail, inline=True)
+    callee.on("replica", lambda sender, body: body)
+    caller.cast(callee.me, "broken", b"")
+    assert caller.call(callee.me, "replica", b"hi", 5).unwrap() == b"hi"
+    assert callee.counts.get("transport_failed") == 1
+
+
+def test_a_response_that_does_not_decode_is_a_failure_of_its_call(transports):
+    caller, callee = transports
+    callee.on("replica", lambda sender, body: b"\xc1")
+    decode = msgspec.msgpack.Decoder(int).decode
+    failure = caller.request(callee.me, "replica", b"", 5, decode).unwrap_err()
+    assert failure is CallFailure.GARBAGE and failure.may_have_run
+
+
+def test_a_connection_whose_opener_has_no_address_is_refused():
+    decoder = FrameDecoder("f")
+    assert decoder.feed(encode_hello(Hello(PROTOCOL_VERSION, "f", Address("nowhere", 1)))).is_err()
