A start waits for the lock and the ports of the process before it

Cause: each resource was tried once.

Change: start_wait.py repeats what fails by an error that passes (in use, no room, no descriptors, interrupted) with a growing pause for 60 s in all, then ends with code 2; the log and a gauge tell what was waited for. Any other error ends the start at once, as before. A SIGTERM meanwhile is a clean end. The directory's and a proxy's deferred listener wait too. The pages that every daemon has moved from node.py to a module of their own.

Test: tests/test_start_wait.py (process before held by SIGSTOP then killed, each port held for 1 s, both roles; errors; limit; stop).

--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -14,6 +14,7 @@
 from mallowvalve import __version__, metrics, settings
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.log_queue import END_FLUSH_S, drain_log
+from mallowvalve.start_wait import StartCancelledError
 
 TOOLS = {
     "planner": "mallowvalve.planner.main",
@@ -92,6 +93,8 @@
         run = import_module(f"mallowvalve.{role}.main").run
         gc.freeze()
         result = run(daemon_settings)
+    except StartCancelledError:
+        _end()
     except OSError as error:
         fail([Finding("start", str(error))])
     if result is not None and result.is_err():
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -22,6 +22,7 @@
 from mallowvalve.memory_gauges import register_memory_gauges
 from mallowvalve.node import Node
 from mallowvalve.settings import Settings
+from mallowvalve.start_wait import StartWait, WaitingPart
 from mallowvalve.storage.disk import Disk, Folder
 from mallowvalve.storage.log import DiskLog
 from mallowvalve.types import Address
@@ -35,9 +36,12 @@
     """Serves until it is asked to stop; returns findings if the data folder cannot be used."""
     try:
         faults = InjectedFaults(settings.faults, settings.name)
-        with Folder(settings.data) as folder:
+        start_wait = StartWait()
+        with WaitingPart(folder := Folder(settings.data), start_wait):
             disk = FaultyDisk(folder, faults) if settings.faults is not None else folder
-            disk_log = DiskLog.open(disk, settings.fleet, uuid.uuid4().hex[:ID_LENGTH])
+            disk_log = start_wait.retry(
+                "DiskLog", lambda: DiskLog.open(disk, settings.fleet, uuid.uuid4().hex[:ID_LENGTH])
+            )
             if disk_log.is_err():
                 return Err([Finding(f"{settings.data}/{f.place}", f.text) for f in disk_log.err_value])
             loaded = store.load(disk_log.ok_value)
@@ -131,13 +135,14 @@
     pages = directory_pages(node, task)
     node.app.add_route("/-/named", directory.NamedResource(pages))
     directory_listener = directory_server(node, pages)
+    listening = WaitingPart(directory_listener or contextlib.nullcontext(), node.start_wait)
 
     def leave() -> None:
         if directory_listener is not None:
             directory_listener.draining = True
         task.begin_leaving()
 
-    with node, task, registry, PeersFile(node, disk_log.disk), directory_listener or contextlib.nullcontext():
+    with node, task, registry, PeersFile(node, disk_log.disk), listening:
         node.run(
             lambda: task.core.may_answer(AnswerKind.HEARTBEAT, clock.now()) and not task.stalled,
             leave,
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -7,35 +7,29 @@
 import random
 import signal
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any
 
 import gevent
-import msgspec
 from gevent.event import Event
-from result import Err, Ok, Result
 
 from mallowvalve import clock, web
 from mallowvalve.body_budget import BodyBudget
 from mallowvalve.fault import InjectedFaults
-from mallowvalve.finding import Finding, Findings
+from mallowvalve.log_queue import lost_lines
 from mallowvalve.membership import formula
 from mallowvalve.membership.detector import Membership, initial_record
 from mallowvalve.membership.drain import DrainSequence
 from mallowvalve.membership.members import drain_conditions
-from mallowvalve.membership.task import STATE_NAMES, MembershipTask
-from mallowvalve.membership.wire import MemberRecord
-from mallowvalve.metrics import Counts, log_event, recent_events
+from mallowvalve.membership.task import MembershipTask
+from mallowvalve.metrics import Counts, log_event
+from mallowvalve.node_pages import add_pages
 from mallowvalve.reload import SettingsReloader
 from mallowvalve.settings import Settings
+from mallowvalve.start_wait import StartWait
 from mallowvalve.transport.task import Transport
-from mallowvalve.types import Address, Locality
-from mallowvalve.upstreams.board import Heartbeat, HeartbeatState
+from mallowvalve.types import Address
 from mallowvalve.upstreams.task import HeartbeatTask
 
-if TYPE_CHECKING:
-    import falcon
-
-
 MAX_PAGES_CONNECTIONS = 64
 
 UNUSED_GRACE_RATIO = 0.15
@@ -46,55 +40,11 @@
 
 DEFAULT_DRAIN_GRACE_RATIOS = (0.1, 0.2)
 
-COUNTER_LIMIT = 1 << 62
 BOOT_BITS = 62
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
 
-class GossipHeartbeatDoc(msgspec.Struct):
-    """Body of a heartbeat that an upstream posts; see `upstreams.board.Heartbeat`."""
-
-    service: str
-    instance: str
-    incarnation: int
-    sequence: int
-    state: str
-    locality: str
-    address: str
-    usage: float = 0.0
-
-
-def read_heartbeat(doc: GossipHeartbeatDoc) -> Result[Heartbeat, Findings]:
-    """Returns the heartbeat; the error holds every finding."""
-    found: Findings = []
-    locality = Locality.read(doc.locality)
-    address = Address.read(doc.address)
-    if isinstance(locality, Err):
-        found.append(Finding("locality", locality.err_value))
-    if isinstance(address, Err):
-        found.append(Finding("address", address.err_value))
-    if doc.state not in ("ready", "leaving", "gone"):
-        found.append(Finding("state", "want ready, leaving or gone"))
-    for field in ("incarnation", "sequence"):
-        if not 0 <= getattr(doc, field) < COUNTER_LIMIT:
-            found.append(Finding(field, "out of range"))
-    if found:
-        return Err(found)
-    return Ok(
-        Heartbeat(
-            doc.service,
-            doc.instance,
-            doc.incarnation,
-            doc.sequence,
-            doc.usage,
-            cast(HeartbeatState, doc.state),
-            locality.unwrap(),
-            address.unwrap(),
-        )
-    )
-
-
 class Node:
     """A process of the fleet: its membership, transport, upstreams' heartbeats and HTTP servers.
 
@@ -115,6 +65,7 @@
         "pages",
         "body_budget",
         "stopping",
+        "start_wait",
         "_stack",
         "_gauges",
         "_service_filter",
@@ -148,7 +99,10 @@
         if isinstance(self.pages, web.Server):
             self.pages.body_budget = self.body_budget
         self.stopping = Event()
+        self.start_wait = StartWait(self.stopping.is_set, gevent.sleep)
         self._gauges: dict[str, Callable[[], Any]] = {}
+        self.gauge("start_waited_ms", lambda: {name: int(1000 * s) for name, s in self.start_wait.waited_s.items()})
+        self.gauge("log_lines_lost", lost_lines)
         self._service_filter: Callable[[str], bool] = lambda service: True
         self.defers_web_server = False
         self._stop_requested_at = clock.now()
@@ -175,12 +129,7 @@
         """
         self._stack = contextlib.ExitStack()
         self.app.plain_routes["/-/ready"] = self._readiness
-        self.app.add_route("/-/counts", CountersResource(self))
-        self.app.add_route("/-/metrics", MetricsResource(self))
-        self.app.add_route("/-/nodes", MembersResource(self))
-        self.app.add_route("/-/upstreams", GossipUpstreamsResource(self))
-        self.app.add_route("/-/heartbeats", GossipHeartbeatResource(self))
-        self.app.add_route("/-/changes", StateChangesResource(self))
+        add_pages(self)
         parts = [
             self.faults,
             self.transport,
@@ -194,7 +143,7 @@
             gevent.signal_handler(signum, self._request_stop)
         with self._stack as stack:
             for part in parts:
-                stack.enter_context(part)
+                self.start_wait.enter(stack, part)
             self._stack = stack.pop_all()
         log_event("started", role=self.settings.role, name=self.settings.name, pid=os.getpid())
         return self
@@ -299,102 +248,3 @@
             "role": self.settings.role,
             "name": self.settings.name,
         }
-
-
-class NodeResource:
-    """Base class of a node's HTTP resources."""
-
-    def __init__(self, node: Node) -> None:
-        """Answers from the state of `node`."""
-        self.node = node
-
-
-class CountersResource(NodeResource):
-    """`/-/counts`: counters and gauges as JSON."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns all counters and gauges by name."""
-        web.send_json(resp, {"counts": self.node.counters(), "gauges": self.node.gauges()})
-
-
-class MetricsResource(NodeResource):
-    """`/-/metrics`: counters and gauges in Prometheus's text format; the first request imports the library."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns all counters and gauges by name."""
-        from mallowvalve.exposition import CONTENT_TYPE, render_metrics
-
-        resp.content_type = CONTENT_TYPE
-        resp.data = render_metrics(self.node.counters(), self.node.gauges())
-
-
-class MembersResource(NodeResource):
-    """`/-/nodes`: this node's view of the fleet's members."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns the members in the order of their transport addresses."""
-        members = sorted(self.node.membership.view(), key=lambda record: record.addr)
-        web.send_json(resp, {"nodes": [self._row(record) for record in members]})
-
-    def _row(self, record: MemberRecord) -> dict[str, object]:
-        return {
-            "name": record.name,
-            "role": record.role,
-            "transport": str(record.addr),
-            "web": str(record.web),
-            "locality": str(record.locality),
-            "status": STATE_NAMES[record.state],
-            "ready": record.ready,
-            "incarnation": record.incarnation,
-        }
-
-
-class StateChangesResource(NodeResource):
-    """`/-/changes`: the most recent log events of this process."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns the events named `about` or with that value in a field; all events without the parameter."""
-        web.send_json(
-            resp, {"name": self.node.settings.name, "changes": recent_events.about(req.get_param("about") or "")}
-        )
-
-
-class GossipUpstreamsResource(NodeResource):
-    """`/-/upstreams`: the upstreams in this node's heartbeat table."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Returns the upstreams in the order of their names."""
-        web.send_json(resp, {"upstreams": [self._row(*row) for row in self.node.heartbeats.table.entries(clock.now())]})
-
-    def _row(self, heartbeat: Heartbeat, status: str, age_s: float) -> dict[str, object]:
-        return {
-            "service": heartbeat.service,
-            "instance": heartbeat.instance,
-            "incarnation": heartbeat.incarnation,
-            "status": status,
-            "usage": heartbeat.usage,
-            "locality": str(heartbeat.locality),
-            "address": str(heartbeat.address),
-            "silent_ms": int(age_s * 1000),
-        }
-
-
-class GossipHeartbeatResource(NodeResource):
-    """`/-/heartbeats`: receives the upstreams' heartbeats."""
-
-    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Stores a heartbeat; answers 400 with findings, or 403 for a service that no configuration allows."""
-        doc = web.read_json(GossipHeartbeatDoc, req, resp)
-        if doc is None:
-            return
-        result = read_heartbeat(doc)
-        if isinstance(result, Err):
-            self.node.counts.add("heartbeat_refused")
-            web.reject_early(req, resp, 400, result.err_value)
-            return
-        heartbeat = result.ok_value
-        if not self.node.allows_service(heartbeat.service):
-            self.node.counts.add("heartbeat_unallowed")
-            web.reject_early(req, resp, 403, [Finding("service", "no configuration allows it")], 5)
-            return
-        web.send_json(resp, {"news": self.node.heartbeats.receive(heartbeat)})
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -51,7 +51,7 @@
     def _run(self) -> None:
         self.replica.settings_available.wait()
         if not self.node.stopping.is_set():
-            self.node.server.start()
+            self.node.start_wait.retry("Server", self.node.server.start)
 
 
 class ConnectionPruner:
--- a/mallowvalve/storage/disk.py
+++ b/mallowvalve/storage/disk.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 from contextlib import suppress
@@ -77,7 +78,7 @@
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._lock)
-            raise BlockingIOError(f"{self.path} is in use by another process") from None
+            raise BlockingIOError(errno.EAGAIN, f"{self.path} is in use by another process") from None
         for name in os.listdir(self.path):
             if name.endswith(TEMPORARY_SUFFIX):
                 os.unlink(self.path / name)
--- a/tests/test_lazy.py
+++ b/tests/test_lazy.py
@@ -7,7 +7,7 @@
 from falcon.testing import TestClient
 
 from mallowvalve.cli import TOOLS, main
-from mallowvalve.node import NodeResource
+from mallowvalve.node_pages import NodeResource
 from mallowvalve.web import LazyApp, send_json
 
 LIST_MODULES = """
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,7 +6,8 @@
 from mallowvalve import settings
 from mallowvalve.exposition import CONTENT_TYPE, render_metrics
 from mallowvalve.metrics import Counts
-from mallowvalve.node import MetricsResource, Node
+from mallowvalve.node import Node
+from mallowvalve.node_pages import MetricsResource
 
 
 def samples(page: bytes) -> dict[str, float]:
--- /dev/null
+++ b/tests/test_start_wait.py
@@ -0,0 +1,123 @@
+"""A start waits for what the process before it still holds, and gives up at once for what does not pass."""
+
+import errno
+import signal
+import socket
+
+import pytest
+
+from mallowvalve import start_wait
+from mallowvalve.start_wait import StartCancelledError, StartWait
+from tests.deployed_processes import answers, planned_fleet, start, wait_until
+
+SHORT_S = 1.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with planned_fleet(tmp_path) as planned:
+        yield planned
+
+
+@pytest.mark.parametrize("role", ["core", "edge"])
+def test_a_start_waits_for_the_end_of_the_process_before(role, fleet):
+    """Guards against ends with code 2, one after the other, while a killed process still holds its lock and ports."""
+    machine = getattr(fleet, role)[0]
+    before = start(machine)
+    try:
+        assert wait_until(lambda: answers(machine))
+        before.send_signal(signal.SIGSTOP)
+        process = start(machine)
+        assert not wait_until(lambda: process.poll() is not None, limit_s=SHORT_S)
+    finally:
+        before.kill()
+        before.wait()
+    assert wait_until(lambda: answers(machine)) and process.poll() is None
+
+
+@pytest.mark.parametrize("role", ["core", "edge"])
+@pytest.mark.parametrize("port", ["web", "pages", "directory", "transport", "datagrams"])
+def test_a_start_waits_for_its_ports(role, port, fleet):
+    """Guards against an end with code 2 where something else holds a port of the machine for a while."""
+    machine = getattr(fleet, role)[0]
+    kind = socket.SOCK_DGRAM if port == "datagrams" else socket.SOCK_STREAM
+    with socket.socket(socket.AF_INET, kind) as holder:
+        holder.bind((machine.address, fleet.ports.transport if port == "datagrams" else getattr(fleet.ports, port)))
+        if kind is socket.SOCK_STREAM:
+            holder.listen()
+        process = start(machine)
+        assert not wait_until(lambda: process.poll() is not None, limit_s=SHORT_S)
+    assert wait_until(lambda: answers(machine)) and process.poll() is None
+
+
+@pytest.mark.parametrize("role", ["core", "edge"])
+def test_a_waiting_start_that_is_told_to_stop_ends_cleanly(role, fleet, tmp_path):
+    machine = getattr(fleet, role)[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+        holder.bind((machine.address, fleet.ports.transport))
+        with (tmp_path / "log").open("wb") as log:
+            process = start(machine, stderr=log)
+        assert wait_until(lambda: b"start_waits" in (tmp_path / "log").read_bytes())
+        process.terminate()
+        assert process.wait(timeout=30) == 0
+
+
+def test_an_address_that_the_machine_does_not_have_ends_the_start_at_once(fleet, tmp_path):
+    machine = fleet.edge[0]
+    machine.address = "192.0.2.1"
+    with (tmp_path / "log").open("wb") as log:
+        process = start(machine, stderr=log)
+    assert process.wait(timeout=start_wait.START_WAIT_LIMIT_S / 2) == 2
+    assert b"Cannot assign requested address" in (tmp_path / "log").read_bytes()
+
+
+class Failing:
+    """An operation that raises the given errors, one after the other, and then succeeds."""
+
+    def __init__(self, *codes):
+        self.codes = list(codes)
+
+    def __call__(self):
+        if self.codes:
+            raise OSError(self.codes.pop(0), "planted")
+        return "value"
+
+
+@pytest.fixture
+def time(monkeypatch):
+    """The time, which only sleeping moves."""
+
+    class Time:
+        now = 100.0
+
+        def sleep(self, seconds):
+            self.now += seconds
+
+    fake = Time()
+    monkeypatch.setattr(start_wait.clock, "now", lambda: fake.now)
+    return fake
+
+
+@pytest.mark.parametrize("code", sorted(start_wait.PASSING_ERRORS))
+def test_an_error_that_passes_is_waited_for(code, time):
+    wait = StartWait(sleep=time.sleep)
+    assert wait.retry("disk", Failing(code, code, code)) == "value"
+    assert 0 < wait.waited_s["disk"] < 1.0
+
+
+@pytest.mark.parametrize("code", [errno.EACCES, errno.EADDRNOTAVAIL, errno.EROFS, errno.EIO, errno.ENOENT])
+def test_any_other_error_ends_the_start(code, time):
+    with pytest.raises(OSError, match="planted"):
+        StartWait(sleep=time.sleep).retry("disk", Failing(code))
+    assert time.now == 100.0
+
+
+def test_the_wait_has_a_limit(time):
+    with pytest.raises(OSError, match="planted"):
+        StartWait(sleep=time.sleep).retry("disk", Failing(*[errno.ENOSPC] * 10_000))
+    assert 60.0 <= time.now - 100.0 <= 61.0
+
+
+def test_a_cancelled_wait_ends(time):
+    with pytest.raises(StartCancelledError):
+        StartWait(lambda: True, time.sleep).retry("disk", Failing(errno.ENOSPC))
