Records that cannot be decoded end a start with findings; new modules have their layers

Errors that frames and datagrams bring about are logged once a second at most. The time that a start waits is a setting (start_wait_s, 60 s).

Changed checks: test_a_port_in_use_exits_with_code_2 runs the command as a process and also demands that it waited for its setting; test_platform names the start by file and demands that the file exists; the stand-in of test_sessions decodes as Transport.request does; test_metrics expects one gauge more.

--- a/mallowvalve/cli.py
+++ b/mallowvalve/cli.py
@@ -11,9 +11,9 @@
 import click
 import msgspec
 
-from mallowvalve import __version__, metrics, settings
+from mallowvalve import __version__, settings
 from mallowvalve.finding import Finding, Findings
-from mallowvalve.log_queue import END_FLUSH_S, drain_log
+from mallowvalve.log_queue import END_FLUSH_S, drain_log, log_to
 from mallowvalve.start_wait import StartCancelledError
 
 TOOLS = {
@@ -70,6 +70,7 @@
     @click.option("--data", help="folder of persistent files")
     @click.option("--log", help="log file; standard error if not given")
     @click.option("--polite", type=float, help="grace period of a stop in seconds")
+    @click.option("--start-wait-s", type=float, help="time that a start waits for its lock and ports in seconds")
     @click.option("--faults", help="file of faults to inject; only for trials")
     @click.option("--check", is_flag=True, help="validate the settings and exit")
     def command(path: str | None, check: bool, **flags: Any) -> None:
@@ -89,7 +90,7 @@
 def _start(role: str, daemon_settings: settings.Settings) -> None:
     """Runs a daemon until it stops; prints a failure to start as a finding and exits."""
     try:
-        metrics.log_to(daemon_settings.log)
+        log_to(daemon_settings.log)
         run = import_module(f"mallowvalve.{role}.main").run
         gc.freeze()
         result = run(daemon_settings)
--- a/mallowvalve/control/frames.py
+++ b/mallowvalve/control/frames.py
@@ -6,19 +6,43 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 from mallowvalve.control import wire
-from mallowvalve.raft.messages import decode_envelope
+from mallowvalve.control.core import Core
+from mallowvalve.raft.messages import Envelope, decode_envelope
+from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 
-if TYPE_CHECKING:
-    from mallowvalve.control.task import ControlTask
-
 READ_TIMEOUT_S = 2.0
 
 
-def register_frames(task: ControlTask) -> None:
+class FrameReceiver(Protocol):
+    """What takes the decoded frames: `control.task.ControlTask`, whose methods these are."""
+
+    core: Core
+
+    def post(self, event: Callable[[float], object]) -> None:
+        """Queues an event, which the event loop calls with the time (s)."""
+
+    def receive(self, envelope: Envelope) -> None:
+        """Takes a Raft message."""
+
+    def replicate(self, request: wire.ReplicationRequest) -> wire.ReplicationResponse:
+        """Answers a replica's request for entries."""
+
+    def offer_locally(self, request: wire.CommandRequest) -> wire.CommandResponse:
+        """Answers with the outcome of a command."""
+
+    def read_locally(self, limit: float) -> wire.CommandResponse:
+        """Answers with the outcome of a read."""
+
+    def process_status(self) -> wire.ProcessStatus:
+        """Returns the status of this process."""
+
+
+def register_frames(transport: Transport, task: FrameReceiver) -> None:
     """Registers the handlers of all frames that go to `task` itself."""
 
     def on_raft(sender: Address, body: bytes) -> None:
@@ -36,7 +60,7 @@
         require_sender(sender, request.addr)
         return wire.encode(task.replicate(request))
 
-    on = task.node.transport.on
+    on = transport.on
     on("raft", on_raft, inline=True)
     on("here", on_announcement, inline=True)
     on("want", on_replication_request)
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -36,23 +36,31 @@
     """Serves until it is asked to stop; returns findings if the data folder cannot be used."""
     try:
         faults = InjectedFaults(settings.faults, settings.name)
-        start_wait = StartWait()
+        start_wait = StartWait(limit_s=settings.start_wait_s)
         with WaitingPart(folder := Folder(settings.data), start_wait):
             disk = FaultyDisk(folder, faults) if settings.faults is not None else folder
-            disk_log = start_wait.retry(
-                "DiskLog", lambda: DiskLog.open(disk, settings.fleet, uuid.uuid4().hex[:ID_LENGTH])
-            )
-            if disk_log.is_err():
-                return Err([Finding(f"{settings.data}/{f.place}", f.text) for f in disk_log.err_value])
-            loaded = store.load(disk_log.ok_value)
-            if loaded.is_err():
-                return Err([Finding(f"{settings.data}/{f.place}", f.text) for f in loaded.err_value])
-            serve(settings, disk_log.ok_value, loaded.ok_value, faults)
+            opened = open_state(settings, disk, start_wait)
+            if isinstance(opened, Err):
+                return opened
+            serve(settings, *opened.ok_value, faults)
             return Ok(None)
     except OSError as error:
         return Err([Finding(str(settings.data), str(error))])
 
 
+def open_state(
+    settings: Settings, disk: Disk, start_wait: StartWait
+) -> Result[tuple[DiskLog, store.StoredState], Findings]:
+    """Returns the log in the data folder and the state in it, or why they cannot be used; raises OSError."""
+    fresh_id = uuid.uuid4().hex[:ID_LENGTH]
+    try:
+        disk_log = start_wait.retry("DiskLog", lambda: DiskLog.open(disk, settings.fleet, fresh_id))
+        result = disk_log.and_then(lambda log: store.load(log).map(lambda loaded: (log, loaded)))
+    except ValueError as error:
+        return Err([Finding(str(settings.data), f"a record is not understood: {error}")])
+    return result.map_err(lambda found: [Finding(f"{settings.data}/{f.place}", f.text) for f in found])
+
+
 def load_peers(disk: Disk) -> list[Address]:
     """Returns the saved addresses of peers; none if they cannot be read."""
     if PEERS_FILE not in disk.names():
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -97,7 +97,7 @@
         self._session = Session(lambda: secrets.randbits(64))
         self.bootstrap_task = BootstrapTask(self)
         node.transport.on_peer_disconnected = lambda peer: self.post(lambda now: self.core.peer_disconnected(peer, now))
-        register_frames(self)
+        register_frames(node.transport, self)
 
     def __enter__(self) -> ControlTask:
         """Starts the event loop, the bootstrap task and the failure detector poll."""
--- a/mallowvalve/localfleet/deployed/garbage.py
+++ b/mallowvalve/localfleet/deployed/garbage.py
@@ -58,7 +58,7 @@
     b"POST /api/locks/l HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n\xff\xff\xff\xff\xff",
     b"PATCH /api/configuration HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n[]",
     b"PUT /api/instances/i HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-    b"GET /api/watch/g.?after=-1&wait-ms=x HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"GET /api/watch/g.?after=-1&wait_ms=x HTTP/1.1\r\nHost: h\r\n\r\n",
     b"X" * 70_000,
 )
 
--- a/mallowvalve/log_queue.py
+++ b/mallowvalve/log_queue.py
@@ -16,6 +16,8 @@
 from queue import SimpleQueue
 from typing import cast
 
+import eliot
+
 MAX_QUEUED_LINES = 10_000
 END_FLUSH_S = 0.2
 """How long the end of a process waits for its last lines; it is a small part of any grace period."""
@@ -129,29 +131,30 @@
 
 
 class _ProcessLog:
-    """The log of this process, once it was opened."""
+    """The queues of this process, once its log was opened."""
 
-    current: LogQueue | None = None
+    queues: list[LogQueue] = []
 
 
-def open_log(path: str | None) -> LogQueue:
-    """Opens the log of this process: a file that is appended to, or standard error; raises OSError.
+def log_to(path: str | None) -> None:
+    """Sets the destination of this process's log: a file that is appended to, or standard error; raises OSError.
 
-    All that is written to `sys.stderr`, tracebacks among it, goes through the same queue from then on.
+    What is written to `sys.stderr`, tracebacks among it, goes through a queue from then on too.
     """
-    descriptor = STANDARD_ERROR if path is None else os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
-    log = _ProcessLog.current = LogQueue(descriptor)
-    sys.stderr = LogStream(log)
-    atexit.register(log.drain, END_FLUSH_S)
-    return log
+    errors = LogQueue(STANDARD_ERROR)
+    log = errors if path is None else LogQueue(os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644))
+    _ProcessLog.queues = [log] if log is errors else [log, errors]
+    sys.stderr = LogStream(errors)
+    atexit.register(drain_log, END_FLUSH_S)
+    eliot.to_file(log)
 
 
 def drain_log(limit_s: float) -> None:
     """Waits for the lines that this process has logged, for `limit_s` at most."""
-    if _ProcessLog.current is not None:
-        _ProcessLog.current.drain(limit_s)
+    for queue in _ProcessLog.queues:
+        queue.drain(limit_s)
 
 
 def lost_lines() -> int:
     """Returns the number of log lines of this process that were lost."""
-    return _ProcessLog.current.lost if _ProcessLog.current is not None else 0
+    return sum(queue.lost for queue in _ProcessLog.queues)
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -14,7 +14,7 @@
 from mallowvalve.membership.dissemination import DIRECT_SEND_MEMBERS_MAX, OutgoingDatagrams
 from mallowvalve.membership.members import DepartedMember
 from mallowvalve.membership.wire import ALIVE, MemberRecord, MemberState, Message, decode, encode
-from mallowvalve.metrics import log_event
+from mallowvalve.metrics import log_event, log_event_rarely
 from mallowvalve.supervision import restart_on_failure
 from mallowvalve.types import Address
 
@@ -148,7 +148,7 @@
             self._send(self.membership.receive(message, clock.now()))
         except Exception as error:
             self.membership.counts.add("membership_failed")
-            log_event("datagram_failed", error=repr(error), trace=traceback.format_exc())
+            log_event_rarely("datagram_failed", error=repr(error), trace=traceback.format_exc())
 
     def _log(self) -> None:
         """Logs changes of members' states; in large groups, new members that are alive are not logged."""
--- a/mallowvalve/metrics.py
+++ b/mallowvalve/metrics.py
@@ -8,8 +8,6 @@
 
 import eliot
 
-from mallowvalve.log_queue import open_log
-
 
 class Counts:
     """Counters by name; they start at 0 with the process and only increase."""
@@ -57,6 +55,9 @@
 
 
 recent_events = RecentEvents()
+_last_logged_at: dict[str, float] = {}
+EVENT_INTERVAL_S = 1.0
+"""The shortest time between two events of the same name from `log_event_rarely`."""
 
 
 def log_event(event: str, **fields: Any) -> None:
@@ -65,6 +66,9 @@
     eliot.log_message(message_type=event, **fields)
 
 
-def log_to(path: str | None) -> None:
-    """Sets the log's destination: a file that is appended to, or standard error; raises OSError."""
-    eliot.to_file(open_log(path))
+def log_event_rarely(event: str, **fields: Any) -> None:
+    """Writes an event that others can bring about at any rate; the ones that come too soon are left out."""
+    now = time.monotonic()
+    if now - _last_logged_at.get(event, float("-inf")) >= EVENT_INTERVAL_S:
+        _last_logged_at[event] = now
+        log_event(event, **fields)
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -99,7 +99,7 @@
         if isinstance(self.pages, web.Server):
             self.pages.body_budget = self.body_budget
         self.stopping = Event()
-        self.start_wait = StartWait(self.stopping.is_set, gevent.sleep)
+        self.start_wait = StartWait(self.stopping.is_set, gevent.sleep, settings.start_wait_s)
         self._gauges: dict[str, Callable[[], Any]] = {}
         self.gauge("start_waited_ms", lambda: {name: int(1000 * s) for name, s in self.start_wait.waited_s.items()})
         self.gauge("log_lines_lost", lost_lines)
@@ -129,7 +129,7 @@
         """
         self._stack = contextlib.ExitStack()
         self.app.plain_routes["/-/ready"] = self._readiness
-        add_pages(self)
+        add_pages(self.app, self)
         parts = [
             self.faults,
             self.transport,
--- a/mallowvalve/node_pages.py
+++ b/mallowvalve/node_pages.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 import msgspec
 from result import Err, Ok, Result
 
 from mallowvalve import clock, web
 from mallowvalve.finding import Finding, Findings
-from mallowvalve.membership.task import STATE_NAMES
+from mallowvalve.membership.task import STATE_NAMES, MembershipTask
 from mallowvalve.membership.wire import MemberRecord
-from mallowvalve.metrics import recent_events
+from mallowvalve.metrics import Counts, recent_events
+from mallowvalve.settings import Settings
 from mallowvalve.types import Address, Locality
 from mallowvalve.upstreams.board import Heartbeat, HeartbeatState
+from mallowvalve.upstreams.task import HeartbeatTask
 
 if TYPE_CHECKING:
     import falcon
 
-    from mallowvalve.node import Node
-
 COUNTER_LIMIT = 1 << 62
 
 
@@ -66,10 +66,28 @@
     )
 
 
+class PagedNode(Protocol):
+    """What the pages show of a process: `node.Node`, whose attributes and methods these are."""
+
+    settings: Settings
+    membership: MembershipTask
+    heartbeats: HeartbeatTask
+    counts: Counts
+
+    def counters(self) -> dict[str, int]:
+        """Returns all counters by name."""
+
+    def gauges(self) -> dict[str, Any]:
+        """Returns the current values of all gauges by name."""
+
+    def allows_service(self, service: str) -> bool:
+        """Returns whether the configuration allows heartbeats of a service."""
+
+
 class NodeResource:
     """Base class of a node's HTTP resources."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: PagedNode) -> None:
         """Answers from the state of `node`."""
         self.node = node
 
@@ -165,11 +183,11 @@
         web.send_json(resp, {"news": self.node.heartbeats.receive(heartbeat)})
 
 
-def add_pages(node: Node) -> None:
-    """Adds the pages to the app of a node."""
-    node.app.add_route("/-/counts", CountersResource(node))
-    node.app.add_route("/-/metrics", MetricsResource(node))
-    node.app.add_route("/-/nodes", MembersResource(node))
-    node.app.add_route("/-/upstreams", GossipUpstreamsResource(node))
-    node.app.add_route("/-/heartbeats", GossipHeartbeatResource(node))
-    node.app.add_route("/-/changes", StateChangesResource(node))
+def add_pages(app: web.LazyApp, node: PagedNode) -> None:
+    """Adds the pages of a node to its app."""
+    app.add_route("/-/counts", CountersResource(node))
+    app.add_route("/-/metrics", MetricsResource(node))
+    app.add_route("/-/nodes", MembersResource(node))
+    app.add_route("/-/upstreams", GossipUpstreamsResource(node))
+    app.add_route("/-/heartbeats", GossipHeartbeatResource(node))
+    app.add_route("/-/changes", StateChangesResource(node))
--- a/mallowvalve/settings.py
+++ b/mallowvalve/settings.py
@@ -14,6 +14,7 @@
 from mallowvalve import finding
 from mallowvalve.fault import TRIAL_FLEET
 from mallowvalve.finding import Finding, Findings
+from mallowvalve.start_wait import START_WAIT_LIMIT_S
 from mallowvalve.types import PORT_LIMIT, Address, Locality
 
 ROLES = ("directory", "proxy", "control")
@@ -86,14 +87,15 @@
 class CommonSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings with the same form in the file and in the process, with their defaults.
 
-    `fleet` is the name shared by all processes of a fleet, `log` a file (standard error if None), `polite` the grace
-    period of a stop (s), `connections` the limit for each server, `body_bytes` the largest body of a request routed by
-    the tree, `memory_mb` the memory that the process may use (megabytes), `faults` a file of injected faults for
-    trials. `zones` maps zones to regions, `serve_on` lets a proxy continue with its last known state without a
-    leader, `holds` selects the part of the state that it replicates. `coordination_at` is the path of the
-    coordination resources, `heartbeats` selects where upstreams are kept (`told`: gossiped between nodes,
-    `registered`: in the replicated state), `heartbeat_ms` is the expected interval. `pace` is the shortest time
-    between two rounds of a leader to its voters (s), `election` the shortest election timeout (s).
+    `fleet` is the name shared by all processes of a fleet, `log` a file (standard error if None), `polite` the
+    grace period of a stop (s), `connections` the limit for each server, `body_bytes` the largest body of a request
+    routed by the tree, `memory_mb` the memory that the process may use (megabytes), `start_wait_s` the time that a
+    start waits for its lock and ports (s), `faults` a file of injected faults for trials. `zones` maps zones to
+    regions, `serve_on` lets a proxy continue with its last known state without a leader, `holds` selects the part
+    of the state that it replicates. `coordination_at` is the path of the coordination resources, `heartbeats`
+    selects where upstreams are kept (`told`: gossiped between nodes, `registered`: in the replicated state),
+    `heartbeat_ms` is the expected interval. `pace` is the shortest time between two rounds of a leader to its
+    voters (s), `election` the shortest election timeout (s).
     """
 
     name: str
@@ -104,6 +106,7 @@
     connections: int = 2048
     body_bytes: int = 1 << 20
     memory_mb: float = 300.0
+    start_wait_s: float = START_WAIT_LIMIT_S
     faults: str | None = None
     zones: dict[str, str] = {}
     serve_on: bool = False
@@ -166,6 +169,7 @@
     "connections",
     "body_bytes",
     "memory_mb",
+    "start_wait_s",
     "polite",
 )
 PROBABILITY_FIELDS = ("detector.fail", "detector.loss", "detector.mistake")
--- a/mallowvalve/transport/task.py
+++ b/mallowvalve/transport/task.py
@@ -24,7 +24,7 @@
 
 from mallowvalve import clock
 from mallowvalve.fault import InjectedFaults
-from mallowvalve.metrics import Counts, log_event
+from mallowvalve.metrics import Counts, log_event_rarely
 from mallowvalve.transport.calls import CallFailure
 from mallowvalve.transport.channel import QUEUED_FRAMES_MAX, READ_BYTES, Channel, set_tcp_options
 from mallowvalve.transport.frame import PROTOCOL_VERSION, FrameDecoder, FrameEncoder, Hello, TransportFrame
@@ -203,7 +203,7 @@
             return
         except Exception as error:
             self.counts.add("transport_failed")
-            log_event("frame_failed", kind=frame.kind, sender=str(sender), error=repr(error), trace=format_exc())
+            log_event_rarely("frame_failed", kind=frame.kind, sender=str(sender), error=repr(error), trace=format_exc())
             return
         if body is None:
             return
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -90,8 +90,8 @@
     """Guards against an end without its cause in the log."""
     code = (
         "import gevent\n"
-        "from mallowvalve import metrics, supervision\n"
-        "metrics.log_to(None)\n"
+        "from mallowvalve import log_queue, supervision\n"
+        "log_queue.log_to(None)\n"
         "def fail(): raise MemoryError('planted')\n"
         "supervision.exit_on_failure(gevent.spawn(fail))\n"
         "gevent.sleep(10)\n"
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -56,5 +56,6 @@
         "mallowvalve_requests_total": 2.0,
         "mallowvalve_membership_declared_total": 1.0,
         "mallowvalve_heartbeat_new_total": 1.0,
+        "mallowvalve_log_lines_lost": 0.0,
         "mallowvalve_busy": 7.0,
     }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -113,7 +113,8 @@
     services = []
     for role, deployed in DEPLOY["roles"].items():
         program, *arguments = shlex.split(deployed["run"])
-        assert (program, *arguments[:3], arguments[3]) == ("python3", "-m", "mallowvalve", role, "--settings")
+        assert (program, *arguments[:3], arguments[3]) == ("python3", "-S", "deploy/daemon.py", role, "--settings")
+        assert (ROOT / arguments[1]).is_file()
         command = main.get_command(None, role)
         options = {option for parameter in command.params for option in parameter.opts}
         assert options >= {argument for argument in arguments if argument.startswith("--")}
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -327,13 +327,13 @@
     for answers, numbers in ((lost, [1, 1, 1]), (late, [1, 2])):
         offered = []
 
-        def call(to, kind, body, limit, answers=answers, offered=offered):
+        def request(to, kind, body, limit, decode, answers=answers, offered=offered):
             offered.append(split_origin(wire.decode_command_request(body).command))
             answer = answers[len(offered) - 1]
-            return answer if isinstance(answer, Err) else Ok(wire.encode(answer))
+            return answer if isinstance(answer, Err) else Ok(decode(wire.encode(answer)))
 
         task = SubmittingReplica()
-        task.node = SimpleNamespace(transport=SimpleNamespace(call=call))
+        task.node = SimpleNamespace(transport=SimpleNamespace(request=request))
         task.replica = SimpleNamespace(clock=lambda now: 500, leader="leader")
         task._session = Session(lambda: 5)
         assert task.offer(b"\x91", 2.0).code == "ok"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,11 @@
 """Validation of the settings, and the command's exit codes."""
 
+import subprocess
+import sys
+
 from click.testing import CliRunner
 
-from mallowvalve import settings
+from mallowvalve import clock, settings
 from mallowvalve.cli import main
 
 VALID_SETTINGS = {
@@ -74,6 +77,11 @@
             "127.0.0.1:1",
             "--log",
             "/dev/null",
+            "--start-wait-s",
+            "0.5",
         ]
-        result = CliRunner().invoke(main, args)
-    assert result.exit_code == 2 and "start:" in result.stderr
+        begun = clock.now()
+        result = subprocess.run(
+            [sys.executable, "-m", "mallowvalve", *args], capture_output=True, text=True, check=False
+        )
+    assert result.returncode == 2 and "start:" in result.stderr and clock.now() - begun >= 0.5
--- a/tests/test_start_wait.py
+++ b/tests/test_start_wait.py
@@ -90,7 +90,7 @@
     class Time:
         now = 100.0
 
-        def sleep(self, seconds):
+        def pass_by(self, seconds):
             self.now += seconds
 
     fake = Time()
@@ -100,7 +100,7 @@
 
 @pytest.mark.parametrize("code", sorted(start_wait.PASSING_ERRORS))
 def test_an_error_that_passes_is_waited_for(code, time):
-    wait = StartWait(sleep=time.sleep)
+    wait = StartWait(sleep=time.pass_by)
     assert wait.retry("disk", Failing(code, code, code)) == "value"
     assert 0 < wait.waited_s["disk"] < 1.0
 
@@ -108,16 +108,16 @@
 @pytest.mark.parametrize("code", [errno.EACCES, errno.EADDRNOTAVAIL, errno.EROFS, errno.EIO, errno.ENOENT])
 def test_any_other_error_ends_the_start(code, time):
     with pytest.raises(OSError, match="planted"):
-        StartWait(sleep=time.sleep).retry("disk", Failing(code))
+        StartWait(sleep=time.pass_by).retry("disk", Failing(code))
     assert time.now == 100.0
 
 
 def test_the_wait_has_a_limit(time):
     with pytest.raises(OSError, match="planted"):
-        StartWait(sleep=time.sleep).retry("disk", Failing(*[errno.ENOSPC] * 10_000))
+        StartWait(sleep=time.pass_by).retry("disk", Failing(*[errno.ENOSPC] * 10_000))
     assert 60.0 <= time.now - 100.0 <= 61.0
 
 
 def test_a_cancelled_wait_ends(time):
     with pytest.raises(StartCancelledError):
-        StartWait(lambda: True, time.sleep).retry("disk", Failing(errno.ENOSPC))
+        StartWait(lambda: True, time.pass_by).retry("disk", Failing(errno.ENOSPC))
