A host name in a datagram or frame is not looked up: the process stood still meanwhile

Cause: a member's record with a name for a host went to sendto, which asks a name server and blocks the whole process; channels to such a peer asked one in the thread pool.

Change: a datagram is sent to IPv4 numbers only (counted otherwise), and a channel does not connect to anything else.

--- a/mallowvalve/localfleet/deployed/garbage.py
+++ b/mallowvalve/localfleet/deployed/garbage.py
@@ -17,6 +17,7 @@
 from mallowvalve.control.snapshot_transfer import PieceRequest
 from mallowvalve.control.state import Command
 from mallowvalve.control.wire import CommandRequest, ProcessStatus, ReplicationRequest, RevisionQuery
+from mallowvalve.localfleet.deployed.machines import Machine
 from mallowvalve.membership import wire as membership_wire
 from mallowvalve.raft.messages import Envelope
 from mallowvalve.transport.frame import PROTOCOL_VERSION, FrameEncoder, Hello, TransportFrame, encode_hello
@@ -34,6 +35,11 @@
 ANSWER_TIMEOUT_S = 0.3
 MALFORMED_SHARE = 0.2
 
+FLEET = "mallowvalve"
+FRAMES = 60
+DATAGRAMS = 120
+REQUESTS_AT_ONCE = 2
+
 FRAME_BODIES: dict[str, Any] = {
     "raft": Envelope,
     "want": ReplicationRequest,
@@ -145,6 +151,14 @@
         return self.rng.randbytes(self.rng.randrange(MOST_BYTES))
 
 
+def send_to_all_ports(source: GarbageSource, machine: Machine) -> None:
+    """Sends made-up input to each port of a machine's process."""
+    transport = machine.address, machine.fleet.ports.transport
+    send_frames(source, transport, FLEET, FRAMES)
+    send_datagrams(source, transport, FLEET, DATAGRAMS)
+    send_requests(source, machine.ready_at, REQUESTS_AT_ONCE)
+
+
 def send_frames(source: GarbageSource, to: tuple[str, int], fleet: str, count: int) -> None:
     """Opens a connection to a transport address and sends frames of all kinds."""
     sender = Address(to[0], 1)
--- a/mallowvalve/localfleet/deployed/machines.py
+++ b/mallowvalve/localfleet/deployed/machines.py
@@ -7,6 +7,7 @@
 import random
 import shlex
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import suppress
@@ -33,6 +34,7 @@
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 FIRST_HOST = 10
 LAST_LINES_BYTES = 2000
+SIGNAL_MASKS = ("SigIgn", "SigCgt")
 NETWORK = "127.{}.{}"
 
 
@@ -109,6 +111,21 @@
         self.started_at = clock.now()
         self.end_expected = False
 
+    def suspend_and_replace(self) -> subprocess.Popen[bytes] | None:
+        """Suspends its process and starts another one beside it; returns the suspended process."""
+        before, self.popen = self.popen, None
+        if before is not None and before.poll() is None:
+            before.send_signal(signal.SIGSTOP)
+            self.fleet.suspended.append(before)
+        self.start()
+        return before
+
+    def bound_ports(self) -> list[tuple[socket.SocketKind, int]]:
+        """Returns the ports that its process binds, with their kinds."""
+        ports = self.fleet.ports
+        own = [ports.web, ports.transport, ports.directory if self.role == "control" else ports.pages]
+        return [(socket.SOCK_STREAM, port) for port in own] + [(socket.SOCK_DGRAM, ports.transport)]
+
     def own_end(self) -> OwnEnd | None:
         """Returns the end of its process if nobody stopped or killed it; None while it runs."""
         if self.popen is None or self.is_running or self.end_expected:
@@ -125,6 +142,15 @@
             log.seek(max(0, path.stat().st_size - LAST_LINES_BYTES))
             return log.read().decode(errors="replace")
 
+    def ignores(self, number: signal.Signals) -> bool:
+        """Returns whether its process ignores or catches a signal: not before its first instruction."""
+        try:
+            lines = Path(f"/proc/{self.popen.pid if self.popen else 0}/status").read_text().splitlines()
+        except OSError:
+            return False
+        masks = [int(line.split()[1], 16) for line in lines if line.startswith(SIGNAL_MASKS)]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def write_settings(self) -> Path:
         """Fills the template of the role; returns the path of the settings file."""
         path = self.folder / "settings.toml"
@@ -164,6 +190,7 @@
         self.ports = Ports(*free_ports(len(Ports.__struct_fields__)))
         self.network = NETWORK.format(random.randrange(10, 250), random.randrange(1, 250))
         self._next_host = FIRST_HOST
+        self.suspended: list[subprocess.Popen[bytes]] = []
         self._machine_form = (root / MACHINE_FILE).read_text()
         self.core = [self._plan("control", f"core-{index}", index) for index in range(shape.core)]
         self.edge = [self._plan("proxy", f"edge-{index}", index) for index in range(shape.edge)]
@@ -217,6 +244,9 @@
 
     def __exit__(self, *_: object) -> None:
         """Kills all processes that were started."""
+        for process in self.suspended:
+            process.kill()
+            process.wait()
         for machine in self.machines:
             machine.signal(signal.SIGCONT)
             machine.kill()
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -30,6 +30,11 @@
 """The libev event for a readable socket."""
 
 
+def require_number(address: Address) -> None:
+    """Raises OSError for a host that is no IPv4 number: the system would ask a name server, and block meanwhile."""
+    socket.inet_pton(socket.AF_INET, address.host)
+
+
 class MembershipTask:
     """Owns the socket; one greenlet waits for a datagram or for the next tick, whichever comes first.
 
@@ -106,6 +111,7 @@
             if self.faults.drops_datagram(self.membership.me.addr, to):
                 continue
             try:
+                require_number(to)
                 self._socket.sendto(encode(message), to.pair)
             except (OSError, ValueError, TypeError, OverflowError):
                 self.membership.counts.add("membership_send_error")
--- a/mallowvalve/transport/channel.py
+++ b/mallowvalve/transport/channel.py
@@ -117,6 +117,8 @@
             self._connection_lost(connection)
 
     def _connect(self) -> bool:
+        if not self.to.is_valid:
+            return False
         try:
             sock = socket.create_connection(self.to.pair, timeout=CONNECT_TIMEOUT_S)
             sock.settimeout(None)
--- a/tests/deployed_processes.py
+++ b/tests/deployed_processes.py
@@ -19,7 +19,6 @@
 ROOT = Path(__file__).parent.parent
 SHAPE = msgspec.structs.replace(load_shape(ROOT / "examples/hostsoak.json").unwrap(), core=1, edge=1)
 READY_LIMIT_S = 60.0
-PROC_SIGNALS = ("SigIgn", "SigCgt")
 
 
 def wait_until(condition, limit_s=READY_LIMIT_S, step_s=0.01):
@@ -69,10 +68,3 @@
 def answers(machine: Machine) -> bool:
     """Returns whether the process answers a readiness check, with any status."""
     return answers_readiness(machine, 1.0) is not None
-
-
-def handles(process: subprocess.Popen, number: signal.Signals) -> bool:
-    """Returns whether the process ignores or catches a signal."""
-    lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
-    masks = [int(line.split()[1], 16) for line in lines if line.startswith(PROC_SIGNALS)]
-    return any(mask >> (number - 1) & 1 for mask in masks)
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from mallowvalve.localfleet.deployed.shape import load_deploy_file
-from tests.deployed_processes import ROOT, answers, command_of, environment, handles, planned_fleet, start, wait_until
+from tests.deployed_processes import ROOT, answers, command_of, environment, planned_fleet, start, wait_until
 
 ROLES = ("core", "edge")
 FIRST_SIGNAL = """
@@ -43,7 +43,7 @@
 def test_bursts_of_sighup_while_a_process_starts_end_nothing(machine):
     """Guards against a moment in the start, after the first handler, in which SIGHUP has none."""
     process = start(machine)
-    assert wait_until(lambda: handles(process, signal.SIGHUP), step_s=0.001)
+    assert wait_until(lambda: machine.ignores(signal.SIGHUP), step_s=0.001)
     while not answers(machine):
         assert process.poll() is None
         for _ in range(20):
@@ -54,8 +54,8 @@
 def test_sigterm_during_a_start_is_a_clean_end(machine):
     """Guards against an end by signal 15 of a process that is told to stop before it serves."""
     process = start(machine)
-    assert wait_until(lambda: handles(process, signal.SIGHUP), step_s=0.001)
-    assert wait_until(lambda: handles(process, signal.SIGTERM), step_s=0.001)
+    assert wait_until(lambda: machine.ignores(signal.SIGHUP), step_s=0.001)
+    assert wait_until(lambda: machine.ignores(signal.SIGTERM), step_s=0.001)
     process.send_signal(signal.SIGTERM)
     assert process.wait(timeout=30) == 0
 
