--- a/mallowvalve/localfleet/deployed/plan.py
+++ b/mallowvalve/localfleet/deployed/plan.py
@@ -19,7 +19,29 @@
 CORE_GAP_S = 9.0
 """The interval between stops of core machines: each is ready again before the next stops, so a majority runs."""
 
-PLAYED_KINDS = (ActKind.STOP, ActKind.KILL, ActKind.RELOAD, ActKind.EVACUATE, ActKind.RELEASE)
+HELD_S = 1.5
+"""How long the process before, or a port, is held while the next process starts."""
+
+RELOADS_S = 1.0
+EVERYTHING = "all"
+START_FAULTS = (ActKind.RELOADS_AT_START, ActKind.LATE_END, ActKind.PORTS_HELD)
+ACT_SECONDS = {
+    ActKind.EVACUATE: EVACUATION_S,
+    ActKind.KILL: KILL_PAUSE_S,
+    ActKind.RELOADS_AT_START: RELOADS_S,
+    ActKind.LATE_END: HELD_S,
+    ActKind.PORTS_HELD: HELD_S,
+}
+PLAYED_KINDS = (
+    ActKind.STOP,
+    ActKind.KILL,
+    ActKind.RELOAD,
+    ActKind.EVACUATE,
+    ActKind.RELEASE,
+    ActKind.KILL_ALL,
+    ActKind.GARBAGE,
+    *START_FAULTS,
+)
 
 
 def machine_names(shape: Shape) -> tuple[list[str], list[str]]:
@@ -28,7 +50,7 @@
 
 
 def draw_schedule(shape: Shape, seed: int, seconds: float, trouble: bool) -> Schedule:
-    """Draws overlapping series of planned work; with `trouble` processes are killed too."""
+    """Draws overlapping series of planned work; with `trouble` also kills, hindered starts and made-up input."""
     rng = random.Random(f"deployed/{seed}")
     last = seconds - QUIET_END_S
     core, edge = machine_names(shape)
@@ -41,7 +63,12 @@
         *_in_turn(rng, ActKind.EVACUATE, sorted(shape.zones), rng.uniform(5.0, 20.0), 2.5 * EVACUATION_S, last),
     ]
     if trouble:
-        acts += _in_turn(rng, ActKind.KILL, [*core, *edge], rng.uniform(4.0, 15.0), rng.uniform(6.0, 12.0), last)
+        machines = [*core, *edge]
+        acts += _in_turn(rng, ActKind.KILL, machines, rng.uniform(4.0, 15.0), rng.uniform(6.0, 12.0), last)
+        for kind in START_FAULTS:
+            acts += _in_turn(rng, kind, machines, rng.uniform(4.0, 15.0), rng.uniform(9.0, 18.0), last)
+        acts += _in_turn(rng, ActKind.GARBAGE, machines, rng.uniform(3.0, 6.0), rng.uniform(1.0, 3.0), last)
+        acts += _in_turn(rng, ActKind.KILL_ALL, [EVERYTHING], rng.uniform(10.0, 25.0), rng.uniform(20.0, 40.0), last)
     return Schedule(SCHEDULE_VERSION, seed, seconds, sorted(acts, key=lambda act: (act.at, act.target)))
 
 
@@ -50,7 +77,7 @@
 ) -> list[ScheduledAct]:
     """Returns an act on each target in turn, in a drawn order, over and over until `last`."""
     order = rng.sample(targets, len(targets))
-    lasts = {ActKind.EVACUATE: EVACUATION_S, ActKind.KILL: KILL_PAUSE_S}.get(kind, 0.0)
+    lasts = ACT_SECONDS.get(kind, 0.0)
     acts: list[ScheduledAct] = []
     while at <= last:
         acts.append(ScheduledAct(round(at, 3), kind, order[len(acts) % len(order)], lasts))
@@ -71,7 +98,7 @@
     if schedule.version != SCHEDULE_VERSION:
         return Err([Finding("version", f"{schedule.version}, this program plays {SCHEDULE_VERSION}")])
     core, edge = machine_names(shape)
-    known = {*core, *edge, *shape.services, *shape.zones}
+    known = {*core, *edge, *shape.services, *shape.zones, EVERYTHING}
     found: Findings = []
     for index, act in enumerate(schedule.acts):
         if act.target not in known:
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -13,9 +13,11 @@
 from mallowvalve.localfleet.deployed.applications import GROUPS, Application
 from mallowvalve.localfleet.deployed.clients import Client
 from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
+from mallowvalve.localfleet.deployed.garbage import GarbageSource, send_to_all_ports
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
 from mallowvalve.localfleet.deployed.operator import Operator
 from mallowvalve.localfleet.deployed.records import Kill, Records, SlowStart, Stop
+from mallowvalve.localfleet.deployed.start_faults import kill_and_hinder_start
 from mallowvalve.localfleet.deployed.upstream import StandinUpstream
 from mallowvalve.localfleet.deployed.watch import Watch, answers_readiness
 from mallowvalve.localfleet.schedule import ActKind, Schedule, ScheduledAct
@@ -75,7 +77,7 @@
             for act in self.schedule.acts:
                 acts.start(gevent.Greenlet(self._play_at, began + act.at, act))
             gevent.sleep(max(0.0, end - clock.now()))
-            acts.join(timeout=END_SLACK_S)
+            acts.join(timeout=END_SLACK_S, raise_error=True)
             load.join(timeout=END_SLACK_S)
         if self.closing:
             self._kill_all()
@@ -129,7 +131,13 @@
             case ActKind.KILL:
                 self._kill(self._machine(act.target), act.lasts)
             case ActKind.RELOAD:
-                self._machine(act.target).signal(signal.SIGHUP)
+                self._reload(self._machine(act.target))
+            case ActKind.KILL_ALL:
+                self._kill_herd(act.lasts)
+            case ActKind.RELOADS_AT_START | ActKind.LATE_END | ActKind.PORTS_HELD:
+                self._hinder_start(self._machine(act.target), act)
+            case ActKind.GARBAGE:
+                self._send_garbage(self._machine(act.target), act)
             case ActKind.EVACUATE:
                 self.operator.evacuate(act.target, act.lasts)
             case ActKind.RELEASE:
@@ -169,6 +177,41 @@
         gevent.sleep(pause_s)
         self.records.kills.append(Kill(machine.name, killed_at, self._start_again(machine)))
 
+    def _reload(self, machine: Machine) -> None:
+        """Sends SIGHUP; not to a process before its first instruction, where nothing can handle a signal."""
+        if machine.ignores(signal.SIGHUP):
+            machine.signal(signal.SIGHUP)
+
+    def _kill_herd(self, pause_s: float) -> None:
+        """Kills all processes that no other act has reserved at one moment, and starts them again."""
+        machines = [machine for machine in self.fleet.machines if machine.name not in self._reserved]
+        self._reserved |= {machine.name for machine in machines}
+        killed_at = clock.now()
+        for machine in machines:
+            machine.signal(signal.SIGKILL)
+        for machine in machines:
+            machine.kill()
+        gevent.sleep(pause_s)
+        jobs = [(machine, gevent.spawn(self._start_again, machine)) for machine in machines]
+        for machine, job in jobs:
+            self.records.kills.append(Kill(machine.name, killed_at, job.get()))
+
+    def _hinder_start(self, machine: Machine, act: ScheduledAct) -> None:
+        if machine.name in self._reserved:
+            return
+        self._reserved.add(machine.name)
+        killed_at = clock.now()
+        end_hindrance = kill_and_hinder_start(machine, act.kind, act.lasts)
+        ended_at = clock.now()
+        end_hindrance()
+        ready_at = self._start_again(machine)
+        self.records.kills += [Kill(machine.name, at, ready_at) for at in (killed_at, ended_at)]
+
+    def _send_garbage(self, machine: Machine, act: ScheduledAct) -> None:
+        """Sends made-up input to each port of a machine, from a thread, as its sockets block."""
+        source = GarbageSource(self._rng(f"garbage/{act.at}"))
+        gevent.get_hub().threadpool.apply(send_to_all_ports, (source, machine))
+
     def _start_again(self, machine: Machine) -> float:
         """Starts a machine; returns when it was ready, 0.0 if that took too long."""
         machine.start()
--- a/mallowvalve/localfleet/schedule.py
+++ b/mallowvalve/localfleet/schedule.py
@@ -34,6 +34,11 @@
     EVACUATE = "evacuate"
     HOMES = "homes"
     RELEASE = "release"
+    KILL_ALL = "kill-all"
+    RELOADS_AT_START = "reloads-at-start"
+    LATE_END = "late-end"
+    PORTS_HELD = "ports-held"
+    GARBAGE = "garbage"
 
 
 PLANNED_KINDS = frozenset({ActKind.STOP, ActKind.RELOAD, ActKind.EVACUATE, ActKind.HOMES, ActKind.RELEASE})
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -16,7 +16,7 @@
 from mallowvalve.cli import main
 from mallowvalve.localfleet.deployed import judge, judge_coordination
 from mallowvalve.localfleet.deployed.machines import Fleet
-from mallowvalve.localfleet.deployed.plan import draw_schedule, load_schedule
+from mallowvalve.localfleet.deployed.plan import PLAYED_KINDS, START_FAULTS, draw_schedule, load_schedule
 from mallowvalve.localfleet.deployed.records import (
     Change,
     FinalState,
@@ -167,12 +167,24 @@
         ActKind.RELOAD,
         ActKind.RELEASE,
         ActKind.EVACUATE,
+        ActKind.KILL_ALL,
+        ActKind.RELOADS_AT_START,
+        ActKind.LATE_END,
+        ActKind.PORTS_HELD,
+        ActKind.GARBAGE,
     }
     assert {act.target for act in drawn.acts if act.kind is ActKind.STOP} >= {"core-0", "edge-0"}
     assert all(act.at <= 50.0 for act in drawn.acts)
     assert ActKind.KILL not in {act.kind for act in draw_schedule(SHAPE, 5, 60.0, trouble=False).acts}
 
 
+def test_trouble_hinders_starts_kills_all_and_sends_made_up_input():
+    kinds = {act.kind for seed in range(5) for act in draw_schedule(SHAPE, seed, 60.0, True).acts}
+    assert kinds == set(PLAYED_KINDS)
+    planned = {act.kind for act in draw_schedule(SHAPE, 1, 60.0, False).acts}
+    assert not planned & {*START_FAULTS, ActKind.KILL, ActKind.KILL_ALL, ActKind.GARBAGE}
+
+
 def test_a_saved_schedule_is_played_as_it_was_drawn(tmp_path):
     drawn = draw_schedule(SHAPE, 5, 60.0, trouble=True)
     save_schedule(drawn, tmp_path / "schedule.json")
