--- a/tests/test_again.py
+++ b/tests/test_again.py
@@ -29,6 +29,7 @@
     VoteResponse,
 )
 from mallowvalve.raft.raft import FIRST_ELECTION_TIMEOUT_RATIO, SUSPECTED_LEADER_TIMEOUT_RATIO, RaftTimings
+from mallowvalve.start_wait import StartWait
 from mallowvalve.storage.log import DiskLog
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
@@ -165,7 +166,8 @@
 def test_a_proxy_starts_to_serve_once_it_holds_settings():
     events = []
     server = SimpleNamespace(start=lambda: events.append(1), shut_down=lambda: events.append(0))
-    node, replica = SimpleNamespace(server=server, stopping=Event()), SimpleNamespace(settings_available=Event())
+    node = SimpleNamespace(server=server, stopping=Event(), start_wait=StartWait())
+    replica = SimpleNamespace(settings_available=Event())
     with DeferredListener(node, replica):
         gevent.idle()
         assert events == []
