The answer to a message of an older term confirms no round

Cause: the follower answered such a message by its own, newer term and the message's round number; rounds are numbered anew in each life, so the leader took the answer for a confirmation of every present round.

Change: that answer has no round (-1), and a leader takes nothing from it but the term.

Tests: tests/test_raft_late.py, the two on older terms.

--- a/mallowvalve/raft/messages.py
+++ b/mallowvalve/raft/messages.py
@@ -151,8 +151,16 @@
     confirmed_stamp: float = NO_STAMP
 
 
+NO_ROUND = -1
+"""The round number in the response to a message of an older term: it confirms no round."""
+
+
 class AppendEntriesResponse(msgspec.Struct, array_like=True, frozen=True, tag=4):
-    """The response to `AppendEntries` and `InstallSnapshot`; `stamp` is the sender's monotonic time of sending (s)."""
+    """The response to `AppendEntries` and `InstallSnapshot`; `stamp` is the sender's monotonic time of sending (s).
+
+    `round_number` is that of the message, which was sent in this response's `term`. Rounds are numbered anew in each
+    life of a process, so the response to a message of an older term has `NO_ROUND`: it only tells the newer term.
+    """
 
     term: int
     ok: bool
--- a/mallowvalve/raft/raft.py
+++ b/mallowvalve/raft/raft.py
@@ -12,6 +12,7 @@
 from mallowvalve.raft.messages import (
     COMMAND,
     CONFIGURATION,
+    NO_ROUND,
     NOOP,
     AppendEntries,
     AppendEntriesResponse,
@@ -154,7 +155,7 @@
             self._become_follower(message.term, "", now)
         if message.term < self.term:
             if isinstance(message, AppendEntries | InstallSnapshot):
-                self._after_save.append((sender, AppendEntriesResponse(self.term, False, 0, message.round_number)))
+                self._after_save.append((sender, AppendEntriesResponse(self.term, False, 0, NO_ROUND)))
             elif isinstance(message, RequestVote):
                 self._after_save.append((sender, VoteResponse(self.term, message.pre_vote, False)))
             return
@@ -320,7 +321,7 @@
 
     def _on_append_entries_response(self, sender: str, message: AppendEntriesResponse, now: float) -> None:
         progress = self._progress.get(sender)
-        if not self.leads or progress is None:
+        if not self.leads or progress is None or message.round_number == NO_ROUND:
             return
         if message.round_number > progress.round_number:
             progress.round_number, progress.heard_at = message.round_number, now
--- a/tests/test_raft_late.py
+++ b/tests/test_raft_late.py
@@ -1,12 +1,15 @@
 """Late and duplicate messages do not count as recent contact with their sender."""
 
 from mallowvalve.raft.messages import (
+    NO_ROUND,
     AppendEntries,
     AppendEntriesResponse,
+    InstallSnapshot,
+    RaftSnapshot,
     RequestVote,
     VoteResponse,
 )
-from tests.test_raft import FIVE, configuration_of, make_leader, make_member
+from tests.test_raft import FIVE, GROUP, configuration_of, make_leader, make_member
 
 
 def test_a_late_duplicate_response_does_not_count_as_contact():
@@ -35,3 +38,25 @@
     assert member.role == "pre"
     member.receive("n1", AppendEntries(1, 0, 0, [], 0, 10), 7.1)
     assert (member.role, member.leader) == ("follower", "n1")
+
+
+def test_the_answer_to_a_message_of_an_older_term_confirms_no_round():
+    """Guards against a stale read by a leader of a second life (review/1): a late message of its former life, whose
+    rounds had higher numbers, was answered under the newer term and taken for the confirmation of all present rounds."""
+    follower = make_member(voters=FIVE, now=0.0)
+    follower.receive("n1", AppendEntries(7, 0, 0, [], 0, 1), 1.0)
+    follower.ready(1.0)
+    follower.receive("n1", AppendEntries(6, 0, 0, [], 0, 4000), 1.1)
+    (answer,) = follower.ready(1.1).after_save
+    assert answer == ("n1", AppendEntriesResponse(7, False, 0, NO_ROUND))
+    follower.receive("n1", InstallSnapshot(6, RaftSnapshot(GROUP, 5, 6, FIVE, []), 4000), 1.2)
+    assert follower.ready(1.2).after_save == [answer]
+
+
+def test_a_leader_takes_nothing_from_an_answer_without_a_round():
+    leader = make_leader(configuration_of("n0 n1 n2"))
+    confirmed, progress = leader.rounds.confirmed, dict(leader.progress())
+    for sender in ("n1", "n2"):
+        leader.receive(sender, AppendEntriesResponse(leader.term, False, 0, NO_ROUND, 15.0), 15.0)
+    assert (leader.rounds.confirmed, leader.progress()) == (confirmed, progress)
+    assert leader.last_quorum_contact() == leader.rounds.last_contact()
