hostsoak records the spans in which it had no turn itself

Their records have no entry of any kind for 7.83 s, both until the same moment, and by their own logs the stopped processes had ended 1.8 and 2.3 s after SIGTERM: the soak saw late. The findings stay findings; stalls_s now tells of such spans.

--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -209,6 +209,7 @@
         "own_ends": dict(sorted(Counter(f"{end.machine} code {end.code}" for end in records.own_ends).items())),
         "hangs": len(records.hangs),
         "slow_starts": len(records.slow_starts),
+        "stalls_s": [stall.seconds for stall in records.stalls],
         "stop_s_p50": round(lasted[len(lasted) // 2], 2) if lasted else None,
         "stop_s_most": round(lasted[-1], 2) if lasted else None,
         "named_after_sigterm_s_most": round(max(named_s), 2) if named_s else None,
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -102,6 +102,13 @@
     log: str
 
 
+class Stall(msgspec.Struct, frozen=True):
+    """A span in which the soak's own process had no turn: what it saw then, it saw late."""
+
+    at: float
+    seconds: float
+
+
 class MemoryPeak(msgspec.Struct):
     """The most resident memory that the processes of a machine were seen with, and what they may use (megabytes)."""
 
@@ -201,6 +208,7 @@
     own_ends: list[OwnEnd] = []
     hangs: list[Hang] = []
     slow_starts: list[SlowStart] = []
+    stalls: list[Stall] = []
     memory: list[MemoryPeak] = []
     look_ups: list[LookUp] = []
     numbers: list[NumberDrawn] = []
--- a/mallowvalve/localfleet/deployed/watch.py
+++ b/mallowvalve/localfleet/deployed/watch.py
@@ -8,12 +8,13 @@
 from mallowvalve import clock
 from mallowvalve.localfleet.deployed.connection import ClientConnection, Outgoing
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine
-from mallowvalve.localfleet.deployed.records import Hang, MemoryPeak, Records, RequestRecord
+from mallowvalve.localfleet.deployed.records import Hang, MemoryPeak, Records, RequestRecord, Stall
 
 POLL_S = 0.05
 MEMORY_POLL_S = 0.1
 CHECK_INTERVAL_S = 1.0
 CHECK_TIMEOUT_S = 2.0
+STALL_S = 0.5
 HANG_S = 10.0
 """A process that has all its processor time and answers no readiness check for this long counts as hanging."""
 
@@ -42,6 +43,7 @@
             if self.records.share >= 1.0:
                 self._jobs.spawn(self._watch_answers, machine)
         self._jobs.spawn(self._watch_memory)
+        self._jobs.spawn(self._watch_stalls)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -70,6 +72,14 @@
                 self.records.hangs.append(Hang(machine.name, now, round(now - answered_at, 1), machine.last_lines()))
                 answered_at = now
 
+    def _watch_stalls(self) -> None:
+        while True:
+            begun = clock.now()
+            gevent.sleep(POLL_S)
+            late_s = clock.now() - begun - POLL_S
+            if late_s > STALL_S:
+                self.records.stalls.append(Stall(begun, round(late_s, 2)))
+
     def _watch_memory(self) -> None:
         """Records the most resident memory of each machine."""
         peaks = [MemoryPeak(machine.name, 0.0, machine.memory_mb) for machine in self.fleet.machines]
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -14,7 +14,7 @@
 from gevent.event import Event
 
 from mallowvalve.cli import main
-from mallowvalve.localfleet.deployed import judge, judge_coordination
+from mallowvalve.localfleet.deployed import judge, judge_coordination, watch
 from mallowvalve.localfleet.deployed.machines import Fleet
 from mallowvalve.localfleet.deployed.plan import PLAYED_KINDS, START_FAULTS, draw_schedule, load_schedule
 from mallowvalve.localfleet.deployed.records import (
@@ -291,3 +291,15 @@
         Event().wait(timeout=0.2)
     machine.kill()
     assert [(end.machine, end.code) for end in records.own_ends] == [("edge-0", 70)]
+
+
+def test_a_span_without_a_turn_of_the_soak_itself_is_recorded(tmp_path, monkeypatch):
+    """Guards against a late soak that is taken for a late product."""
+    monkeypatch.setattr(watch, "STALL_S", 0.02)
+    fleet = Fleet(msgspec.structs.replace(SHAPE, core=1, edge=1), ROOT, load_deploy_file(ROOT).unwrap(), tmp_path)
+    records = Records()
+    with Watch(fleet, records, 0.01):
+        Event().wait(timeout=0.01)
+        subprocess.run(["python3", "-c", "import time; time.sleep(0.3)"], check=True)
+        Event().wait(timeout=0.2)
+    assert records.stalls and records.stalls[0].seconds >= 0.02
