--- a/mallowvalve/settings.py
+++ b/mallowvalve/settings.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from collections.abc import Mapping
+from math import isfinite
 from operator import attrgetter
 from pathlib import Path
 from typing import Any, Literal, TypeVar
@@ -158,7 +159,7 @@
     flags: dict[str, Any] = {}
 
 
-NOT_NEGATIVE_FIELDS = ("budget.ratio", "budget.slack", "cold.slack")
+NOT_NEGATIVE_FIELDS = ("budget.ratio", "budget.slack", "cold.slack", "pace")
 POSITIVE_FIELDS = (
     "budget.span",
     "cold.over",
@@ -173,6 +174,7 @@
     "polite",
 )
 PROBABILITY_FIELDS = ("detector.fail", "detector.loss", "detector.mistake")
+NUMBER_FIELDS = (*NOT_NEGATIVE_FIELDS, *POSITIVE_FIELDS, *PROBABILITY_FIELDS)
 
 
 def load(role: str, path: str | None, flags: Mapping[str, Any]) -> Result[Settings, Findings]:
@@ -183,7 +185,7 @@
             data = tomllib.loads(Path(path).read_text())
         except (OSError, UnicodeDecodeError) as error:
             return Err([Finding(path, f"cannot read: {error}")])
-        except tomllib.TOMLDecodeError as error:
+        except (ValueError, RecursionError) as error:
             return Err([Finding(path, f"not TOML: {error}")])
     given = {key: value for key, value in flags.items() if value not in (None, ())}
     return check(role, {**data, **given})
@@ -223,7 +225,9 @@
 
 
 def _out_of_bounds(raw: RawSettings) -> Findings:
-    found = []
+    found = [
+        Finding(place, "must be a finite number") for place in NUMBER_FIELDS if not isfinite(attrgetter(place)(raw))
+    ]
     for place in NOT_NEGATIVE_FIELDS:
         if attrgetter(place)(raw) < 0:
             found.append(Finding(place, "must not be negative"))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,8 +2,12 @@
 
 import subprocess
 import sys
+import tempfile
 
+import pytest
 from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
 
 from mallowvalve import clock, settings
 from mallowvalve.cli import main
@@ -85,3 +89,30 @@
             [sys.executable, "-m", "mallowvalve", *args], capture_output=True, text=True, check=False
         )
     assert result.returncode == 2 and "start:" in result.stderr and clock.now() - begun >= 0.5
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "polite = " + "9" * 5000,
+        "a = " + "[" * 5000,
+        'name = "a"\npolite = nan',
+        "polite = inf",
+        "pace = nan",
+        "polite = -inf",
+    ],
+)
+def test_numbers_and_depths_beyond_any_bound_are_findings(text, tmp_path):
+    """Guards against a traceback at a start, and against a process that stops never or at once, by a settings file."""
+    file = tmp_path / "settings.toml"
+    file.write_text(text)
+    flags = {field: value for field, value in VALID_SETTINGS.items() if not text.startswith(field)}
+    assert settings.load("proxy", str(file), flags).is_err()
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_as_a_settings_file_are_settings_or_findings(data):
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(data)
+        file.flush()
+        assert settings.load("control", file.name, {}).is_err()
