A start waits for each resource by itself, and a stop meanwhile ends no task

Found by reading the change once more: the limit counted from the node's creation, so a proxy that got its first settings after a minute did not wait for its clients' port at all; and a stop while that port was waited for raised in the listener's task, which ended the process with code 70. Both tests in tests/test_start_wait.py failed before.

--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -365,7 +365,8 @@
             name = self._store_snapshot(snapshot)
         except (ArithmeticError, ValueError) as error:
             self.node.counts.add("snapshots_not_stored")
-            name = log_event("snapshot_not_encoded", error=repr(error))
+            log_event("snapshot_not_encoded", error=repr(error))
+            name = None
         if name is None:
             gevent.sleep(SNAPSHOT_RETRY_DELAY_S)
             self._compacting = False
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import uuid
+from contextlib import suppress
 
 import gevent
 
@@ -21,6 +22,7 @@
 from mallowvalve.proxy.tenant_frontend import RejectionsPage, TenantFrontend
 from mallowvalve.proxy.tenant_upstream_pool import TenantUpstreamPool
 from mallowvalve.settings import Settings
+from mallowvalve.start_wait import StartCancelledError
 from mallowvalve.supervision import exit_on_failure, restart_on_failure
 from mallowvalve.types import is_evacuated
 
@@ -51,7 +53,8 @@
     def _run(self) -> None:
         self.replica.settings_available.wait()
         if not self.node.stopping.is_set():
-            self.node.start_wait.retry("Server", self.node.server.start)
+            with suppress(StartCancelledError):
+                self.node.start_wait.retry("Server", self.node.server.start)
 
 
 class ConnectionPruner:
--- a/mallowvalve/start_wait.py
+++ b/mallowvalve/start_wait.py
@@ -16,7 +16,7 @@
 from mallowvalve.metrics import log_event
 
 START_WAIT_LIMIT_S = 60.0
-"""How long a start waits in all: well above any grace period, at whose end the process before was killed."""
+"""How long a start waits for each resource: well above any grace period, at whose end the process before was killed."""
 RETRY_PAUSE_MIN_S = 0.05
 """The pause after the first failure; it doubles with each further one."""
 RETRY_PAUSE_MAX_S = 0.5
@@ -48,7 +48,7 @@
     `waited_s` has the time that each resource was waited for, by its name (s).
     """
 
-    __slots__ = ("is_cancelled", "waited_s", "_sleep", "_end")
+    __slots__ = ("is_cancelled", "waited_s", "limit_s", "_sleep")
 
     def __init__(
         self,
@@ -56,11 +56,11 @@
         sleep: Callable[[float], object] = time.sleep,
         limit_s: float = START_WAIT_LIMIT_S,
     ) -> None:
-        """`limit_s` counts from now; `is_cancelled` is asked before each attempt after the first."""
+        """`limit_s` is for each resource; `is_cancelled` is asked before each attempt after the first."""
         self.is_cancelled = is_cancelled
+        self.limit_s = limit_s
         self.waited_s: dict[str, float] = {}
         self._sleep = sleep
-        self._end = clock.now() + limit_s
 
     def retry(self, resource: str, operation: Callable[[], Value]) -> Value:
         """Returns the operation's value.
@@ -72,7 +72,7 @@
             try:
                 value = operation()
             except OSError as error:
-                self._check(error)
+                self._check(error, clock.now() - begun)
                 if resource not in self.waited_s:
                     log_event("start_waits", resource=resource, error=str(error))
                 self.waited_s[resource] = clock.now() - begun
@@ -88,8 +88,8 @@
         self.retry(type(part).__name__, part.__enter__)
         stack.push(part)
 
-    def _check(self, error: OSError) -> None:
-        if error.errno not in PASSING_ERRORS or clock.now() >= self._end:
+    def _check(self, error: OSError, waited_s: float) -> None:
+        if error.errno not in PASSING_ERRORS or waited_s >= self.limit_s:
             raise error
         if self.is_cancelled():
             raise StartCancelledError
--- a/tests/test_start_wait.py
+++ b/tests/test_start_wait.py
@@ -3,10 +3,13 @@
 import errno
 import signal
 import socket
+from types import SimpleNamespace
 
 import pytest
+from gevent.event import Event
 
-from mallowvalve import start_wait
+from mallowvalve import start_wait, supervision
+from mallowvalve.proxy.main import DeferredListener
 from mallowvalve.start_wait import StartCancelledError, StartWait
 from tests.deployed_processes import answers, planned_fleet, start, wait_until
 
@@ -121,3 +124,30 @@
 def test_a_cancelled_wait_ends(time):
     with pytest.raises(StartCancelledError):
         StartWait(lambda: True, time.pass_by).retry("disk", Failing(errno.ENOSPC))
+
+
+def test_each_resource_is_waited_for_however_late_it_is_needed(time):
+    """Guards against a proxy that gets its first settings late, finds its port in use, and ends at once."""
+    wait = StartWait(sleep=time.pass_by)
+    time.pass_by(1000.0)
+    assert wait.retry("port", Failing(errno.EADDRINUSE)) == "value"
+
+
+def test_a_stop_while_the_clients_port_is_waited_for_ends_no_task(monkeypatch):
+    """Guards against a stop that ends with code 70 in a proxy whose port is still in use."""
+    codes = []
+    monkeypatch.setattr(supervision.os, "_exit", codes.append)
+    stopping = Event()
+    server = SimpleNamespace(start=Failing(*[errno.EADDRINUSE] * 1000), shut_down=lambda: None)
+    node = SimpleNamespace(
+        server=server, stopping=stopping, start_wait=StartWait(stopping.is_set, lambda s: Event().wait(timeout=0.01))
+    )
+    replica = SimpleNamespace(settings_available=Event())
+    replica.settings_available.set()
+    with DeferredListener(node, replica) as listener:
+        assert wait_until(lambda: node.start_wait.waited_s, limit_s=5.0)
+        stopping.set()
+        listener._greenlet.join(timeout=5.0)
+        assert listener._greenlet.successful()
+    Event().wait(timeout=0.05)
+    assert codes == []
