A request body is one type at every size: large configuration calls are answered

Cause: the reader of bodies returned bytes up to 256 KiB and a memoryview above, and parse_amend called bytes.decode() on it: an AttributeError in the handler. The suite's largest call had a few routes, and http_items.py is not among the files whose types are checked.

Change: body_budget.read_body and web.read_body return a memoryview whatever the size, so that a handler that asks more of a body than a view offers fails with its first request. parse_amend checks the text through str(), and the functions that get a body say that they take a view.

The two new tests of test_http_items.py fail without the change (20,000 routes: 500; a malformed call of 256 KiB: 500 in place of 400) and pass with it.

Where else: read_json parses views already; heartbeats of upstreams (16 KiB at most), tenants' bodies and bodies on host routes take views and are typed so now.

--- a/mallowvalve/body_budget.py
+++ b/mallowvalve/body_budget.py
@@ -164,11 +164,10 @@
             self._budget.give_back(size)
 
 
-def read_body(
-    stream: BodyStream, length: int | None, max_bytes: int, reservation: BodyReservation
-) -> bytes | memoryview:
+def read_body(stream: BodyStream, length: int | None, max_bytes: int, reservation: BodyReservation) -> memoryview:
     """Reads a body of known length, or of unknown length if that is None; it may end early.
 
+    The result is a view of the body's bytes whatever its size, and the last reference to it frees them.
     Raises BodyTooLargeError beyond `max_bytes`, and BodyRefusedError if `reservation` cannot grow with the body.
     """
     limit = max_bytes + 1 if length is None else length
@@ -176,7 +175,7 @@
     first = stream.read(first_bytes)
     _check_room(len(first), max_bytes, reservation)
     if len(first) < first_bytes or first_bytes == limit:
-        return first
+        return memoryview(first)
     buffer = mmap.mmap(-1, limit, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS)
     end = len(first)
     buffer[:end] = first
--- a/mallowvalve/configuration/item_request.py
+++ b/mallowvalve/configuration/item_request.py
@@ -62,10 +62,10 @@
 _decode_uninterpreted = msgspec.json.Decoder(UninterpretedItem).decode
 
 
-def parse_amend(body: bytes) -> Result[Amend, Findings]:
+def parse_amend(body: bytes | memoryview) -> Result[Amend, Findings]:
     """Returns the parsed call, or all findings with their places; `Items.check` checks it against the current items."""
     try:
-        body.decode()
+        str(body, "utf-8")
         call = _decode_body(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         message, _, place = str(error).partition(" - at `$.")
--- a/mallowvalve/control/http_upstreams.py
+++ b/mallowvalve/control/http_upstreams.py
@@ -46,7 +46,9 @@
 KNOWN_FIELDS = {field.name for field in fields(UpstreamHeartbeatDoc)}
 
 
-def parse_heartbeat(instance: str, body: bytes, zones: dict[str, str]) -> Result[Upstream, tuple[int, Findings]]:
+def parse_heartbeat(
+    instance: str, body: bytes | memoryview, zones: dict[str, str]
+) -> Result[Upstream, tuple[int, Findings]]:
     """Returns the heartbeat as a registry row, or the HTTP status and all findings. Ignores unknown fields."""
     try:
         doc = decode_heartbeat(body)
@@ -97,7 +99,7 @@
     return None if zones else _parse_locality(zone)
 
 
-def _findings(body: bytes) -> Findings:
+def _findings(body: bytes | memoryview) -> Findings:
     doc = parse_json(body)
     if doc.is_err():
         return doc.err_value
--- a/mallowvalve/finding.py
+++ b/mallowvalve/finding.py
@@ -46,7 +46,7 @@
     return value
 
 
-def parse_json(body: bytes, place: str = "body") -> Result[Any, Findings]:
+def parse_json(body: bytes | memoryview, place: str = "body") -> Result[Any, Findings]:
     """Decodes JSON; the error holds one finding."""
     try:
         return Ok(msgspec.json.decode(body))
--- a/mallowvalve/proxy/body_intake.py
+++ b/mallowvalve/proxy/body_intake.py
@@ -28,9 +28,7 @@
 """Status, place and text of the response to a request whose body cannot be taken in."""
 
 
-def take_in_body(
-    handler: ConnectionHandler, step: ReadBody
-) -> Result[bytes | memoryview | StreamedRequestBody, BodyError]:
+def take_in_body(handler: ConnectionHandler, step: ReadBody) -> Result[memoryview | StreamedRequestBody, BodyError]:
     """Returns the body of the handler's request, or the error for its client."""
     handler.discard_end = step.end
     length = handler.request.length
@@ -47,7 +45,7 @@
                 return Ok(_take_in_chunks(handler, step, reservation))
             if length <= reservation.size:
                 return Ok(read_body(handler.body_reader, length, step.max_bytes, reservation))
-            held = handler.body_reader.read(SMALL_BODY_BYTES)
+            held = memoryview(handler.body_reader.read(SMALL_BODY_BYTES))
             return Ok(_stream(handler.body_reader, held, step, chunked=False))
     except BodyTooLargeError:
         return too_large
@@ -71,15 +69,16 @@
 
 def _take_in_chunks(
     handler: ConnectionHandler, step: ReadBody, reservation: BodyReservation
-) -> bytes | memoryview | StreamedRequestBody:
+) -> memoryview | StreamedRequestBody:
     """Returns a body of unknown length, held whole if it is small and there is room at once.
 
     Raises BodyRefusedError if there is no room for a stream, BodyTooLargeError if the body is larger than its limit.
     """
     reader = handler.body_reader
-    held: bytes | memoryview = reader.read(SMALL_BODY_BYTES)
+    prefix = reader.read(SMALL_BODY_BYTES)
+    held = memoryview(prefix)
     if not reader.complete and reservation.grow(MAX_HELD_BODY_BYTES):
-        held = read_body(PrefixedStream(held, reader), MAX_HELD_BODY_BYTES, MAX_HELD_BODY_BYTES, reservation)
+        held = read_body(PrefixedStream(prefix, reader), MAX_HELD_BODY_BYTES, MAX_HELD_BODY_BYTES, reservation)
     elif not reader.complete:
         handler.release_body()
         if handler.reserve_body(STREAM_BYTES, step.room_end - clock.now()) is None:
@@ -89,7 +88,7 @@
     return held if reader.complete else _stream(reader, held, step, chunked=True)
 
 
-def _stream(reader: BodyReader, held: bytes | memoryview, step: ReadBody, chunked: bool) -> StreamedRequestBody:
+def _stream(reader: BodyReader, held: memoryview, step: ReadBody, chunked: bool) -> StreamedRequestBody:
     return StreamedRequestBody(held, RequestBodyStream(reader, step.max_bytes - len(held), chunked))
 
 
--- a/mallowvalve/proxy/steps.py
+++ b/mallowvalve/proxy/steps.py
@@ -140,7 +140,7 @@
 class StreamedRequestBody(msgspec.Struct, frozen=True):
     """A request body whose beginning is held; the rest is read from the client while it is sent to an upstream."""
 
-    held: bytes | memoryview
+    held: memoryview
     stream: RequestBodyStream
 
 
--- a/mallowvalve/proxy/tenant_frontend.py
+++ b/mallowvalve/proxy/tenant_frontend.py
@@ -124,7 +124,7 @@
             case ProposeInBackground():
                 return gevent.spawn(self._propose_until_accepted, step)
 
-    def _read_body(self, req: falcon.Request, end: float) -> Result[bytes | memoryview, tuple[int, str, str]]:
+    def _read_body(self, req: falcon.Request, end: float) -> Result[memoryview, tuple[int, str, str]]:
         try:
             with gevent.Timeout(max(0.001, end - clock.now())):
                 body = web.read_body(req, self.body_bytes)
--- a/mallowvalve/proxy/tenant_request.py
+++ b/mallowvalve/proxy/tenant_request.py
@@ -44,13 +44,13 @@
     end: float
     revision: int
     is_retry: bool
-    body: bytes = b""
+    body: bytes | memoryview = b""
     fingerprint: bytes = b""
     digest: str = ""
     follows_failure: bool = False
     sends: int = 0
 
-    def set_body(self, body: bytes) -> None:
+    def set_body(self, body: bytes | memoryview) -> None:
         """Sets the body, and the fingerprint and digest that depend on it."""
         request, self.body = self.client_request, body
         self.fingerprint = request_fingerprint(request.client, self.tenant, request.method, request.target, body)
@@ -96,7 +96,7 @@
     )
 
 
-def check_body(client_request: ClientRequest, body: bytes) -> ParseError | None:
+def check_body(client_request: ClientRequest, body: bytes | memoryview) -> ParseError | None:
     """Returns why a body is rejected, or None: it is shorter than its length, or not valid JSON as declared."""
     if client_request.length is not None and len(body) != client_request.length:
         return 400, "body", "shorter than its length"
@@ -118,12 +118,12 @@
     return not any(p in (".", "..") for p in parts) and not any(p == "" for p in parts[:-1])
 
 
-def request_digest(method: str, target: str, body: bytes) -> str:
+def request_digest(method: str, target: str, body: bytes | memoryview) -> str:
     """Returns the digest of the request that an idempotency key is bound to."""
     return hashlib.blake2b(b"\0".join((method.encode(), target.encode(), body)), digest_size=16).hexdigest()
 
 
-def request_fingerprint(client: str, tenant: str, method: str, target: str, body: bytes) -> bytes:
+def request_fingerprint(client: str, tenant: str, method: str, target: str, body: bytes | memoryview) -> bytes:
     """Returns the hash by which a retry of a failed request is detected."""
     parts = (client.encode(), tenant.encode(), method.encode(), target.encode(), body)
     return hashlib.blake2b(b"\0".join(parts), digest_size=16).digest()
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -216,8 +216,8 @@
     return handler is not None and handler.client_left()
 
 
-def read_body(req: falcon.Request, max_bytes: int) -> bytes | memoryview | None:
-    """Reads the request's body; None if it is larger than `max_bytes`.
+def read_body(req: falcon.Request, max_bytes: int) -> memoryview | None:
+    """Returns a view of the request's body, whatever its size; None if it is larger than `max_bytes`.
 
     Raises BodyRefusedError if the server has no room for it.
     """
--- a/tests/test_http_items.py
+++ b/tests/test_http_items.py
@@ -71,6 +71,27 @@
     assert [x["name"] for x in client.simulate_get("/items").json["routes"]] == ["q"]
 
 
+@pytest.mark.parametrize("routes", [0, 300, 1400, 20_000])
+def test_a_call_of_any_size_is_acknowledged_and_read_back(control, routes):
+    """Guards against a call that every node answers with 500 for ever because it is larger than 256 KiB (review/7)."""
+    task, client = control
+    body = call([route(f"r{index:05d}", prefix=f"/{index:05d}/") for index in range(routes)], [service("s", 7)])
+    response = client.simulate_patch("/items", body=body)
+    assert response.status_code == 200, response.text
+    assert len(client.simulate_get("/items").json["routes"]) == routes
+
+
+def test_a_malformed_call_of_any_size_is_rejected_with_its_place(control):
+    """Guards against the same 500 where a large call is not valid: it changes nothing and says why."""
+    task, client = control
+    for padding in (0, 64 << 10, 256 << 10, 1 << 20):
+        response = client.simulate_patch("/items", body=b'{"set": "\xff' + b" " * padding + b'"}')
+        assert response.status_code == 400 and response.json["findings"][0]["place"] == "body", padding
+        response = client.simulate_patch("/items", body=b'{"set": 1' + b" " * padding + b"}")
+        assert response.status_code == 400 and response.json["findings"][0]["place"] == "set", padding
+    assert not task.offered
+
+
 def test_a_repeated_request_is_acknowledged_by_an_empty_command_and_changes_nothing(control):
     task, client = control
     first = client.simulate_patch("/items", body=FIRST).json
