Seats of voters move back: each region of a core of nine may be lost in turn

What callers saw: a core of nine has five voters, 2, 2, 1 in three regions.

Cause: each step took the best seat of its moment. While a region is down its seats go to the two others (3 and 2, the best there is then); with five voters and none lost, next_voters had nothing to do, however uneven they lay.

Change: control/voter_placement.py defines how even a placement is and which number of voters tolerates most of the fault budget. While no voter is lost or leaving, the leader makes one change at a time that is strictly better: a voter other than itself gives its seat to a learner that has caught up, through a joint configuration, and stays as a learner. No move costs a leader. A member gets at most four seats in 300 s in this way.

One check of an unchanged placement is skipped by comparing its inputs.

Where else: growth and the number of voters go through the same function.

--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -380,8 +380,7 @@
         if now - self._last_membership_check_at < reconfiguration.CHECK_INTERVAL_S:
             return
         self._last_membership_check_at = now
-        voters = self.members.next_voters(self.raft, now)
-        if voters is not None and self.raft.change_configuration(voters, self.clock.read(now)) is not None:
+        if self.members.change_voters(self.raft, now, self.clock.read(now)):
             self.counts.add("raft_changes")
         if self._roster_command_index > self.raft.commit_index:
             return
--- a/mallowvalve/control/reconfiguration.py
+++ b/mallowvalve/control/reconfiguration.py
@@ -15,6 +15,12 @@
   `SILENCE_TIMEOUT_S` and the two rounds of the replacement, each under 0.5 s, end before that. A member that was only
   frozen or partitioned loses its seat to one that has caught up, and comes back as a learner by the log alone.
 
+While no voter is lost or leaving, seats move until the voters are spread as evenly as the places of all members that
+have caught up allow (`voter_placement`): at the founding, after growth, and when a lost region is back. Each change is
+strictly better, gives one seat of a voter other than the leader to a learner, and makes that voter a learner. A member
+gets at most `MAX_SEATS_GIVEN` seats in `SEAT_WINDOW_S` in this way, so that seats do not follow members that come and
+go; replacements have no such limit.
+
 A learner has caught up once it has the entries that were committed `CATCH_UP_LAG_S` ago, five heartbeats: the later
 ones are on their way to it.
 
@@ -25,21 +31,25 @@
 
 import enum
 from collections import deque
+from collections.abc import Collection
 
 import msgspec
 
+from mallowvalve.control.voter_placement import FaultBudget, better_exchange, evenly_chosen, preferred_seats
 from mallowvalve.control.wire import ProcessStatus
 from mallowvalve.raft.messages import ClusterConfiguration
 from mallowvalve.raft.raft import Raft
 from mallowvalve.types import Address, Locality
 
-MAX_VOTERS = 5
 CHECK_INTERVAL_S = 0.1
 VERDICT_CONFIRMATION_S = 1.0
 SILENCE_TIMEOUT_S = 3.0
 ANNOUNCEMENT_VALIDITY_S = 5.0
 LEARNER_REMOVAL_S = 30.0
 CATCH_UP_LAG_S = 0.5
+MAX_SEATS_GIVEN = 4
+SEAT_WINDOW_S = 300.0
+MIN_REDUCED_SEATS = 3
 
 
 class MemberAnnouncement(msgspec.Struct, frozen=True):
@@ -65,10 +75,21 @@
     """What is known of the members apart from Raft: their announcements and the failure detector's verdicts.
 
     `departed` maps the address of each process that failed or left, as the detector reports, to its boot;
-    `reassigned_addresses` are those at which the detector finds a process that is no core member.
+    `reassigned_addresses` are those at which the detector finds a process that is no core member. `fault_budget` names
+    the losses that the voters should tolerate.
     """
 
-    __slots__ = ("announcements", "departed", "reassigned_addresses", "boot", "leaving", "_commit_samples")
+    __slots__ = (
+        "announcements",
+        "departed",
+        "reassigned_addresses",
+        "boot",
+        "leaving",
+        "fault_budget",
+        "_commit_samples",
+        "_seats_given_at",
+        "_settled_places",
+    )
 
     def __init__(self) -> None:
         """Creates observations without members."""
@@ -76,7 +97,10 @@
         self.departed: dict[Address, int] = {}
         self.reassigned_addresses: set[Address] = set()
         self.boot, self.leaving = 0, False
+        self.fault_budget = FaultBudget()
         self._commit_samples: deque[tuple[float, int]] = deque()
+        self._seats_given_at: dict[str, list[float]] = {}
+        self._settled_places: tuple[dict[str, Locality], dict[str, Locality], FaultBudget] | None = None
 
     def record_announcement(self, status: ProcessStatus, now: float) -> None:
         """Records that a member is running, or about to stop if it is `leaving`; drops old announcements."""
@@ -91,6 +115,16 @@
         """Replaces the failure detector's verdicts by the present ones."""
         self.departed, self.reassigned_addresses = departed, reassigned_addresses
 
+    def change_voters(self, raft: Raft, now: float, at: int) -> bool:
+        """Begins the next change, if one is wanted; returns whether it did. `at` is the fleet's time (ms)."""
+        present, wanted = raft.log.configuration, self.next_voters(raft, now)
+        if wanted is None or raft.change_configuration(wanted, at) is None:
+            return False
+        if present.voters.keys() <= wanted.members().keys():
+            for member in wanted.voters.keys() - present.voters.keys():
+                self._seats_given_at.setdefault(member, []).append(now)
+        return True
+
     def next_voters(self, raft: Raft, now: float) -> ClusterConfiguration | None:
         """Returns the configuration to change to, if any; during a change only an address may change."""
         voters, committed = raft.log.configuration, self._lagging_commit_index(raft.commit_index, now)
@@ -110,7 +144,9 @@
         for id in sorted(lost.keys() & voters.learners.keys()):
             if lost[id] is MemberLossReason.REPLACED or _is_silent(raft, id, now, LEARNER_REMOVAL_S):
                 return ClusterConfiguration(voters.voters, _without(voters.learners, id))
-        return self._with_more_voters(voters, lost, caught_up)
+        if lost.keys() & voters.voters.keys() or not voters.voters.keys() <= self.announcements.keys():
+            return None
+        return self._with_better_places(voters, raft.me, self._eligible(caught_up, now))
 
     def _lagging_commit_index(self, commit_index: int, now: float) -> int:
         """Returns the commit index `CATCH_UP_LAG_S` ago; the present one if no check is that old."""
@@ -176,22 +212,34 @@
         learners = _without(voters.learners, successor)
         return ClusterConfiguration({**kept, successor: voters.learners[successor]}, learners)
 
-    def _with_more_voters(
-        self, voters: ClusterConfiguration, lost: dict[str, MemberLossReason], caught_up: list[str]
+    def _eligible(self, caught_up: list[str], now: float) -> dict[str, Locality]:
+        """Returns the places of those members that may get a seat though no voter is lost."""
+        for member, times in list(self._seats_given_at.items()):
+            self._seats_given_at[member] = [at for at in times if now - at < SEAT_WINDOW_S]
+            if not self._seats_given_at[member]:
+                del self._seats_given_at[member]
+        may = [id for id in caught_up if len(self._seats_given_at.get(id, ())) < MAX_SEATS_GIVEN]
+        return {id: self.announcements[id].locality for id in may}
+
+    def _with_better_places(
+        self, voters: ClusterConfiguration, me: str, candidates: dict[str, Locality]
     ) -> ClusterConfiguration | None:
-        """Adds voters in one change, up to an odd number of at most `MAX_VOTERS`."""
-        if lost.keys() & voters.voters.keys():
+        """Returns the configuration with the preferred number of voters, or with one seat moved, if that helps."""
+        places = {id: self.announcements[id].locality for id in voters.voters}
+        inputs = places, candidates, self.fault_budget
+        if inputs == self._settled_places:
             return None
-        target = min(MAX_VOTERS, len(voters.voters) + len(caught_up))
-        target -= target % 2 == 0
-        grown, candidates = dict(voters.voters), list(caught_up)
-        while len(grown) < target:
-            added = min(candidates, key=lambda id: (*self._neighbours(grown, id), id))
-            candidates.remove(added)
-            grown[added] = voters.learners[added]
-        if len(grown) == len(voters.voters):
+        members = {**places, **candidates}
+        seats = preferred_seats(members, self.fault_budget)
+        if seats > len(places):
+            return _with_seats(voters, evenly_chosen(members, seats, places))
+        if MIN_REDUCED_SEATS <= seats < len(places):
+            return _with_seats(voters, evenly_chosen(places, seats, places.keys() & {me}))
+        exchange = better_exchange(places, candidates, [me])
+        if exchange is None:
+            self._settled_places = inputs
             return None
-        return ClusterConfiguration(grown, {id: a for id, a in voters.learners.items() if id not in grown})
+        return _with_seats(voters, [*(places.keys() - {exchange.voter}), exchange.successor])
 
     def _neighbours(self, ids: dict[str, Address], id: str) -> tuple[int, int]:
         """Returns how many of the members share the region, and how many the zone, of this one."""
@@ -200,6 +248,15 @@
         return sum(place.region == at.region for place in places), sum(place == at for place in places)
 
 
+def _with_seats(present: ClusterConfiguration, voters: Collection[str]) -> ClusterConfiguration:
+    """Returns the configuration in which these members are the voters and all others are learners."""
+    members = present.members()
+    return ClusterConfiguration(
+        {id: members[id] for id in sorted(voters)},
+        {id: address for id, address in members.items() if id not in voters},
+    )
+
+
 def _is_silent(raft: Raft, member: str, now: float, limit: float) -> bool:
     progress = raft.progress().get(member)
     return member != raft.me and progress is not None and now - progress.heard_at > limit
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -1,6 +1,7 @@
 """Repairs of the core's voters in the seeded simulator: losses `CATCH_UP_S` apart leave a majority each time."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -9,6 +10,7 @@
 from mallowvalve.raft.messages import ClusterConfiguration, GroupId, RaftSnapshot
 from mallowvalve.raft.progress import Progress
 from mallowvalve.types import Address, Locality
+from sim import fleet as fleet_module
 from sim.control import ControlNode
 from sim.disk import SimDisk
 from sim.fleet import SimulatedFleet
@@ -295,3 +297,48 @@
     assert members.next_voters(raft, NOW) is None
     members.announcements["d"] = MemberAnnouncement(D, EU_ZONE, NOW, 8)
     assert members.next_voters(raft, NOW) == ClusterConfiguration(addresses("abc"), addresses("d"))
+
+
+NINE_ZONES = [Locality(region, f"{region}-{zone}") for zone in "abc" for region in ("eu", "us", "ap")]
+GROWN_CATCH_UP_S = 6.0
+
+
+def voters_by_region(fleet):
+    return Counter(fleet.place[address].region for address in voters(fleet))
+
+
+def lose_region(fleet, region, seconds):
+    """Kills all core machines of a region, and starts them again after some time."""
+    lost = [address for address in fleet.core if fleet.place[address].region == region]
+    for address in lost:
+        fleet.kill(address)
+    fleet.run(seconds)
+    assert fleet.run_until(lambda: has_quorum(fleet), RECOVERY_TIMEOUT_S), f"no majority without {region}"
+    for address in lost:
+        fleet.start(address)
+
+
+def is_even(fleet):
+    return has_quorum(fleet) and sorted(voters_by_region(fleet).values()) == [1, 2, 2]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_each_region_of_nine_may_be_lost_in_turn(seed, monkeypatch):
+    """Guards against a core that stops at the loss of a second region, after the first one is back (review/6)."""
+    monkeypatch.setattr(fleet_module, "ZONES", NINE_ZONES)
+    fleet = settled_fleet(seed, 9)
+    assert is_even(fleet)
+    for turn in range(6):
+        counts = voters_by_region(fleet)
+        lose_region(fleet, max(counts, key=lambda region: (counts[region], region)), fleet.rng.uniform(1.0, 8.0))
+        fleet.run(GROWN_CATCH_UP_S)
+        assert is_even(fleet), f"{voters_by_region(fleet)} after {turn + 1} losses"
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_voters_of_a_core_whose_seeds_lie_in_one_region_are_spread(seed, monkeypatch):
+    """Guards against a founding whose spread is never looked at again: three voters stay where the seeds are."""
+    monkeypatch.setattr(fleet_module, "ZONES", sorted(NINE_ZONES))
+    fleet = settled_fleet(seed, 9)
+    assert len({fleet.place[address].region for address in fleet.seeds}) == 1
+    assert is_even(fleet), voters_by_region(fleet)
