--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from mallowvalve.localfleet.deployed.judge_coordination import check_coordination
+from mallowvalve.localfleet.deployed.judge_regions import check_regions
 from mallowvalve.localfleet.deployed.records import MemoryPeak, Records, RequestEnd, RequestRecord, Stop
 
 LOSS_SLACK_S = 0.2
@@ -35,6 +36,7 @@
         *check_answers(records),
         *check_stops(records.stops, grace_s),
         *check_coordination(records),
+        *check_regions(records),
     ]
 
 
@@ -219,6 +221,7 @@
         "watch_events": sum(len(answer.events) for answer in records.watches),
         "changes": sum(bool(change.acknowledged_at) for change in records.changes),
         "changes_without_answer": sum(not change.acknowledged_at for change in records.changes),
+        "regions_lost": len(records.region_losses),
         "longest_pause_of_runs_s": _longest_pause(records),
     }
 
--- a/mallowvalve/localfleet/deployed/main.py
+++ b/mallowvalve/localfleet/deployed/main.py
@@ -16,7 +16,7 @@
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.localfleet.deployed.judge import check_faults, check_records, statistics
 from mallowvalve.localfleet.deployed.machines import Fleet
-from mallowvalve.localfleet.deployed.plan import draw_schedule, load_schedule
+from mallowvalve.localfleet.deployed.plan import draw_region_schedule, draw_schedule, load_schedule
 from mallowvalve.localfleet.deployed.shape import Shape, load_deploy_file, load_shape
 from mallowvalve.localfleet.deployed.soak import DeployedSoak
 from mallowvalve.localfleet.schedule import Schedule, save_schedule
@@ -33,6 +33,7 @@
     seed: int
     seconds: float
     trouble: bool
+    regions: bool
     share: float
     closing: bool
     lookups: bool | None
@@ -53,6 +54,7 @@
 @click.option("--seed", default=1, help="seed of the schedule and of all stand-ins")
 @click.option("--for", "seconds", default=60.0, help="duration in seconds")
 @click.option("--trouble/--planned", default=False, help="also kill processes")
+@click.option("--regions", is_flag=True, help="instead lose and roll whole regions, one at a time, and nothing else")
 @click.option("--share", default=1.0, help="share of processor time that each process gets, above 0 and up to 1")
 @click.option("--closing", is_flag=True, help="kill all processes at the end, before everything is read back")
 @click.option("--lookups/--no-lookups", default=None, help="clients ask directories; by default as the shape says")
@@ -95,6 +97,8 @@
         found.append(Finding("--share", "must be above 0 and up to 1"))
     if options.seconds < MIN_SECONDS:
         found.append(Finding("--for", f"must be {MIN_SECONDS:.0f} s at least"))
+    if options.regions and options.trouble:
+        found.append(Finding("--regions", "not with --trouble: both together lose more than one region at a time"))
     if options.folder is not None and Path(options.folder).exists() and any(Path(options.folder).iterdir()):
         found.append(Finding("--folder", "must be empty or not exist: the state of another run would be taken up"))
     return found
@@ -102,6 +106,8 @@
 
 def schedule_of(options: Options, shape: Shape) -> Schedule:
     """Returns the drawn or the saved schedule; ends the program with code 2 on findings."""
+    if options.saved is None and options.regions:
+        return draw_region_schedule(shape, options.seed, options.seconds)
     if options.saved is None:
         return draw_schedule(shape, options.seed, options.seconds, options.trouble)
     loaded = load_schedule(Path(options.saved), shape)
--- a/mallowvalve/localfleet/deployed/operator.py
+++ b/mallowvalve/localfleet/deployed/operator.py
@@ -83,16 +83,21 @@
             gevent.sleep(self.rng.expovariate(1.0 / CHANGE_PAUSE_S))
             self.change()
 
-    def change(self) -> None:
-        """Sends the next version of the changing route until it is acknowledged, for a bounded time."""
+    def change(self, limit_s: float = CHANGE_TIMEOUT_S) -> float:
+        """Sends the next version of the changing route until it is acknowledged, for `limit_s` at most.
+
+        Returns when it was acknowledged (s, this process's clock), 0.0 if it was not.
+        """
         self.version += 1
         target = self.services[self.version % len(self.services)]
         changed = route(CHANGING_ROUTE, CHANGING_PREFIX, "read", target, 2500, self.version)
         sent_at = clock.now()
         body = {"set": {"routes": [changed]}, "drop": {"routes": []}}
-        answer = self.caller.until_clear("PATCH", "/items", body, CHANGE_TIMEOUT_S)
+        answer = self.caller.until_clear("PATCH", "/items", body, limit_s)
         acknowledged = answer is not None and answer.status == STATUS_OK
-        self.records.changes.append(Change(self.version, sent_at, clock.now() if acknowledged else 0.0))
+        acknowledged_at = clock.now() if acknowledged else 0.0
+        self.records.changes.append(Change(changed["version"], sent_at, acknowledged_at))
+        return acknowledged_at
 
     def evacuate(self, zone: str, seconds: float) -> None:
         """Evacuates a zone and takes that back."""
--- a/mallowvalve/localfleet/deployed/plan.py
+++ b/mallowvalve/localfleet/deployed/plan.py
@@ -40,8 +40,18 @@
     ActKind.RELEASE,
     ActKind.KILL_ALL,
     ActKind.GARBAGE,
+    ActKind.LOSE_REGION,
+    ActKind.ROLL_REGION,
     *START_FAULTS,
 )
+REGION_LOSS_S = (5.0, 9.0)
+REGION_GAP_S = 13.0
+"""From the return of a region to the next act on one: a start and the time to catch up."""
+
+ROLL_S = 8.0
+"""How long a roll of a region's core machines takes, about."""
+
+ROLL_RATIO = 0.25
 
 
 def machine_names(shape: Shape) -> tuple[list[str], list[str]]:
@@ -72,6 +82,25 @@
     return Schedule(SCHEDULE_VERSION, seed, seconds, sorted(acts, key=lambda act: (act.at, act.target)))
 
 
+def draw_region_schedule(shape: Shape, seed: int, seconds: float) -> Schedule:
+    """Draws losses and rolls of whole regions, each region in turn, and no other act: one loss at a time is allowed."""
+    rng = random.Random(f"regions/{seed}")
+    regions = sorted(set(shape.zones.values()))
+    order = rng.sample(regions, len(regions))
+    acts: list[ScheduledAct] = []
+    at = rng.uniform(QUIET_START_S, 6.0)
+    while at <= seconds - QUIET_END_S:
+        region = order[len(acts) % len(order)]
+        if rng.random() < ROLL_RATIO:
+            acts.append(ScheduledAct(round(at, 3), ActKind.ROLL_REGION, region))
+            at += ROLL_S + REGION_GAP_S
+        else:
+            lasts = round(rng.uniform(*REGION_LOSS_S), 3)
+            acts.append(ScheduledAct(round(at, 3), ActKind.LOSE_REGION, region, lasts))
+            at += lasts + REGION_GAP_S
+    return Schedule(SCHEDULE_VERSION, seed, seconds, acts)
+
+
 def _in_turn(
     rng: random.Random, kind: ActKind, targets: list[str], at: float, gap_s: float, last: float
 ) -> list[ScheduledAct]:
@@ -98,7 +127,7 @@
     if schedule.version != SCHEDULE_VERSION:
         return Err([Finding("version", f"{schedule.version}, this program plays {SCHEDULE_VERSION}")])
     core, edge = machine_names(shape)
-    known = {*core, *edge, *shape.services, *shape.zones, EVERYTHING}
+    known = {*core, *edge, *shape.services, *shape.zones, *shape.zones.values(), EVERYTHING}
     found: Findings = []
     for index, act in enumerate(schedule.acts):
         if act.target not in known:
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -184,6 +184,25 @@
     acknowledged_at: float
 
 
+class RegionLoss(msgspec.Struct, frozen=True):
+    """A region whose machines were all killed; a change that was sent `asked_at` was acknowledged, or not (0.0)."""
+
+    region: str
+    at: float
+    asked_at: float
+    acknowledged_at: float
+    ready_at: float
+
+
+class VoterPlaces(msgspec.Struct, frozen=True):
+    """The voters and the members of the core in each region, while all run; no voters if nobody answered."""
+
+    after: str
+    at: float
+    voters: dict[str, int]
+    members: dict[str, int]
+
+
 class FinalState(msgspec.Struct):
     """What was read back at the end; None where no answer came in time.
 
@@ -217,4 +236,6 @@
     holds: list[LockHold] = []
     watches: list[WatchAnswer] = []
     changes: list[Change] = []
+    region_losses: list[RegionLoss] = []
+    voter_places: list[VoterPlaces] = []
     final: FinalState = msgspec.field(default_factory=FinalState)
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -17,6 +17,7 @@
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
 from mallowvalve.localfleet.deployed.operator import Operator
 from mallowvalve.localfleet.deployed.records import Kill, Records, SlowStart, Stop
+from mallowvalve.localfleet.deployed.region_acts import RegionActs
 from mallowvalve.localfleet.deployed.start_faults import kill_and_hinder_start
 from mallowvalve.localfleet.deployed.upstream import StandinUpstream
 from mallowvalve.localfleet.deployed.watch import Watch, answers_readiness
@@ -51,6 +52,9 @@
         self._serving = Group()
         self._reserved: set[str] = set()
         self._stopping: set[str] = set()
+        self.regions = RegionActs(
+            fleet, self.records, self.operator, self._rng("regions"), self._start_again, self._stop
+        )
 
     def _rng(self, name: str) -> random.Random:
         return random.Random(f"deployed/{self.schedule.seed}/{name}")
@@ -72,6 +76,7 @@
         began = clock.now()
         end = began + self.schedule.seconds
         load = self._start_load(end)
+        self.regions.ends_at = end
         with ProcessorShare(self.fleet.machines, self.share, PERIOD_S, self._rng("share")):
             acts = Group()
             for act in self.schedule.acts:
@@ -142,6 +147,10 @@
                 self.operator.evacuate(act.target, act.lasts)
             case ActKind.RELEASE:
                 self._release(act.target)
+            case ActKind.LOSE_REGION:
+                self.regions.lose(act.target, act.lasts)
+            case ActKind.ROLL_REGION:
+                self.regions.roll(act.target)
 
     def _machine(self, name: str) -> Machine:
         return next(machine for machine in self.fleet.machines if machine.name == name)
--- a/mallowvalve/localfleet/schedule.py
+++ b/mallowvalve/localfleet/schedule.py
@@ -39,6 +39,8 @@
     LATE_END = "late-end"
     PORTS_HELD = "ports-held"
     GARBAGE = "garbage"
+    LOSE_REGION = "lose-region"
+    ROLL_REGION = "roll-region"
 
 
 PLANNED_KINDS = frozenset({ActKind.STOP, ActKind.RELOAD, ActKind.EVACUATE, ActKind.HOMES, ActKind.RELEASE})
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
@@ -16,7 +17,14 @@
 from mallowvalve.cli import main
 from mallowvalve.localfleet.deployed import judge, judge_coordination, watch
 from mallowvalve.localfleet.deployed.machines import Fleet
-from mallowvalve.localfleet.deployed.plan import PLAYED_KINDS, START_FAULTS, draw_schedule, load_schedule
+from mallowvalve.localfleet.deployed.plan import (
+    PLAYED_KINDS,
+    REGION_GAP_S,
+    START_FAULTS,
+    draw_region_schedule,
+    draw_schedule,
+    load_schedule,
+)
 from mallowvalve.localfleet.deployed.records import (
     Change,
     FinalState,
@@ -30,11 +38,13 @@
     NumberDrawn,
     OwnEnd,
     Records,
+    RegionLoss,
     RequestEnd,
     RequestRecord,
     Run,
     SlowStart,
     Stop,
+    VoterPlaces,
     WatchAnswer,
 )
 from mallowvalve.localfleet.deployed.shape import Shape, check_shape, load_deploy_file, load_shape
@@ -44,6 +54,7 @@
 ROOT = Path(__file__).parent.parent
 SHAPE_FILE = ROOT / "examples/hostsoak.json"
 SHAPE = load_shape(SHAPE_FILE).unwrap()
+NINE = load_shape(ROOT / "examples/hostsoak-nine.json").unwrap()
 GRACE_S = 6.0
 
 
@@ -83,6 +94,11 @@
     holds=[LockHold("l", "x", 1.0, 1.1, 2.0, 5), LockHold("l", "y", 2.0, 2.1, 3.0, 6)],
     watches=[WatchAnswer("w", "g.", 2, 3, 200, 1.0, [("g.k", 3, "v")]), WatchAnswer("w", "g.", 1, 0, 410, 30.0, [])],
     changes=[Change(4, 1.0, 2.0), Change(5, 3.0, 0.0)],
+    region_losses=[RegionLoss("eu", 30.0, 34.0, 34.1, 40.0)],
+    voter_places=[
+        VoterPlaces("eu was lost", 46.0, {"eu": 1, "us": 2, "ap": 2}, {"eu": 3, "us": 3, "ap": 3}),
+        VoterPlaces("eu was lost", 46.0, {"eu": 4, "us": 1}, {"eu": 5, "us": 1}),
+    ],
     final=FinalState(4, {"g.k": 4}, {"n": 10}, {"l": 7}, {"w": 200}),
 )
 
@@ -92,6 +108,9 @@
 
 
 BREACHES = {
+    "ACKS region lost": {"region_losses": [RegionLoss("eu", 30.0, 34.0, 0.0, 40.0)]},
+    "SPREAD nobody answers": {"voter_places": [VoterPlaces("eu was lost", 46.0, {}, {"eu": 3, "us": 3})]},
+    "SPREAD uneven": {"voter_places": [VoterPlaces("", 46.0, {"eu": 3, "us": 2}, {"eu": 3, "us": 3, "ap": 3})]},
     "LOST passed on": {"requests": [lost(first=False)]},
     "LOST first": {"requests": [lost(id="new")]},
     "LOST late": {"requests": [lost(id="kept", first=False, ended_at=10.4)]},
@@ -180,15 +199,29 @@
 
 def test_trouble_hinders_starts_kills_all_and_sends_made_up_input():
     kinds = {act.kind for seed in range(5) for act in draw_schedule(SHAPE, seed, 60.0, True).acts}
-    assert kinds == set(PLAYED_KINDS)
+    assert kinds == set(PLAYED_KINDS) - {ActKind.LOSE_REGION, ActKind.ROLL_REGION}
     planned = {act.kind for act in draw_schedule(SHAPE, 1, 60.0, False).acts}
     assert not planned & {*START_FAULTS, ActKind.KILL, ActKind.KILL_ALL, ActKind.GARBAGE}
 
 
+def test_regions_are_lost_and_rolled_in_turn_and_nothing_else_is_done():
+    """A loss of two regions at once, or of a region and a machine, is more than the core has to survive."""
+    kinds = set()
+    for seed in range(5):
+        acts = draw_region_schedule(NINE, seed, 120.0).acts
+        kinds |= {act.kind for act in acts}
+        assert {act.target for act in acts} == set(NINE.zones.values())
+        assert all(later.at >= earlier.at + earlier.lasts + REGION_GAP_S for earlier, later in pairwise(acts))
+    assert kinds == {ActKind.LOSE_REGION, ActKind.ROLL_REGION}
+
+
 def test_a_saved_schedule_is_played_as_it_was_drawn(tmp_path):
-    drawn = draw_schedule(SHAPE, 5, 60.0, trouble=True)
-    save_schedule(drawn, tmp_path / "schedule.json")
-    assert load_schedule(tmp_path / "schedule.json", SHAPE).unwrap() == drawn
+    for shape, drawn in (
+        (SHAPE, draw_schedule(SHAPE, 5, 60.0, trouble=True)),
+        (NINE, draw_region_schedule(NINE, 5, 60.0)),
+    ):
+        save_schedule(drawn, tmp_path / "schedule.json")
+        assert load_schedule(tmp_path / "schedule.json", shape).unwrap() == drawn
 
 
 @pytest.mark.parametrize(
