The explorer loses a region: voters that stay where they went are noticed

Cause: the explorer's members had one place, and its paths no loss of a region.

Meanwhile somebody has to lead, and 4 s after its return the voters have to be spread evenly. teeth takes the exchange of voters out. The options for the kind of members share one parameter.

--- a/tests/test_verification_explorer.py
+++ b/tests/test_verification_explorer.py
@@ -13,10 +13,11 @@
 from verification.bounds import RANDOM_WALK, UNBOUNDED, Bounds
 from verification.cluster import Cluster, ImpossibleError
 from verification.control_cluster import ControlCluster
-from verification.control_faults import CONTROL_BOUNDS, WATCHING_BOUNDS
+from verification.control_faults import CONTROL_BOUNDS, REGION_BOUNDS, WATCHING_BOUNDS
 from verification.disk import WHOLE_WRITE_THOUSANDTHS, PowerLossDisk, PowerLossError
 from verification.explorer import breadth_first, numbered_lines, random_walk, random_walks, replay
 from verification.faults import CHANGING_BOUNDS, FAULTS, WIPING_BOUNDS
+from verification.region_cluster import REGION_WEIGHTS, RegionCluster
 from verification.scheduler import StepScheduler
 
 BREADTH_FIRST_SEARCHES = {
@@ -59,6 +60,14 @@
     assert runs[0].complete and not runs[0].broken and runs[0].depth > 8
 
 
+@pytest.mark.parametrize("spares", [1, 3, 6])
+def test_random_walks_with_lost_regions_find_no_violation(spares):
+    """Guards against voters that stay where they went when a region was lost (review/6)."""
+    result = random_walks(replace(REGION_BOUNDS, spares=spares), range(4), 60, RegionCluster, REGION_WEIGHTS)
+    assert (result.broken, result.trace) == ("", [])
+    assert result.coverage["outages"] > 0
+
+
 @pytest.mark.parametrize("name", RANDOM_SEARCHES)
 def test_random_walks_find_no_violation_and_cover_every_kind_of_event(name):
     bounds, seeds, length = RANDOM_SEARCHES[name]
@@ -188,6 +197,8 @@
 def test_every_kind_of_step_is_reached_and_survives_its_encoding():
     applied = [step for seed in range(20) for step in random_walk(WIPING_BOUNDS, seed, 600).trace]
     applied += random_walk(replace(CONTROL_BOUNDS, spares=1, greetings=UNBOUNDED), 1, 300, ControlCluster).trace
+    for seed in range(4):
+        applied += random_walk(REGION_BOUNDS, seed, 60, RegionCluster, REGION_WEIGHTS).trace
     kinds = Counter(type(step) for step in applied)
     assert set(kinds) == set(steps.Step.__args__)
     assert msgspec.json.decode(msgspec.json.encode(applied), type=list[steps.Step]) == applied
--- a/tests/test_verification_teeth.py
+++ b/tests/test_verification_teeth.py
@@ -1,13 +1,11 @@
 import pytest
 
 from verification import explorer
-from verification.cluster import Cluster
-from verification.control_cluster import ControlCluster
-from verification.control_faults import CONTROL_FAULTS
+from verification.control_faults import CONTROL_FAULTS, REGION_FAULTS
 from verification.explorer import random_walk, random_walks, replay
 from verification.faults import FAULTS
 
-ALL_FAULTS = FAULTS + CONTROL_FAULTS
+ALL_FAULTS = FAULTS + CONTROL_FAULTS + REGION_FAULTS
 
 MAX_SEEDS = 3000
 
@@ -20,8 +18,7 @@
         found = random_walks(fault.bounds, seeds, fault.length, make_cluster, fault.weights)
         assert found.broken.partition(":")[0] in fault.expected_failures
         assert replay(found.trace, fault.bounds, found.seed, make_cluster) == found.broken
-    unmodified_cluster = ControlCluster if fault in CONTROL_FAULTS else Cluster
-    assert random_walk(fault.bounds, found.seed, fault.length, unmodified_cluster, fault.weights).broken == ""
+    assert random_walk(fault.bounds, found.seed, fault.length, fault.intact_class, fault.weights).broken == ""
 
 
 def test_fault_names_are_unique():
--- a/verification/__main__.py
+++ b/verification/__main__.py
@@ -14,12 +14,17 @@
 from verification.bounds import UNBOUNDED, Bounds
 from verification.cluster import Cluster, ImpossibleError
 from verification.control_cluster import ControlCluster
-from verification.control_faults import CONTROL_FAULTS
+from verification.control_faults import CONTROL_FAULTS, REGION_FAULTS
 from verification.explorer import SearchResult, breadth_first, numbered_lines, random_walks, replay
 from verification.faults import FAULTS
+from verification.region_cluster import REGION_WEIGHTS, RegionCluster
+from verification.scheduler import STEP_WEIGHTS
 
 BREADTH = "breadth"
 RANDOM = "random"
+CONTROL = "control"
+REGIONS = "regions"
+CLUSTERS: dict[str | None, type[Cluster]] = {None: Cluster, CONTROL: ControlCluster, REGIONS: RegionCluster}
 DEFAULT_BOUNDS = Bounds()
 OPTIONS_WITHOUT_COUNT = ("members", "spares", "led", "contested", "shared_clock")
 COUNT_OPTIONS = [name for name in Bounds.__struct_fields__ if name not in OPTIONS_WITHOUT_COUNT]
@@ -45,7 +50,8 @@
 @click.option("--led", is_flag=True, help="start with an elected leader")
 @click.option("--contested", is_flag=True, help="start with two candidates of the first term")
 @click.option("--shared-clock", is_flag=True, help="one clock for all, so that leases hold; else each has its own")
-@click.option("--control", is_flag=True, help="random: whole control machines on one clock, with callers and leases")
+@click.option("--control", "level", flag_value=CONTROL, help="random: whole control machines, callers and leases")
+@click.option("--regions", "level", flag_value=REGIONS, help="random: these in regions, of which one is lost at times")
 @bounds_options
 @click.option("--states", type=click.IntRange(1), default=50_000, show_default=True, help="breadth first: most states")
 @click.option("--depth", type=click.IntRange(1), default=1000, show_default=True, help="most steps of a path")
@@ -55,12 +61,12 @@
     "--seconds", type=float, help="random: begin no seed after so long; the verdict then depends on the machine"
 )
 @click.option("--out", type=click.Path(path_type=Path), help="file for the trace of a failure")
-def explore(mode, control, states, depth, first, seeds, seconds, out, **limits) -> None:
+def explore(mode, level, states, depth, first, seeds, seconds, out, **limits) -> None:
     """Search states, breadth first or along random paths; exits with 1 where a check fails."""
     unbounded = mode == RANDOM
-    if control and not unbounded:
-        raise click.UsageError("--control needs --mode random: its states have no identity")
-    limits["shared_clock"] = limits["shared_clock"] or control
+    if level is not None and not unbounded:
+        raise click.UsageError("--control and --regions need --mode random: their states have no identity")
+    limits["shared_clock"] = limits["shared_clock"] or level is not None
     counts = {name: limits.pop(name) for name in COUNT_OPTIONS}
     counts = {name: _count(name, value, unbounded) for name, value in counts.items()}
     bounds = Bounds(**limits, **counts)
@@ -70,18 +76,25 @@
     else:
         deadline = started_at + seconds if seconds else float("inf")
         numbers = (seed for seed in range(first, first + seeds) if time.monotonic() < deadline)
-        result = random_walks(bounds, numbers, depth, ControlCluster if control else Cluster)
+        weights = REGION_WEIGHTS if level == REGIONS else STEP_WEIGHTS
+        result = random_walks(bounds, numbers, depth, CLUSTERS[level], weights)
     report(result, time.monotonic() - started_at)
     if result.broken:
         if out is not None:
-            traces.write_trace(out, traces.RecordedTrace(bounds, result.seed, result.trace, result.broken, control))
+            kinds = level == CONTROL, level == REGIONS
+            recorded = traces.RecordedTrace(bounds, result.seed, result.trace, result.broken, *kinds)
+            traces.write_trace(out, recorded)
         sys.exit(1)
 
 
 def _count(name: str, value: int | None, unbounded: bool) -> int:
     if value is not None:
         return value
-    return UNBOUNDED if unbounded and name not in ("changes", "wipes", "greetings") else getattr(DEFAULT_BOUNDS, name)
+    return (
+        UNBOUNDED
+        if unbounded and name not in ("changes", "wipes", "greetings", "outages")
+        else getattr(DEFAULT_BOUNDS, name)
+    )
 
 
 def report(result: SearchResult, seconds: float) -> None:
@@ -107,7 +120,7 @@
     """Take the steps of a trace that `explore --out` wrote; exits with 1 where it still fails."""
     try:
         recorded = traces.read_trace(file)
-        make_cluster = ControlCluster if recorded.control else Cluster
+        make_cluster = CLUSTERS[REGIONS if recorded.regions else CONTROL if recorded.control else None]
         broken = replay(recorded.steps, recorded.bounds, recorded.seed, make_cluster)
     except (msgspec.DecodeError, ImpossibleError) as error:
         raise click.ClickException(f"{file}: {error}") from None
@@ -123,7 +136,7 @@
 def teeth(seeds, names) -> None:
     """Take each protection out in turn (or those whose name holds one of NAMES) and count states to a failure."""
     unnoticed_count = 0
-    for fault in FAULTS + CONTROL_FAULTS:
+    for fault in FAULTS + CONTROL_FAULTS + REGION_FAULTS:
         if names and not any(name in fault.name for name in names):
             continue
         started_at = time.monotonic()
--- a/verification/bounds.py
+++ b/verification/bounds.py
@@ -29,6 +29,7 @@
     compactions: int = 0
     handovers: int = 0
     passes: int = 0
+    outages: int = 0
     shared_clock: bool = False
     led: bool = False
     contested: bool = False
--- a/verification/cluster.py
+++ b/verification/cluster.py
@@ -317,6 +317,9 @@
     def _here_options(self) -> Iterator[steps.Step]:
         yield from ()
 
+    def _outage_options(self) -> Iterator[steps.Step]:
+        yield from ()
+
     def _read_options(self) -> Iterator[steps.Step]:
         yield from (
             steps.RequestRead(member.id) for member in self.idle_leaders("reads") if member.raft.committed_in_term
--- a/verification/control_faults.py
+++ b/verification/control_faults.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from mallowvalve.control import lease
+from mallowvalve.control import lease, reconfiguration
 from mallowvalve.control.core import Core
 from mallowvalve.control.outcome import Code, Outcome
 from mallowvalve.control.sessions import Origin, SessionOutcome, Sessions
@@ -16,11 +16,15 @@
 from verification.bounds import RANDOM_WALK, UNBOUNDED
 from verification.control_cluster import ControlCluster
 from verification.faults import STALE_READ, STATE_MACHINE_SAFETY, Fault
+from verification.region_cluster import REGION_PATH_STEPS, REGION_WEIGHTS, RegionCluster
 
 CONTROL_BOUNDS = replace(RANDOM_WALK, shared_clock=True, passes=UNBOUNDED)
 WATCHING_BOUNDS = replace(CONTROL_BOUNDS, crashes=0, compactions=0, reads=0, repeats=0)
 CALLING_BOUNDS = replace(CONTROL_BOUNDS, reads=0, repeats=0)
+REGION_BOUNDS = replace(CONTROL_BOUNDS, spares=1, greetings=UNBOUNDED, outages=UNBOUNDED)
 AT_MOST_ONCE = "once"
+UNEVEN_VOTERS = "uneven voters"
+NO_MAJORITY = "no majority"
 NOT_AFTER = "not after"
 STALE_WATCH = "stale watch"
 NO_WATCH_LAG = ((lease, "MAX_WATCH_LAG_ENTRIES", 0),)
@@ -79,6 +83,10 @@
     return core.raft is not None and core.raft.leads
 
 
+def _no_exchange(*_args: object) -> None:
+    """Finds no exchange of voters for the better."""
+
+
 def _fault(
     name: str, expected_failures: tuple[str, ...], *patches: tuple[Any, str, Any], bounds=CALLING_BOUNDS
 ) -> Fault:
@@ -126,3 +134,15 @@
         bounds=CONTROL_BOUNDS,
     ),
 )
+
+REGION_FAULTS = (
+    Fault(
+        "voters are spread again after a loss",
+        (UNEVEN_VOTERS, NO_MAJORITY),
+        patches=((reconfiguration, "better_exchange", _no_exchange),),
+        bounds=REGION_BOUNDS,
+        cluster_class=RegionCluster,
+        length=REGION_PATH_STEPS,
+        weights=REGION_WEIGHTS,
+    ),
+)
--- a/verification/control_member.py
+++ b/verification/control_member.py
@@ -77,10 +77,15 @@
         """Returns the snapshot that all members start from."""
         return initial_snapshot(group, voters, None)
 
+    @classmethod
+    def locality_of(cls, name: str) -> Locality:
+        """Returns the place of a member: the same for all."""
+        return LOCALITY
+
     def _start(self, disk: PowerLossDisk) -> None:
         self.disk_log = DiskLog.open(disk, FLEET, self.id).unwrap()
         loaded = store.load(self.disk_log).unwrap()
-        self.core = Core(self.id, address(self.id), LOCALITY, self.rng, ACKS, TIMINGS)
+        self.core = Core(self.id, address(self.id), self.locality_of(self.id), self.rng, ACKS, TIMINGS)
         self.core.start(loaded.snapshot, loaded.hard, loaded.entries, self.now)
         self.raft: Raft = self.core.raft
         self.highest_applied, self.pending_save, self.configuration_before_step = 0, None, None
--- a/verification/faults.py
+++ b/verification/faults.py
@@ -240,6 +240,11 @@
                 stack.enter_context(patch.object(owner, name, method))
             yield lambda bounds, seed=None: self.cluster_class(bounds, raft_class=self.raft_class, seed=seed)
 
+    @property
+    def intact_class(self) -> type[Cluster]:
+        """The class of the cluster in which nothing was removed."""
+        return next(kind for kind in self.cluster_class.__mro__ if kind.__module__ != __name__)
+
 
 ELECTION_SAFETY = "election safety"
 LOG_MATCHING = "log matching"
--- a/verification/steps.py
+++ b/verification/steps.py
@@ -115,6 +115,12 @@
     member: str
 
 
+class LoseRegion(msgspec.Struct, frozen=True, tag="outage"):
+    """All becomes calm, then all members of a region lose power at once, and come back some seconds later."""
+
+    region: str
+
+
 Step = (
     Timeout
     | PassTime
@@ -131,6 +137,7 @@
     | ChangeConfiguration
     | TransferLeadership
     | CompactLog
+    | LoseRegion
 )
 Trace = list[Step]
 
--- a/verification/trace.py
+++ b/verification/trace.py
@@ -14,7 +14,7 @@
     """A trace with everything that a replay needs.
 
     `seed` is the seed of the members' random numbers, or None. `control` selects control-plane members instead of Raft
-    alone.
+    alone, `regions` those in regions of which one is lost at times.
     """
 
     bounds: Bounds
@@ -22,6 +22,7 @@
     steps: list[Step]
     broken: str = ""
     control: bool = False
+    regions: bool = False
 
 
 def write_trace(path: Path, recorded: RecordedTrace) -> None:
