--- a/mallowvalve/client_watch.py
+++ b/mallowvalve/client_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, Protocol
 
@@ -66,7 +67,7 @@
         readable.start(waiter.switch, WaitResult.READABLE)
         client_event.start(waiter.switch, WaitResult.CLIENT_LEFT)
         timer.start(waiter.switch, WaitResult.TIMED_OUT)
-        result = waiter.get()
+        result: WaitResult = waiter.get()
         if result is WaitResult.CLIENT_LEFT and not client.client_left():
             client_event.stop()
             waiter.clear()
@@ -86,7 +87,7 @@
 
     __slots__ = ("_socket", "_client", "_seconds_left")
 
-    def __init__(self, upstream: socket.socket, client: ClientConnection, seconds_left):
+    def __init__(self, upstream: socket.socket, client: ClientConnection, seconds_left: Callable[[], float]):
         """`seconds_left()` returns how long a read may wait."""
         self._socket, self._client, self._seconds_left = upstream, client, seconds_left
 
@@ -97,7 +98,8 @@
                 raise ClientLeftError("the client closed its connection")
             case WaitResult.TIMED_OUT:
                 raise TimeoutError("the upstream sent nothing before the deadline")
-        return self._socket.recv(size)
+        data: bytes = self._socket.recv(size)
+        return data
 
     def close(self) -> None:
         """Closes the upstream's socket."""
--- a/mallowvalve/connection_close.py
+++ b/mallowvalve/connection_close.py
@@ -42,7 +42,8 @@
     while (seconds_left := end() - clock.now()) > 0:
         sock.settimeout(min(seconds_left, END_POLL_S))
         try:
-            return sock.recv(DISCARDED_PART_BYTES)
+            data: bytes = sock.recv(DISCARDED_PART_BYTES)
         except TimeoutError:
             continue
+        return data
     return b""
--- a/mallowvalve/control/api.py
+++ b/mallowvalve/control/api.py
@@ -9,7 +9,7 @@
 from mallowvalve import web
 from mallowvalve.control import http_submission
 from mallowvalve.control.outcome import Code
-from mallowvalve.control.state import Change, Evacuate, ReplicatedSettings, Strike, encode
+from mallowvalve.control.state import Change, Evacuate, ReplicatedState, Strike, encode
 from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import CommandResponse
 from mallowvalve.finding import Finding
@@ -27,24 +27,25 @@
         """Creates the pages of a control process."""
         self.task = task
 
-    def confirm(self, req: falcon.Request, resp: falcon.Response) -> ReplicatedSettings | None:
-        """Returns the settings with all changes acknowledged before this call; None after a rejection was sent."""
+    def confirm(self, req: falcon.Request, resp: falcon.Response) -> ReplicatedState | None:
+        """Returns the state with all changes acknowledged before this call; None after a rejection was sent."""
         if not http_submission.accept_or_redirect(self.task, req, resp):
             return None
         response = self.task.read(2.0)
         state = self.task.core.state
         if response.code == Code.OK and state is not None:
-            return state.settings
+            return state
         self.reject(req, resp, response)
         return None
 
     def offer(self, req: falcon.Request, resp: falcon.Response, command: Change | Evacuate | Strike) -> None:
         """Offers a command and responds with its outcome."""
         if not http_submission.accept_or_redirect(self.task, req, resp):
-            return None
+            return
         response = http_submission.offer(self.task, req, encode(command), REQUEST_TIMEOUT_S, ATTEMPT_TIMEOUT_S)
         if response.code != Code.OK:
-            return self.reject(req, resp, response)
+            self.reject(req, resp, response)
+            return
         web.send_json(resp, {"revision": response.revision, "in_force": True})
 
     def key(self, req: falcon.Request, resp: falcon.Response) -> str | None:
--- a/mallowvalve/control/bootstrap.py
+++ b/mallowvalve/control/bootstrap.py
@@ -48,7 +48,7 @@
 
     __slots__ = ("_key", "_since")
 
-    def __init__(self):
+    def __init__(self) -> None:
         """Creates a stabilizer without a decision."""
         self._key: object = None
         self._since = 0.0
@@ -67,15 +67,15 @@
 def decide(me: ProcessStatus, answers: list[ProcessStatus], first_generation: int, nothing_committed: bool) -> Decision:
     """Decides from the statuses of others and of this process, which may know more than all of them."""
     known = [status for status in [*answers, me] if status.group is not None and status.voters is not None]
-    best = max(known, key=lambda status: (status.group.generation, status.index), default=None)
+    best = max(known, key=lambda status: (status.generation, status.index), default=None)
     if best is None:
         return _decide_first_group(me, answers, first_generation) if me.blank else NoAction("alone")
-    if me.group is not None and best.group.generation == me.group.generation:
-        same_generation = [status for status in known if status.group.generation == me.group.generation]
+    if me.group is not None and best.generation == me.generation:
+        same_generation = [status for status in known if status.generation == me.generation]
         strangers = [status for status in same_generation if status.group != me.group]
         if strangers and nothing_committed and any(other.role == "control" and other.leader for other in strangers):
             return WipeState()
-        is_member = me.id in best.voters.all_voters()
+        is_member = me.id in best.configuration.all_voters()
         return NoAction("member") if is_member else _decide_new_group(me, answers, known, best)
     return _decide_join(me, known, best) or (
         _decide_new_group(me, answers, known, best) if me.blank else NoAction("behind")
@@ -109,9 +109,9 @@
 def _decide_join(me: ProcessStatus, known: list[ProcessStatus], best: ProcessStatus) -> Decision | None:
     members = [status for status in known if status.group == best.group and status.role == "control"]
     for member in members:
-        if member.voters.address(me.id) is not None:
+        if member.configuration.address(me.id) is not None:
             return JoinGroup(member)
-    if members and not me.blank and me.group.generation < best.group.generation:
+    if members and not me.blank and me.generation < best.generation:
         return WipeState()
     return None
 
@@ -122,13 +122,13 @@
     """Founds a new generation if a majority of each voter set of the newest configuration came back empty."""
     control = [status for status in [*answers, me] if status.role == "control"]
     alive, by_address = {status.id for status in control}, {status.addr: status for status in control}
-    voters = best.voters.voters
+    voters = best.configuration.voters
     lost = {
         member: by_address[address]
-        for member, address in best.voters.all_voters().items()
+        for member, address in best.configuration.all_voters().items()
         if member not in alive and address in by_address
     }
-    for voter_set in (voters, best.voters.old_voters):
+    for voter_set in (voters, best.configuration.old_voters):
         empty = len(voter_set.keys() & lost.keys())
         if voter_set and 2 * empty <= len(voter_set):
             return NoAction(f"{empty} of {len(voter_set)} voters came back empty")
@@ -136,7 +136,7 @@
     if founder != me.addr:
         return NoAction(f"{founder} founds a new generation")
     new_voters = {(lost[member].id if member in lost else member): address for member, address in voters.items()}
-    return FoundGroup(best.group.generation + 1, ClusterConfiguration(new_voters), *sources(known, best))
+    return FoundGroup(best.generation + 1, ClusterConfiguration(new_voters), *sources(known, best))
 
 
 def sources(known: list[ProcessStatus], best: ProcessStatus) -> tuple[ProcessStatus, ProcessStatus | None]:
--- a/mallowvalve/control/bootstrap_task.py
+++ b/mallowvalve/control/bootstrap_task.py
@@ -6,10 +6,13 @@
 import random
 import time
 import uuid
+from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 import msgspec
 from gevent.event import AsyncResult
+from gevent.lock import RLock
 from result import Err, Ok, Result
 
 from mallowvalve import clock
@@ -24,13 +27,16 @@
     roster_majority_answered,
     sources,
 )
+from mallowvalve.control.core import Core
 from mallowvalve.control.leave import Leave
 from mallowvalve.control.snapshot import initial_snapshot
-from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, CURRENT_SNAPSHOT, SETTINGS_SNAPSHOT
+from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, CURRENT_SNAPSHOT, SETTINGS_SNAPSHOT, SnapshotExchange
 from mallowvalve.control.state import ReplicatedState
 from mallowvalve.membership.wire import ALIVE
 from mallowvalve.metrics import log_event
+from mallowvalve.node import Node
 from mallowvalve.raft.messages import ClusterConfiguration, GroupId, HardState, RaftSnapshot
+from mallowvalve.storage.log import DiskLog
 from mallowvalve.types import Address
 
 FOUNDING_INTERVAL_S = 0.5
@@ -52,12 +58,31 @@
     return max(1, int(time.time() - GENERATION_EPOCH_S) // SECONDS_PER_GENERATION)
 
 
+class ControlProcess(Protocol):
+    """The process that the task founds or joins a group for: `control.task.ControlTask`, whose members these are."""
+
+    node: Node
+    core: Core
+    disk_log: DiskLog
+    disk_lock: RLock
+    snapshot_exchange: SnapshotExchange
+
+    def post(self, event: Callable[[float], object]) -> None:
+        """Queues an event, which the event loop calls with the time (s)."""
+
+    def persist(self, write: Callable[[], object]) -> None:
+        """Runs a disk write until it succeeds."""
+
+    def process_status(self) -> wire.ProcessStatus:
+        """Returns the status of this process."""
+
+
 class BootstrapTask:
     """Queries other processes, and founds or joins a group or wipes the state as `bootstrap.decide` returns."""
 
     __slots__ = ("control", "_stabilizer", "_state_holders")
 
-    def __init__(self, control):
+    def __init__(self, control: ControlProcess):
         """Creates the task of a control process, whose loop runs `run`."""
         self.control, self._stabilizer = control, DecisionStabilizer()
         self._state_holders: dict[Address, float] = {}
@@ -136,34 +161,33 @@
             self._start_from(initial_snapshot(group, decision.voters, base), None)
         elif isinstance(decision, JoinGroup):
             pulled = self.control.snapshot_exchange.fetch(decision.source.addr, BASE_SNAPSHOT)
-            if pulled.is_ok():
+            if isinstance(pulled, Ok):
                 self._start_from(*pulled.ok_value)
         elif isinstance(decision, WipeState):
             self._wipe()
 
-    def found_new_group(self) -> Result[FoundGroup, str]:
-        """Founds a new generation on an operator's request, without proof that the old voters are lost for good."""
+    def found_new_group(self) -> Result[tuple[FoundGroup, wire.ProcessStatus], str]:
+        """Founds a new generation on an operator's request, without proof that the old voters are lost for good.
+
+        Returns what was founded, and whose state it was founded from.
+        """
         if self.control.core.raft is not None:
             return Err("this control process belongs to a group: ask one that is blank")
         answers = self._query_all()
         known = [status for status in answers if status.group is not None and status.voters is not None]
         if not known:
             return Err("nobody who answers holds a state")
-        best = max(known, key=lambda status: (status.group.generation, status.index))
-        decision = FoundGroup(
-            best.group.generation + 1,
-            ClusterConfiguration({self.control.core.id: self.control.node.settings.transport}),
-            *sources(known, best),
-        )
+        best = max(known, key=lambda status: (status.generation, status.index))
+        source, settings_source = sources(known, best)
+        voters = ClusterConfiguration({self.control.core.id: self.control.node.settings.transport})
+        decision = FoundGroup(best.generation + 1, voters, source, settings_source)
         base = self._fetch_base_state(decision)
         if base is None:
-            return Err(f"{decision.base.addr} did not hand over its state")
+            return Err(f"{source.addr} did not hand over its state")
         group = GroupId(decision.generation, uuid.uuid4().hex[:ID_LENGTH])
-        log_event(
-            "founding_by_operator", generation=decision.generation, base=str(decision.base.addr), index=base.index
-        )
+        log_event("founding_by_operator", generation=decision.generation, base=str(source.addr), index=base.index)
         self._start_from(initial_snapshot(group, decision.voters, base), None)
-        return Ok(decision)
+        return Ok((decision, source))
 
     def _fetch_base_state(self, decision: FoundGroup) -> ReplicatedState | None:
         base, settings = self._fetch_state(decision.base), self._fetch_state(decision.settings_source)
@@ -179,15 +203,16 @@
         pulled = self.control.snapshot_exchange.fetch(
             source.addr, what, lambda label: (label.group, label.index) >= minimum
         )
-        return pulled.ok_value[1] if pulled.is_ok() else None
+        return pulled.ok_value[1] if isinstance(pulled, Ok) else None
 
     def _start_from(self, snapshot: RaftSnapshot, state: ReplicatedState | None) -> None:
-        done = AsyncResult()
+        done: AsyncResult[bool] = AsyncResult()
 
         def start(now: float) -> None:
             raft = self.control.core.raft
             if raft is not None and raft.group.generation >= snapshot.group.generation:
-                return done.set(False)
+                done.set(False)
+                return
             with self.control.disk_lock:
                 log_head = store.encode_log_head(HardState(snapshot.group, 0, ""), [])
                 self.control.persist(lambda: store.restart_log(self.control.disk_log, snapshot, log_head))
@@ -199,7 +224,7 @@
             log_event("joined", generation=snapshot.group.generation, index=snapshot.index)
 
     def _wipe(self) -> None:
-        done = AsyncResult()
+        done: AsyncResult[bool] = AsyncResult()
 
         def wipe(now: float) -> None:
             new_id = uuid.uuid4().hex[:ID_LENGTH]
@@ -217,7 +242,8 @@
         begun, leave = clock.now(), Leave(self.control.core.id)
         while clock.now() - begun < limit:
             control = [record.addr for record in self.control.node.membership.alive("control") if record.state == ALIVE]
-            others = {*control, self.control.core.leader()} - {None, self.control.node.settings.transport}
+            leader = self.control.core.leader()
+            others = {*control, *([leader] if leader is not None else [])} - {self.control.node.settings.transport}
             if leave.may_leave(self.control.core.raft, self._query(others, LEAVE_QUERY_TIMEOUT_S), control):
                 break
             self.announce()
--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,7 +13,8 @@
 from mallowvalve.control.fetched_state import FetchedState
 from mallowvalve.control.fleet_clock import FleetClock
 from mallowvalve.control.member_addresses import MemberAddresses
-from mallowvalve.control.outcome import WITHOUT_EFFECT, Code
+from mallowvalve.control.outcome import Code
+from mallowvalve.control.pending_commands import PendingCommands
 from mallowvalve.control.replication import ParkedRequests, ReplicationSource
 from mallowvalve.control.settings_log import SettingsLog
 from mallowvalve.control.snapshot import decode_snapshot, encode_pieces, encode_settings_pieces
@@ -76,8 +76,7 @@
         "members",
         "announcements",
         "clock",
-        "_uncommitted",
-        "_awaiting_replicas",
+        "_pending_commands",
         "parked_requests",
         "_pending_reads",
         "_leadership_begun",
@@ -113,8 +112,7 @@
         self.announcements = self.members.announcements
         self._addresses = MemberAddresses()
         self.replicas = Replicas(locality)
-        self._uncommitted: dict[int, PendingCommand] = {}
-        self._awaiting_replicas: deque[tuple[int, PendingCommand]] = deque()
+        self._pending_commands = PendingCommands()
         self.parked_requests = ParkedRequests(addr)
         self._pending_reads = PendingReads()
         self._leadership_begun = False
@@ -146,7 +144,7 @@
         self._settings_log = SettingsLog(self.state.settings_index)
         self._leadership_begun, self._commit_mark_timer = False, CommitMarkTimer()
         self.clock.restart(self.state.clock, now)
-        self._apply(now)
+        self._apply(self.raft, self.state, now)
         self.decided = []
 
     def stop(self, new_id: str) -> None:
@@ -158,7 +156,9 @@
     @property
     def leads(self) -> bool:
         """Whether this process may answer as the leader: it has applied all that former leaders acknowledged."""
-        return self.raft is not None and self.raft.committed_in_term and self.state.index >= self.raft.term_start_index
+        if self.raft is None or self.state is None:
+            return False
+        return self.raft.committed_in_term and self.state.index >= self.raft.term_start_index
 
     @property
     def nothing_committed(self) -> bool:
@@ -173,15 +173,25 @@
 
     def address_of(self, member: str) -> Address | None:
         """Returns the address of the member, or None if it is unknown."""
-        return self._addresses.lookup(member, self.raft.log.configuration)
+        return self._addresses.lookup(member, self.raft.log.configuration) if self.raft is not None else None
 
     def process_status(self, role: str, seeds: list[Address]) -> ProcessStatus:
         """Returns the status that this process reports to others."""
-        raft, boot, at = self.raft, self.members.boot, self.state.index if self.state else 0
-        blank = (True, None, 0, None, None)
-        held = (False, raft.group, at, raft.log.configuration_at(at), self.leader()) if raft else blank
-        me = (role, self.id, self.addr, self.locality, seeds)
-        return ProcessStatus(*me, *held, boot=boot, leaving=self.members.leaving)
+        raft, at = self.raft, self.state.index if self.state else 0
+        return ProcessStatus(
+            role,
+            self.id,
+            self.addr,
+            self.locality,
+            seeds,
+            blank=raft is None,
+            group=raft.group if raft is not None else None,
+            index=at,
+            voters=raft.log.configuration_at(at) if raft is not None else None,
+            leader=self.leader(),
+            boot=self.members.boot,
+            leaving=self.members.leaving,
+        )
 
     def announcement_targets(self, control: list[Address]) -> list[Address]:
         """Returns where this process announces itself: the leader, or all control processes if no leader is known."""
@@ -203,12 +213,13 @@
 
     def tick(self, now: float) -> None:
         """Advances the time to `now` (s)."""
-        if self.raft is None:
+        raft, state = self.raft, self.state
+        if raft is None or state is None:
             return
-        self.raft.tick(now)
-        due = self._commit_mark_timer.due(self.state.settings_index, self.raft.saved_commit_index, now)
-        self.raft.commit_save_due = due or self.raft.commit_save_due
-        self._advance(now)
+        raft.tick(now)
+        due = self._commit_mark_timer.due(state.settings_index, raft.saved_commit_index, now)
+        raft.commit_save_due = due or raft.commit_save_due
+        self._advance(raft, state, now)
 
     def receive(self, envelope: Envelope, now: float) -> None:
         """Handles a Raft message; messages of another group or for another member are counted and dropped."""
@@ -225,28 +236,31 @@
 
     def propose(self, data: bytes, token: Any, limit: float, now: float) -> None:
         """Proposes a command; its outcome is replied to the token, at `limit` (s) at the latest."""
-        if not self.leads:
+        raft = self.raft
+        if raft is None or not self.leads:
             return self.replies.append((token, CommandResponse(Code.LEADER, leader=self.leader())))
         if not is_command(data):
             return self.replies.append((token, CommandResponse(Code.INVALID, body=UNDECODABLE_FINDINGS)))
-        index = self.raft.propose(COMMAND, data, self.clock.read(now))
+        index = raft.propose(COMMAND, data, self.clock.read(now))
         if index is None:
             return self.replies.append((token, CommandResponse(Code.LEADER)))
         in_settings, mode = changes_settings(data), acknowledgement_mode(data, self._acks)
-        self._uncommitted[index] = PendingCommand(token, self.raft.term, limit, in_settings, mode)
+        self._pending_commands.add(index, PendingCommand(token, raft.term, limit, in_settings, mode))
 
     def read(self, token: Any, limit: float, now: float) -> None:
         """Replies to the token once a majority has confirmed this leader since the request, or at `limit` (s)."""
-        if not self.leads:
+        raft = self.raft
+        if raft is None or not self.leads:
             return self.replies.append((token, CommandResponse(Code.LEADER, leader=self.leader())))
-        confirmation_round = self.raft.request_confirmation_round()
-        self._pending_reads.add(PendingRead(token, confirmation_round, self.raft.commit_index, limit))
+        confirmation_round = raft.request_confirmation_round()
+        self._pending_reads.add(PendingRead(token, confirmation_round, raft.commit_index, limit))
 
     def current(self, now: float) -> bool:
         """Whether the local state is recent enough to serve watches."""
         raft, index = self.raft, self.state.index if self.state is not None else 0
         return (
-            self.may_answer(lease.AnswerKind.WATCH, now)
+            raft is not None
+            and self.may_answer(lease.AnswerKind.WATCH, now)
             and raft.log.term(index) == raft.term
             and index + lease.MAX_WATCH_LAG_ENTRIES >= raft.known_commit_index
         )
@@ -261,9 +275,10 @@
 
     def replicate(self, request: ReplicationRequest, token: Any, now: float) -> None:
         """Handles a replica's request for new entries; the response goes to the token."""
-        if not self.leads:
+        raft = self.raft
+        if raft is None or not self.leads:
             return self.replies.append((token, ReplicationResponse(self.leader())))
-        self.replicas.record_request(request, self.raft.group, self.raft.rounds.round_number + 1, now)
+        self.replicas.record_request(request, raft.group, raft.rounds.round_number + 1, now)
         self.replies += self.parked_requests.park(request, token, now)
 
     def ready(self, now: float) -> Ready | None:
@@ -272,32 +287,32 @@
 
     def saved(self, ready: Ready, now: float) -> None:
         """Continues once all that `ready` returned is on disk."""
+        raft, state = self.raft, self.state
         if ready.snapshot is not None:
-            self.state = self._fetched_state.take(ready.snapshot)
-            self._settings_log = SettingsLog(self.state.settings_index)
-            self.clock.restart(self.state.clock, now)
-        self.raft.saved(ready)
-        self._apply(now)
-        self._advance(now)
+            state = self.state = self._fetched_state.take(ready.snapshot)
+            self._settings_log = SettingsLog(state.settings_index)
+            self.clock.restart(state.clock, now)
+        if raft is None or state is None:
+            return
+        raft.saved(ready)
+        self._apply(raft, state, now)
+        self._advance(raft, state, now)
 
     def snapshot(self) -> tuple[RaftSnapshot, Iterator[bytes]] | None:
         """Returns a snapshot of the current state and an iterator that encodes its pieces lazily; None if blank."""
-        if self.raft is None:
+        raft, state = self.raft, self.state
+        if raft is None or state is None:
             return None
-        if self.state.index < self.raft.log.snapshot_index:
-            return self.raft.log.snapshot, iter(self.raft.log.snapshot.state)
-        return self._snapshot_header(), encode_pieces(self.state)
+        if state.index < raft.log.snapshot_index:
+            return raft.log.snapshot, iter(raft.log.snapshot.state)
+        return _snapshot_header(raft, state), encode_pieces(state)
 
     def settings_snapshot(self) -> tuple[RaftSnapshot, Iterator[bytes]] | None:
         """Returns a snapshot of the settings part of the current state, as `snapshot` does."""
-        if self.raft is None or self.state.index < self.raft.log.snapshot_index:
+        raft, state = self.raft, self.state
+        if raft is None or state is None or state.index < raft.log.snapshot_index:
             return None
-        return self._snapshot_header(), encode_settings_pieces(self.state)
-
-    def _snapshot_header(self) -> RaftSnapshot:
-        """Returns the header of a snapshot of the current state, without pieces."""
-        index, log = self.state.index, self.raft.log
-        return RaftSnapshot(self.raft.group, index, log.term(index), log.configuration_at(index), [])
+        return _snapshot_header(raft, state), encode_settings_pieces(state)
 
     def base_snapshot(self) -> RaftSnapshot | None:
         """Returns the snapshot at which the log begins; None if blank."""
@@ -309,89 +324,64 @@
 
     def compact(self, snapshot: RaftSnapshot) -> None:
         """Drops the log entries that the snapshot covers."""
-        self.raft.log.compact(snapshot)
+        if self.raft is not None:
+            self.raft.log.compact(snapshot)
         self._settings_log.compact(snapshot.index)
 
-    def _apply(self, now: float) -> None:
-        while self.state.index < self.raft.commit_index:
-            entry = self.raft.log.get(self.state.index + 1)
+    def _apply(self, raft: Raft, state: ReplicatedState, now: float) -> None:
+        while state.index < raft.commit_index:
+            entry = raft.log.get(state.index + 1)
             self.clock.observe(entry, now)
-            outcome = self.state.apply(entry.index, entry.at, entry.data if entry.kind == COMMAND else b"")
-            if self.state.settings_index == entry.index:
+            outcome = state.apply(entry.index, entry.at, entry.data if entry.kind == COMMAND else b"")
+            if state.settings_index == entry.index:
                 self._settings_log.add(entry)
                 if command_tag(entry.data) in LOGGED_TAGS:
                     command = decode_command(entry.data)
                     self.decided += [(c, outcome) for c in (command.steps if isinstance(command, Seats) else [command])]
-            pending = self._uncommitted.pop(entry.index, None)
-            if pending is None:
-                continue
-            if pending.term != entry.term:
-                self.replies.append((pending.token, CommandResponse(Code.REPLACED)))
-                continue
-            pending.outcome = outcome
-            pending.required_index = self.state.settings_index if pending.changes_settings else entry.index
-            self._awaiting_replicas.append((entry.index, pending))
-
-    def _advance(self, now: float) -> None:
-        if not self.raft.leads:
+            self.replies += self._pending_commands.record_applied(entry, outcome, state.settings_index)
+
+    def _advance(self, raft: Raft, state: ReplicatedState, now: float) -> None:
+        if not raft.leads:
             if self._leadership_begun:
                 self._fail_all()
             self._leadership_begun = False
             return
         if self.leads and not self._leadership_begun:
             self._leadership_begun, self._roster_command_index = True, 0
-            self.clock.begin_leadership(self.state.clock, now)
+            self.clock.begin_leadership(state.clock, now)
             self.replicas.begin_leadership(now)
         if not self._leadership_begun:
             return
-        self.replicas.observe_settings(self.state.settings, now)
-        self._answer_commands(now)
-        self.replies += self._pending_reads.answer(self.raft.rounds.confirmed, self.state, self.raft.term, now)
-        source = ReplicationSource(self.raft, self.state, self._settings_log, self.replicas, self.clock.read(now))
+        self.replicas.observe_settings(state.settings, now)
+        self.replies += self._pending_commands.answer(self.replicas, now)
+        self.replies += self._pending_reads.answer(raft.rounds.confirmed, state, raft.term, now)
+        source = ReplicationSource(raft, state, self._settings_log, self.replicas, self.clock.read(now))
         self.replies += self.parked_requests.answer(source, now)
-        self._run_maintenance(now)
-
-    def _answer_commands(self, now: float) -> None:
-        keep: deque[tuple[int, PendingCommand]] = deque()
-        for index, pending in self._awaiting_replicas:
-            outcome = pending.outcome
-            if self._is_acknowledged(pending, now):
-                response = CommandResponse(outcome.code, outcome.revision, outcome.body, term=pending.term)
-                self.replies.append((pending.token, response))
-            elif now >= pending.limit:
-                self.replies.append((pending.token, CommandResponse(Code.UNDECIDED, outcome.revision)))
-            else:
-                keep.append((index, pending))
-        self._awaiting_replicas = keep
-        for index in [index for index, pending in self._uncommitted.items() if now >= pending.limit]:
-            self.replies.append((self._uncommitted.pop(index).token, CommandResponse(Code.UNDECIDED)))
-
-    def _is_acknowledged(self, pending: PendingCommand, now: float) -> bool:
-        if pending.acknowledgement == "commit" or pending.outcome.code in WITHOUT_EFFECT:
-            return True
-        if not self.replicas.is_replicated(pending.required_index, now, pending.changes_settings):
-            return False
-        return pending.acknowledgement == "held" or self.replicas.in_force(pending.outcome.revision, now)
+        self._run_maintenance(raft, state, now)
 
-    def _run_maintenance(self, now: float) -> None:
-        if now - self._last_tick_at > TICK_INTERVAL_S and self.state.coordination.has_leases():
+    def _run_maintenance(self, raft: Raft, state: ReplicatedState, now: float) -> None:
+        if now - self._last_tick_at > TICK_INTERVAL_S and state.coordination.has_leases():
             self._last_tick_at = now
-            self.raft.propose(COMMAND, encode(Tick()), self.clock.read(now))
+            raft.propose(COMMAND, encode(Tick()), self.clock.read(now))
         if now - self._last_membership_check_at < reconfiguration.CHECK_INTERVAL_S:
             return
         self._last_membership_check_at = now
-        if self.members.change_voters(self.raft, now, self.clock.read(now)):
+        if self.members.change_voters(raft, now, self.clock.read(now)):
             self.counts.add("raft_changes")
-        if self._roster_command_index > self.raft.commit_index:
+        if self._roster_command_index > raft.commit_index:
             return
         due = self.replicas.next_roster_step if self._acks.settings == "force" else self.replicas.due_roster_steps
-        step = due(self.state.settings, now)
+        step = due(state.settings, now)
         if step is not None:
-            self._roster_command_index = self.raft.propose(COMMAND, encode(step), self.clock.read(now)) or 0
+            self._roster_command_index = raft.propose(COMMAND, encode(step), self.clock.read(now)) or 0
 
     def _fail_all(self) -> None:
-        for pending in [*self._uncommitted.values(), *(waiting for _, waiting in self._awaiting_replicas)]:
-            self.replies.append((pending.token, CommandResponse(Code.UNDECIDED)))
+        self.replies += self._pending_commands.fail()
         self.replies += self._pending_reads.fail()
         self.replies += self.parked_requests.drop()
-        self._uncommitted, self._awaiting_replicas = {}, deque()
+
+
+def _snapshot_header(raft: Raft, state: ReplicatedState) -> RaftSnapshot:
+    """Returns the header of a snapshot of a state that the log reaches, without pieces."""
+    index, log = state.index, raft.log
+    return RaftSnapshot(raft.group, index, log.term(index) or 0, log.configuration_at(index), [])
--- a/mallowvalve/control/frames.py
+++ b/mallowvalve/control/frames.py
@@ -1,4 +1,4 @@
-"""The frames that a control process takes from others: each is decoded and checked here, before it reaches the core.
+"""The frames between control processes: those that arrive are decoded and checked before they reach the core.
 
 What does not decode, or names another sender than the process that opened the connection, raises ValueError: the
 transport counts it and drops the frame.
@@ -11,7 +11,7 @@
 
 from mallowvalve.control import wire
 from mallowvalve.control.core import Core
-from mallowvalve.raft.messages import Envelope, decode_envelope
+from mallowvalve.raft.messages import Envelope, GroupId, Message, decode_envelope, encode, without_snapshot_pieces
 from mallowvalve.transport.task import Transport
 from mallowvalve.types import Address
 
@@ -69,6 +69,17 @@
     on("who", lambda _, body: wire.encode(task.process_status()), inline=True)
 
 
+def send_raft_messages(core: Core, transport: Transport, group: GroupId, messages: list[tuple[str, Message]]) -> None:
+    """Sends Raft messages to the members of a group; one whose receiver has no known address is counted and dropped."""
+    for to, message in messages:
+        address = core.address_of(to)
+        if address is None:
+            transport.counts.add("raft_unaddressed")
+            continue
+        envelope = Envelope(group, core.id, to, core.addr, without_snapshot_pieces(message))
+        transport.cast(address, "raft", encode(envelope))
+
+
 def require_sender(sender: Address, named: Address) -> None:
     """Raises ValueError if a message names another process as its sender than the one that opened the connection."""
     if named != sender:
--- a/mallowvalve/control/http_coordination.py
+++ b/mallowvalve/control/http_coordination.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import falcon
 import gevent
 import msgspec
 
@@ -11,6 +12,7 @@
 from mallowvalve.control.outcome import Code
 from mallowvalve.control.replica_task import ATTEMPT_TIMEOUT_S
 from mallowvalve.control.state import encode
+from mallowvalve.control.task import ControlTask
 from mallowvalve.control.wire import CommandResponse
 from mallowvalve.coordination.state import KeyedResult, KeyedResultCode, Lock, Next, Put, Renew, Unlock
 from mallowvalve.finding import Finding
@@ -46,15 +48,16 @@
 class KeyedResource(Api):
     """Base class of the resources whose commands have a `Mallow-Key`."""
 
-    def run(self, req, resp, command) -> None:
+    def run(self, req: falcon.Request, resp: falcon.Response, command: Lock | Renew | Unlock | Next | Put) -> None:
         """Submits a command and responds with its result."""
         if not http_submission.accept_or_redirect(self.task, req, resp):
-            return None
+            return
         response = http_submission.offer(self.task, req, encode(command), CALL_TIMEOUT_S, ATTEMPT_TIMEOUT_S)
         if not response.body:
-            return self.reject(req, resp, response)
+            self.reject(req, resp, response)
+            return
         result = _decode_result(response.body)
-        body = {"code": result.code, "revision": response.revision}
+        body: dict[str, object] = {"code": result.code, "revision": response.revision}
         if result.code is KeyedResultCode.HELD:
             body |= {"holder": result.holder, "retry_ms": result.number}
             resp.set_header("Retry-After", str(max(1, result.number // 1000)))
@@ -66,15 +69,16 @@
 class KeyedLocks(KeyedResource):
     """Locks by name."""
 
-    def on_post(self, req, resp, name: str, act: str) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response, name: str, act: str) -> None:
         """Acquires, renews or releases the lock, as `act` in the path says."""
         doc = web.read_json(CoordinationDoc, req, resp)
         key = self.key(req, resp) if doc is not None and self.name_is_valid(req, resp, name) else None
-        if key is None:
+        if doc is None or key is None:
             return
         if not doc.holder or len(doc.holder) > MAX_HOLDER_CHARACTERS or not MIN_HOLD_MS <= doc.ttl_ms <= MAX_HOLD_MS:
             found = [Finding("holder, ttl_ms", "want a holder of at most 200 characters and 100 to 600000 ms")]
-            return web.reject_early(req, resp, 400, found)
+            web.reject_early(req, resp, 400, found)
+            return
         match act:
             case "take":
                 self.run(req, resp, Lock(name, doc.holder, doc.ttl_ms, key))
@@ -89,7 +93,7 @@
 class KeyedNumbers(KeyedResource):
     """Counters by name; their numbers only increase."""
 
-    def on_post(self, req, resp, name: str) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Responds with the next number of the counter."""
         key = self.key(req, resp) if self.name_is_valid(req, resp, name) else None
         if key is not None:
@@ -99,11 +103,11 @@
 class KeyedValues(KeyedResource):
     """Values by key."""
 
-    def on_get(self, req, resp, name: str) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Responds with the value and its revision, from a confirmed read."""
-        if self.confirm(req, resp) is None:
+        state = self.confirm(req, resp)
+        if state is None:
             return
-        state = self.task.core.state
         stored = state.coordination.keys.get(name)
         body = {
             "name": name,
@@ -113,21 +117,22 @@
         }
         web.send_json(resp, body, 200 if stored else 404)
 
-    def on_put(self, req, resp, name: str) -> None:
+    def on_put(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Writes the value, only on the revision `base` if it is given."""
         doc = web.read_json(CoordinationDoc, req, resp, MAX_BODY_BYTES)
         if doc is None:
             return
         if doc.value is None or len(doc.value) > MAX_VALUE_CHARACTERS:
             found = [Finding("value", f"want text of at most {MAX_VALUE_CHARACTERS} characters")]
-            return web.reject_early(req, resp, 400, found)
+            web.reject_early(req, resp, 400, found)
+            return
         self._put(req, resp, name, doc.value, doc.base)
 
-    def on_delete(self, req, resp, name: str) -> None:
+    def on_delete(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Deletes the key."""
         self._put(req, resp, name, None, None)
 
-    def _put(self, req, resp, name: str, value: str | None, base: int | None) -> None:
+    def _put(self, req: falcon.Request, resp: falcon.Response, name: str, value: str | None, base: int | None) -> None:
         key = self.key(req, resp) if self.name_is_valid(req, resp, name) else None
         if key is not None:
             self.run(req, resp, Put(name, value, base, key))
@@ -136,7 +141,7 @@
 class KeyedWatch(Api):
     """Changes of keys after a revision, by long polling."""
 
-    def on_get(self, req, resp) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Responds as soon as there are events, or after `wait_ms`."""
         since = req.get_param_as_int("since", required=True, min_value=0)
         prefix = req.get_param("prefix") or ""
@@ -146,11 +151,13 @@
         while True:
             state = self.task.core.state
             if state is None:
-                return self.reject(req, resp, CommandResponse(Code.LEADER))
+                self.reject(req, resp, CommandResponse(Code.LEADER))
+                return
             events = state.coordination.events_since(since, prefix)
             if events is None:
                 found = [Finding("since", f"compacted up to {state.coordination.compacted}")]
-                return web.reject(resp, 410, web.NOT_RUN, found)
+                web.reject(resp, 410, web.NOT_RUN, found)
+                return
             revision = max(since, state.revision)
             if events or clock.now() >= end or self.task.node.stopping.is_set():
                 break
@@ -167,7 +174,7 @@
         )
 
 
-def add_routes(app, task) -> None:
+def add_routes(app: falcon.App | web.LazyApp, task: ControlTask) -> None:
     """Adds these resources."""
     app.add_route("/locks/{name}/{act}", KeyedLocks(task))
     app.add_route("/numbers/{name}", KeyedNumbers(task))
--- a/mallowvalve/control/http_operators.py
+++ b/mallowvalve/control/http_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from typing import Any
 
 import falcon
 import jsonpatch
@@ -27,26 +28,26 @@
 class ConfigDoc(msgspec.Struct):
     """A whole configuration document; `base` is the expected current revision, or None for any."""
 
-    doc: dict
+    doc: dict[str, Any]
     base: int | None = None
 
 
 class PatchDoc(msgspec.Struct):
     """A JSON Patch for the document at the revision `base`."""
 
-    patch: list[dict]
+    patch: list[dict[str, Any]]
     base: int
 
 
 class PlanDoc(msgspec.Struct):
     """A document or a patch to be planned; exactly one of them must be given."""
 
-    doc: dict | None = None
-    patch: list[dict] | None = None
+    doc: dict[str, Any] | None = None
+    patch: list[dict[str, Any]] | None = None
     base: int | None = None
 
 
-def apply_patch(settings: ReplicatedSettings, patch: list[dict]) -> Result[dict, Findings]:
+def apply_patch(settings: ReplicatedSettings, patch: list[dict[str, Any]]) -> Result[dict[str, Any], Findings]:
     """Returns the patched document, or the findings about the patch."""
     try:
         doc = jsonpatch.apply_patch(msgspec.json.decode(settings.doc), patch)
@@ -58,11 +59,12 @@
 class Config(Api):
     """The configuration document."""
 
-    def on_get(self, req, resp) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Responds with the document, from a confirmed read."""
-        settings = self.confirm(req, resp)
-        if settings is None:
+        state = self.confirm(req, resp)
+        if state is None:
             return
+        settings = state.settings
         web.send_json(
             resp,
             {
@@ -72,37 +74,38 @@
             },
         )
 
-    def on_put(self, req, resp) -> None:
+    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Replaces the document."""
         request = web.read_json(ConfigDoc, req, resp, MAX_CONFIG_BYTES)
         key = self.key(req, resp) if request is not None else None
-        if key is not None:
+        if request is not None and key is not None:
             self.apply(req, resp, Change(request.base, msgspec.json.encode(request.doc), key), request.doc)
 
-    def on_patch(self, req, resp) -> None:
+    def on_patch(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Changes the document by a JSON Patch."""
         request = web.read_json(PatchDoc, req, resp, MAX_CONFIG_BYTES)
         key = self.key(req, resp) if request is not None else None
-        settings = self.confirm(req, resp) if key is not None else None
-        if settings is None:
+        state = self.confirm(req, resp) if key is not None else None
+        if request is None or key is None or state is None:
             return
+        settings = state.settings
         content = encode([request.base, msgspec.json.encode(request.patch)])
         digest = hashlib.blake2b(content, digest_size=PATCH_DIGEST_BYTES).hexdigest()
         command = Change(request.base, b"", key, digest)
-        if self.task.core.state.asks.find(command_key(command), digest) is not None:
+        if state.asks.find(command_key(command), digest) is not None:
             return self.offer(req, resp, command)
         if request.base != settings.doc_revision:
             return self.reject(req, resp, CommandResponse(Code.CONFLICT, settings.doc_revision))
         doc = apply_patch(settings, request.patch)
-        if doc.is_err():
+        if isinstance(doc, Err):
             return web.reject_early(req, resp, 422, doc.err_value)
         command = msgspec.structs.replace(command, doc=msgspec.json.encode(doc.ok_value))
         self.apply(req, resp, command, doc.ok_value)
 
-    def apply(self, req, resp, command: Change, doc: dict) -> None:
+    def apply(self, req: falcon.Request, resp: falcon.Response, command: Change, doc: dict[str, Any]) -> None:
         """Validates the document, then submits the change."""
         built = self.task.check(doc)
-        if built.is_err():
+        if isinstance(built, Err):
             return web.reject_early(req, resp, 422, built.err_value)
         self.offer(req, resp, command)
 
@@ -110,7 +113,7 @@
 class Plans(Api):
     """Dry runs of configuration changes."""
 
-    def on_post(self, req, resp) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Responds with the traffic that the change would move; applies nothing."""
         request = web.read_json(PlanDoc, req, resp, MAX_CONFIG_BYTES)
         if request is None:
@@ -119,14 +122,17 @@
             return web.reject_early(req, resp, 400, [Finding("doc, patch", "want one of them")])
         if request.patch is not None and request.base is None:
             return web.reject_early(req, resp, 400, [Finding("base", "missing: a patch needs it")])
-        settings = self.confirm(req, resp)
-        if settings is None:
+        state = self.confirm(req, resp)
+        if state is None:
             return
+        settings = state.settings
         if request.base not in (None, settings.doc_revision):
             return self.reject(req, resp, CommandResponse(Code.CONFLICT, settings.doc_revision))
-        doc = Ok(request.doc) if request.patch is None else apply_patch(settings, request.patch)
-        tree = doc.and_then(self.task.check)
-        if tree.is_err():
+        doc = self._changed_document(request, settings)
+        if isinstance(doc, Err):
+            return web.reject_early(req, resp, 422, doc.err_value)
+        tree = self.task.check(doc.ok_value)
+        if isinstance(tree, Err):
             return web.reject_early(req, resp, 422, tree.err_value)
         board = self.task.node.heartbeats.table.entries(clock.now())
         seen = [
@@ -135,6 +141,11 @@
         moves = plan(self.task.tree(), tree.ok_value, seen, settings.evacuated)
         web.send_json(resp, {"base": settings.doc_revision, "moves": moves, "doc": doc.ok_value})
 
+    def _changed_document(self, request: PlanDoc, settings: ReplicatedSettings) -> Result[dict[str, Any], Findings]:
+        if request.patch is not None:
+            return apply_patch(settings, request.patch)
+        return Ok(request.doc or {})
+
 
 class EvacuateDoc(msgspec.Struct):
     """A zone or region, and whether it is to be evacuated."""
@@ -146,13 +157,14 @@
 class Evacuations(Api):
     """Evacuations of zones and regions."""
 
-    def on_post(self, req, resp) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Starts or ends the evacuation of a zone or region."""
         request = web.read_json(EvacuateDoc, req, resp)
         key = self.key(req, resp) if request is not None else None
-        settings = self.confirm(req, resp) if key is not None else None
-        if settings is None:
+        state = self.confirm(req, resp) if key is not None else None
+        if request is None or key is None or state is None:
             return
+        settings = state.settings
         regions = self.task.tree().doc.regions
         known = {zone for region in regions.values() for zone in region.zones} | {
             f"{name}/{zone}" for name, region in regions.items() for zone in region.zones
@@ -171,17 +183,17 @@
 class Strikes(Api):
     """Removals of proxies from the roster."""
 
-    def on_post(self, req, resp) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Removes a proxy that is permanently gone."""
         request = web.read_json(StrikeDoc, req, resp)
         key = self.key(req, resp) if request is not None else None
-        settings = self.confirm(req, resp) if key is not None else None
-        if settings is None:
+        state = self.confirm(req, resp) if key is not None else None
+        if request is None or key is None or state is None:
             return
-        seat = settings.roster.get(request.proxy)
-        if seat is None:
+        seat, proxy = state.settings.roster.get(request.proxy), Address.read(request.proxy)
+        if seat is None or isinstance(proxy, Err):
             return web.reject_early(req, resp, 404, [Finding("proxy", f"{request.proxy[:200]!r} is not on the roster")])
-        self.offer(req, resp, Strike(Address.read(request.proxy).ok_value, seat.boot, key))
+        self.offer(req, resp, Strike(proxy.ok_value, seat.boot, key))
 
 
 RISK_STATEMENT = "changes acknowledged by voters that cannot be reached may be lost"
@@ -196,7 +208,7 @@
 class ForcedBootstrap(Api):
     """Creation of a new Raft group on an operator's request, without proof that the old voters are permanently gone."""
 
-    def on_post(self, req, resp) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Creates the group from the newest state among the processes that respond."""
         request = web.read_json(RiskDoc, req, resp)
         if request is None:
@@ -204,23 +216,23 @@
         if request.accept != RISK_STATEMENT:
             return web.reject_early(req, resp, 400, [Finding("accept", f"must say: {RISK_STATEMENT}")])
         founded = self.task.bootstrap_task.found_new_group()
-        if founded.is_err():
+        if isinstance(founded, Err):
             return web.reject_early(req, resp, 409, [Finding("control", founded.err_value)])
-        decision = founded.ok_value
+        decision, base = founded.ok_value
         web.send_json(
             resp,
-            {"generation": decision.generation, "from": str(decision.base.addr), "index": decision.base.index},
+            {"generation": decision.generation, "from": str(base.addr), "index": base.index},
         )
 
 
 class Leader(Api):
     """The Raft status of this process: leader, voters and log position as known locally."""
 
-    def on_get(self, req, resp) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Responds from the local state, without a confirmed read."""
         core = self.task.core
-        raft = core.raft
-        if raft is None:
+        raft, state = core.raft, core.state
+        if raft is None or state is None:
             return web.send_json(resp, {"leader": None, "blank": True})
         configuration = raft.log.configuration
         web.send_json(
@@ -230,17 +242,17 @@
                 "term": raft.term,
                 "generation": raft.group.generation,
                 "role": raft.role,
-                "index": core.state.index,
-                "revision": core.state.revision,
+                "index": state.index,
+                "revision": state.revision,
                 "voters": sorted(map(str, configuration.voters.values())),
                 "learners": sorted(map(str, configuration.learners.values())),
-                "roster": sorted(core.state.settings.roster),
+                "roster": sorted(state.settings.roster),
                 "disk": "refuses" if self.task.stalled else "well",
             },
         )
 
 
-def add_routes(app: falcon.App, task: ControlTask) -> None:
+def add_routes(app: falcon.App | web.LazyApp, task: ControlTask) -> None:
     """Adds these resources, and those of items and of keyed coordination."""
     app.add_route("/config", Config(task))
     app.add_route("/plan", Plans(task))
--- a/mallowvalve/control/http_plain.py
+++ b/mallowvalve/control/http_plain.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeVar
+
+import falcon
 import gevent
 import msgspec
 from gevent.event import Event
@@ -38,6 +42,7 @@
 MAX_HOLD_MS = 600_000
 MAX_BODY_BYTES = 8 * MAX_VALUE_BYTES
 NUMBER_UPPER_BOUND = 1 << 62
+Document = TypeVar("Document", bound=msgspec.Struct)
 decode_plain_result = msgspec.msgpack.Decoder(PlainResult).decode
 
 
@@ -99,22 +104,30 @@
         """`task` is the control process that serves the resource."""
         self.task = task
 
-    def read_json(self, kind: type, req, resp, name: str):
+    def read_json(self, kind: type[Document], req: falcon.Request, resp: falcon.Response, name: str) -> Document | None:
         """Returns the validated body, or None after responding with the findings."""
         doc = web.read_json(kind, req, resp, MAX_BODY_BYTES)
         if doc is None:
             return None
         found = find_errors(name, doc)
-        return web.reject(resp, 400, web.NOT_RUN, found) if found else doc
+        if found:
+            web.reject(resp, 400, web.NOT_RUN, found)
+            return None
+        return doc
 
-    def run(self, req, resp, command: Take | Extend | Free | Count | Write) -> PlainResult | None:
+    def run(
+        self, req: falcon.Request, resp: falcon.Response, command: Take | Extend | Free | Count | Write
+    ) -> PlainResult | None:
         """Returns the command's result, or None after responding with an error; may submit it more than once."""
         if not http_submission.accept_or_redirect(self.task, req, resp):
             return None
         response = http_submission.offer(self.task, req, encode(command), CALL_TIMEOUT_S, ATTEMPT_TIMEOUT_S)
-        return decode_plain_result(response.body) if response.code == Code.OK else self.reject(resp, response)
+        if response.code == Code.OK:
+            return decode_plain_result(response.body)
+        self.reject(resp, response)
+        return None
 
-    def confirm(self, req, resp) -> PlainCoordination | None:
+    def confirm(self, req: falcon.Request, resp: falcon.Response) -> PlainCoordination | None:
         """Returns a state with all writes acknowledged before this call, or None after responding with an error."""
         if not http_submission.accept_or_redirect(self.task, req, resp):
             return None
@@ -127,53 +140,57 @@
             if web.client_left(req):
                 break
             gevent.sleep(min(RETRY_PAUSE_S, max(0.0, end - clock.now())))
-        return self.reject(resp, response)
+        self.reject(resp, response)
+        return None
 
-    def reject(self, resp, response: CommandResponse) -> None:
+    def reject(self, resp: falcon.Response, response: CommandResponse) -> None:
         """Responds with 503 if the command is known not to be applied, and with 504 if it may still take effect."""
         if response.code in NOT_APPLIED:
-            return web.reject(resp, 503, web.NOT_RUN, [Finding("control", "no leader just now")], 1)
+            web.reject(resp, 503, web.NOT_RUN, [Finding("control", "no leader just now")], 1)
+            return
         web.reject(resp, 504, web.UNDECIDED, [Finding("control", "not confirmed in time: say it again")], 1)
 
 
 class PlainLocks(PlainResource):
     """Locks by name."""
 
-    def on_post(self, req, resp, name: str) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Acquires the lock, or extends it if the same holder has it."""
         doc = self.read_json(TakeDoc, req, resp, name)
         result = self.run(req, resp, Take(name, doc.holder, doc.hold_ms)) if doc is not None else None
         if result is not None:
             self._answer(resp, result, {"token": result.number})
 
-    def on_put(self, req, resp, name: str) -> None:
+    def on_put(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Extends the lock if the fencing token matches."""
         doc = self.read_json(ExtendDoc, req, resp, name)
         result = self.run(req, resp, Extend(name, doc.holder, doc.token, doc.hold_ms)) if doc is not None else None
         if result is not None:
             self._answer(resp, result, {})
 
-    def on_delete(self, req, resp, name: str) -> None:
+    def on_delete(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Releases the lock; the response is the same if it was not held."""
         doc = self.read_json(FreeDoc, req, resp, name)
         result = self.run(req, resp, Free(name, doc.holder, doc.token)) if doc is not None else None
         if result is not None:
             self._answer(resp, result, {})
 
-    def _answer(self, resp, result: PlainResult, body: dict) -> None:
-        web.send_json(resp, body) if result.code is PlainResultCode.OK else web.send_json(
-            resp, {"code": result.code}, 409
-        )
+    def _answer(self, resp: falcon.Response, result: PlainResult, body: dict[str, object]) -> None:
+        if result.code is PlainResultCode.OK:
+            web.send_json(resp, body)
+        else:
+            web.send_json(resp, {"code": result.code}, 409)
 
 
 class PlainNumbers(PlainResource):
     """Counters by name; their numbers only increase."""
 
-    def on_post(self, req, resp, name: str) -> None:
+    def on_post(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Responds with the next number of the counter."""
         found = find_errors(name)
         if found:
-            return web.reject(resp, 400, web.NOT_RUN, found)
+            web.reject(resp, 400, web.NOT_RUN, found)
+            return
         result = self.run(req, resp, Count(name))
         if result is not None:
             web.send_json(resp, {"value": result.number})
@@ -182,20 +199,22 @@
 class PlainCells(PlainResource):
     """Values by name."""
 
-    def on_get(self, req, resp, name: str) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Responds with the value and its revision, from a confirmed read."""
         found = find_errors(name)
         if found:
-            return web.reject(resp, 400, web.NOT_RUN, found)
+            web.reject(resp, 400, web.NOT_RUN, found)
+            return
         plain = self.confirm(req, resp)
         if plain is None:
             return
         stored = plain.keys.get(name)
         if stored is None:
-            return web.send_json(resp, {"revision": 0}, 404)
+            web.send_json(resp, {"revision": 0}, 404)
+            return
         web.send_json(resp, {"value": stored[0], "revision": stored[1]})
 
-    def on_put(self, req, resp, name: str) -> None:
+    def on_put(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Writes the value, only on the expected revision if one is given."""
         doc = self.read_json(WriteDoc, req, resp, name)
         result = self.run(req, resp, Write(name, doc.value, doc.base)) if doc is not None else None
@@ -215,7 +234,7 @@
         """Starts without watchers."""
         self._task = task
         self._watchers: dict[Event, tuple[str, int]] = {}
-        self._job = None
+        self._job: gevent.Greenlet | None = None
 
     def wait(self, group: str, after: int, limit: float) -> None:
         """Blocks until the group's revision exceeds `after`, `limit` (s) has passed, or the control process stops."""
@@ -229,19 +248,22 @@
             del self._watchers[wakeup]
 
     def _run(self) -> None:
-        seen = None
+        seen: tuple[PlainCoordination, int] | None = None
         while self._watchers:
             state = self._task.core.state
-            version = (state, state.plain.write_count) if state is not None else None
-            if version is None or self._task.node.stopping.is_set():
+            if state is None or self._task.node.stopping.is_set():
                 self._notify(lambda group, after: True)
-            elif version != seen:
-                self._notify(lambda group, after: state.plain.revision(group) > after)
-            seen = version
+                seen = None
+            elif (version := (state.plain, state.plain.write_count)) != seen:
+                self._notify(self._has_later(state.plain))
+                seen = version
             gevent.sleep(WATCH_POLL_INTERVAL_S)
         self._job = None
 
-    def _notify(self, is_due) -> None:
+    def _has_later(self, plain: PlainCoordination) -> Callable[[str, int], bool]:
+        return lambda group, after: plain.revision(group) > after
+
+    def _notify(self, is_due: Callable[[str, int], bool]) -> None:
         for wakeup, (group, after) in self._watchers.items():
             if is_due(group, after):
                 wakeup.set()
@@ -255,7 +277,7 @@
         super().__init__(task)
         self.notifier = WatchNotifier(task)
 
-    def on_get(self, req, resp, name: str) -> None:
+    def on_get(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Responds as soon as there are events, or after `wait_ms`."""
         end = clock.now() + min(MAX_WATCH_WAIT_S, req.get_param_as_int("wait_ms", min_value=0, default=0) / 1000)
         after = req.get_param_as_int("after", min_value=0, max_value=NUMBER_UPPER_BOUND, default=0)
@@ -263,15 +285,17 @@
         if not found and group_of(name) != name:
             found = [Finding("name", "want a group: up to and including the first dot")]
         if found:
-            return web.reject(resp, 400, web.NOT_RUN, found)
+            web.reject(resp, 400, web.NOT_RUN, found)
+            return
         plain = self._local_or_confirmed(req, resp, after)
         if plain is None:
             return
         if after == 0 and plain.revision(name):
-            return web.send_json(resp, {"events": [], "revision": plain.revision(name)})
+            web.send_json(resp, {"events": [], "revision": plain.revision(name)})
+            return
         self._watch(req, resp, plain, name, after, end)
 
-    def _local_or_confirmed(self, req, resp, after: int) -> PlainCoordination | None:
+    def _local_or_confirmed(self, req: falcon.Request, resp: falcon.Response, after: int) -> PlainCoordination | None:
         """Returns the local state, after a confirmed read if it may lack acknowledged writes."""
         state: ReplicatedState | None = self.task.core.state
         if state is not None and after and self.task.core.current(clock.now()):
@@ -279,7 +303,7 @@
         return self.confirm(req, resp)
 
     def _confirmed_if_stale(
-        self, req, resp, plain: PlainCoordination, group: str, after: int, over: bool
+        self, req: falcon.Request, resp: falcon.Response, plain: PlainCoordination, group: str, after: int, over: bool
     ) -> PlainCoordination | None:
         """Returns the local state, after a confirmed read if it has no events and may lack some.
 
@@ -290,12 +314,15 @@
         stale = not (self.task.core.current(now) if over else self.task.core.may_answer(AnswerKind.HEARTBEAT, now))
         return self.confirm(req, resp) if events is not None and not events[0] and stale else plain
 
-    def _watch(self, req, resp, plain: PlainCoordination, group: str, after: int, end: float) -> None:
+    def _watch(
+        self, req: falcon.Request, resp: falcon.Response, plain: PlainCoordination, group: str, after: int, end: float
+    ) -> None:
         while True:
             over = clock.now() >= end or self.task.node.stopping.is_set()
-            plain = self._confirmed_if_stale(req, resp, plain, group, after, over)
-            if plain is None:
+            fresh = self._confirmed_if_stale(req, resp, plain, group, after, over)
+            if fresh is None:
                 return
+            plain = fresh
             events = plain.events_since(group, after)
             if events is None:
                 return web.send_json(resp, {"code": "compacted"}, 410)
@@ -318,7 +345,7 @@
     return {"name": write.name, "value": write.value, "revision": write.revision}
 
 
-def add_routes(app, task: ControlTask, prefix: str) -> None:
+def add_routes(app: falcon.App | web.LazyApp, task: ControlTask, prefix: str) -> None:
     """Adds these resources below the path `prefix`, such as /coordination."""
     prefix = prefix.rstrip("/")
     app.add_route(prefix + "/locks/{name}", PlainLocks(task))
--- a/mallowvalve/control/http_upstreams.py
+++ b/mallowvalve/control/http_upstreams.py
@@ -15,6 +15,8 @@
 from mallowvalve import clock, finding, web
 from mallowvalve.control import redirect
 from mallowvalve.control.lease import RETRY_AFTER_S, AnswerKind
+from mallowvalve.control.registry_task import RegistryTask
+from mallowvalve.control.task import ControlTask
 from mallowvalve.finding import Finding, Findings, parse_json
 from mallowvalve.membership.wire import ALIVE, MemberRecord
 from mallowvalve.types import Address, Locality
@@ -66,8 +68,9 @@
         if not least <= value <= most:
             found.append(Finding(place, f"want {least} to {most}"))
     address, location = parse_address(doc.address), resolve_locality(doc.zone, zones)
-    if address.is_err():
+    if isinstance(address, Err):
         found.append(Finding("address", address.err_value))
+        return Err((400, found))
     if found:
         return Err((400, found))
     if location is None:
@@ -101,12 +104,13 @@
 
 def _findings(body: bytes | memoryview) -> Findings:
     doc = parse_json(body)
-    if doc.is_err():
+    if isinstance(doc, Err):
         return doc.err_value
-    if isinstance(doc.ok_value, dict):
-        doc = Ok({name: value for name, value in doc.ok_value.items() if name in KNOWN_FIELDS})
-    parsed = finding.read(UpstreamHeartbeatDoc, doc.ok_value)
-    return parsed.err_value if parsed.is_err() else [Finding("body", "not understood")]
+    data = doc.ok_value
+    if isinstance(data, dict):
+        data = {name: value for name, value in data.items() if name in KNOWN_FIELDS}
+    parsed = finding.read(UpstreamHeartbeatDoc, data)
+    return parsed.err_value if isinstance(parsed, Err) else [Finding("body", "not understood")]
 
 
 def preferred_control_address(
@@ -129,7 +133,7 @@
 class UpstreamResource:
     """One upstream: its heartbeats and its deregistration."""
 
-    def __init__(self, task, registry):
+    def __init__(self, task: ControlTask, registry: RegistryTask):
         """`task` is the control process that serves the resource, `registry` its registry task."""
         self.task, self.registry = task, registry
 
@@ -140,7 +144,7 @@
         if body is None:
             return web.reject(resp, 413, web.NOT_RUN, [Finding("body", f"larger than {MAX_BODY_BYTES} bytes")])
         parsed = parse_heartbeat(instance, body, node.settings.zones)
-        if parsed.is_err():
+        if isinstance(parsed, Err):
             node.counts.add("heartbeat_refused")
             status, found = parsed.err_value
             return web.reject(resp, status, web.NOT_RUN, found)
@@ -172,7 +176,7 @@
 class UpstreamCollection:
     """The registry as this process knows it."""
 
-    def __init__(self, task, registry):
+    def __init__(self, task: ControlTask, registry: RegistryTask):
         """`task` is the control process that serves the resource, `registry` its registry task."""
         self.task, self.registry = task, registry
 
@@ -202,7 +206,7 @@
         )
 
 
-def add_routes(app: falcon.App, task, registry) -> None:
+def add_routes(app: falcon.App | web.LazyApp, task: ControlTask, registry: RegistryTask) -> None:
     """Adds these resources."""
     app.add_route("/upstreams", UpstreamCollection(task, registry))
     app.add_route("/upstreams/{instance}", UpstreamResource(task, registry))
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -34,6 +34,8 @@
 
 def run(settings: Settings) -> Result[None, Findings]:
     """Serves until it is asked to stop; returns findings if the data folder cannot be used."""
+    if settings.data is None:
+        return Err([Finding("data", "missing")])
     try:
         faults = InjectedFaults(settings.faults, settings.name)
         start_wait = StartWait(limit_s=settings.start_wait_s)
@@ -78,14 +80,15 @@
 
     def __init__(self, node: Node, disk: Disk):
         """Creates the task, which has saved nothing yet."""
-        self.node, self.disk, self._saved = node, disk, []
+        self.node, self.disk = node, disk
+        self._saved: list[Address] = []
 
     def __enter__(self) -> PeersFile:
         """Starts to save the addresses from time to time."""
         self._job = gevent.spawn(self._run)
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops."""
         self._job.kill()
 
--- a/mallowvalve/control/replica.py
+++ b/mallowvalve/control/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from typing import Literal
 
 from result import Ok, Result
 
@@ -12,8 +13,9 @@
 from mallowvalve.control.snapshot_transfer import SnapshotLabel, label_of
 from mallowvalve.control.state import ReplicatedState
 from mallowvalve.control.wire import ReplicationRequest, ReplicationResponse, RevisionQuery, RevisionReply
+from mallowvalve.finding import Findings
 from mallowvalve.metrics import Counts
-from mallowvalve.raft.messages import ClusterConfiguration, GroupId, RaftSnapshot
+from mallowvalve.raft.messages import COMMAND, ClusterConfiguration, GroupId, RaftSnapshot
 from mallowvalve.types import Address, Locality
 
 FRESHNESS_WINDOW_S = 2.0
@@ -58,8 +60,8 @@
         boot: int,
         role: str,
         locality: Locality,
-        on_settings: Callable[[Result], None],
-        scope: str = "all",
+        on_settings: Callable[[Result[Tree, Findings]], None],
+        scope: Literal["all", "settings"] = "all",
         max_wait_s: float = DEFAULT_MAX_WAIT_S,
     ):
         """`scope` is all or settings; `max_wait_s` is how long the leader may delay a response without entries."""
@@ -77,7 +79,7 @@
         self.tree: Tree = EMPTY_TREE
         self.document_is_valid = True
         self._document: bytes | None = None
-        self._notified: tuple = ()
+        self._notified: tuple[object, ...] = ()
         self._leader_time = (0, 0.0)
 
     @property
@@ -99,7 +101,7 @@
 
         The state must be fresh, this process on the roster, and the tree built from the newest document.
         """
-        if not self.fresh(now) or not self.document_is_valid:
+        if self.state is None or not self.fresh(now) or not self.document_is_valid:
             return False
         seat = self.state.settings.roster.get(str(self.addr))
         return seat is not None and seat.boot == self.boot
@@ -185,8 +187,8 @@
 
     def is_behind(self, offered: SnapshotLabel) -> bool:
         """Whether the labelled snapshot is newer than the held state; one of an older generation is counted."""
-        if self.group is None or offered.group.generation != self.group.generation:
-            newer = self.group is None or offered.group.generation > self.group.generation
+        if self.group is None or self.state is None or offered.group.generation != self.group.generation:
+            newer = self.group is None or self.state is None or offered.group.generation > self.group.generation
             self.counts.add("replica_older_refused", not newer)
             return newer
         return offered.index > self.state.index or offered.group != self.group and offered.index == self.state.index
@@ -202,51 +204,68 @@
 
     def snapshot(self) -> tuple[RaftSnapshot, Iterator[bytes]] | None:
         """Returns a snapshot of the whole state and an iterator that encodes its pieces lazily; None if not held."""
-        if self.state is None or self.scope != "all":
+        header = self._snapshot_header()
+        if header is None or self.state is None or self.scope != "all":
             return None
-        return RaftSnapshot(self.group, self.state.index, 0, self.voters, []), encode_pieces(self.state)
+        return header, encode_pieces(self.state)
 
     def settings_snapshot(self) -> tuple[RaftSnapshot, Iterator[bytes]] | None:
         """Returns a snapshot of the settings part of the held state; None if nothing is held."""
-        if self.state is None:
+        header = self._snapshot_header()
+        if header is None or self.state is None:
+            return None
+        return header, encode_settings_pieces(self.state)
+
+    def _snapshot_header(self) -> RaftSnapshot | None:
+        if self.group is None or self.voters is None or self.state is None:
             return None
-        return RaftSnapshot(self.group, self.state.index, 0, self.voters, []), encode_settings_pieces(self.state)
+        return RaftSnapshot(self.group, self.state.index, 0, self.voters, [])
 
     def _is_newer(self, reply: RevisionReply) -> bool:
         if reply.group != self.group:
-            return reply.group.generation > self.group.generation
+            return generation_of(reply.group) > generation_of(self.group)
         return reply.revision > self.revision
 
     def _count_confirmations(self, sent_at: float) -> None:
-        roster = self.state.settings.roster
+        roster = self.state.settings.roster if self.state is not None else {}
         if str(self.addr) not in roster:
             return
         if len(self._confirmations[sent_at]) > len(roster) // 2:
             self._confirmed_at = max(self._confirmed_at, sent_at)
 
     def _apply(self, response: ReplicationResponse) -> None:
-        before, settings_only = self.revision, self.scope == "settings"
+        state, before, settings_only = self.state, self.revision, self.scope == "settings"
+        if state is None:
+            return
         for entry in response.entries:
-            if entry.index == self.state.index + 1 or settings_only and entry.index > self.state.index:
-                self.state.apply(entry.index, entry.at, entry.data if entry.kind == 1 else b"")
+            if entry.index == state.index + 1 or settings_only and entry.index > state.index:
+                state.apply(entry.index, entry.at, entry.data if entry.kind == COMMAND else b"")
         if settings_only and not response.needs_snapshot:
-            self.state.index = max(self.state.index, response.index)
-            self.state.clock = max(self.state.clock, response.state_time_ms)
+            state.index = max(state.index, response.index)
+            state.clock = max(state.clock, response.state_time_ms)
         if self.revision != before:
             self._update_tree()
 
     def _update_tree(self) -> None:
-        settings = self.state.settings
+        state = self.state
+        if state is None:
+            return
+        settings = state.settings
         is_new = settings.doc != self._document
+        built: Result[Tree, Findings] = Ok(self.tree)
         if is_new:
             self._document = settings.doc
             built = build_document(settings.doc)
-            self.document_is_valid = built.is_ok()
-            if built.is_ok():
-                self.tree = built.ok_value
+            self.document_is_valid = isinstance(built, Ok)
+            self.tree = built.unwrap_or(self.tree)
         evacuated, roster = frozenset(settings.evacuated.items()), frozenset(settings.roster)
-        current = (settings.doc_revision, self.state.items.revision, evacuated, roster)
+        current = (settings.doc_revision, state.items.revision, evacuated, roster)
         if is_new or current != self._notified:
             self._notified = current
             if is_new or self.document_is_valid:
-                self._on_settings(built if is_new else Ok(self.tree))
+                self._on_settings(built)
+
+
+def generation_of(group: GroupId | None) -> int:
+    """Returns the generation of a group, 0 without one."""
+    return group.generation if group is not None else 0
--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event
 from gevent.queue import Empty, Queue
-from result import Result
+from result import Err, Result
 
 from mallowvalve import clock
 from mallowvalve.configuration.build import build_document
@@ -109,7 +109,7 @@
             self._jobs.append(restart_on_failure("initial_settings", self._fetch_initial_settings, counts))
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops the jobs."""
         gevent.killall(self._jobs)
 
@@ -150,7 +150,7 @@
             data = call.encoded_command(self.replica.clock(now := clock.now()), now)
             body = wire.encode(wire.CommandRequest(data, left))
             reply = self.node.transport.request(to, "offer", body, left, wire.decode_command_response)
-            if reply.is_err():
+            if isinstance(reply, Err):
                 call.on_response(wire.CommandResponse(Code.UNDECIDED), clock.now())
                 self._avoid(to)
                 gevent.sleep(min(0.05, left))
@@ -171,14 +171,14 @@
         self._unresponsive_until = unresponsive | {address: now + AVOID_UNRESPONSIVE_S}
 
     def _log_settings(self, built: Result[Tree, Findings]) -> None:
-        if built.is_ok():
-            self.node.counts.add("snapshots")
-            return log_event(
-                "settings_in_use",
-                revision=self.replica.revision,
-                evacuated=sorted(self.replica.state.settings.evacuated),
-            )
-        log_event("snapshot_not_understood", revision=self.replica.revision, findings=[str(f) for f in built.err_value])
+        if isinstance(built, Err):
+            found = [str(problem) for problem in built.err_value]
+            log_event("snapshot_not_understood", revision=self.replica.revision, findings=found)
+            return
+        self.node.counts.add("snapshots")
+        state = self.replica.state
+        evacuated = sorted(state.settings.evacuated) if state is not None else []
+        log_event("settings_in_use", revision=self.replica.revision, evacuated=evacuated)
 
     def _process_status(self) -> wire.ProcessStatus:
         settings, replica = self.node.settings, self.replica
@@ -279,8 +279,10 @@
         controls = self._control_processes()[: 2 * MAX_LEADER_SEARCH_TARGETS]
         sample = self._rng.sample(proxies, min(len(proxies), MAX_LEADER_SEARCH_TARGETS))
         statuses = self._query_statuses([*controls, *sample], wait)
-        for status in sorted(statuses, key=lambda status: (status.group.generation, status.index), reverse=True):
-            label = SnapshotLabel(status.group, status.index, 0, status.voters, 0)
+        for status in sorted(statuses, key=lambda status: (status.generation, status.index), reverse=True):
+            if status.group is None:
+                continue
+            label = SnapshotLabel(status.group, status.index, 0, status.configuration, 0)
             if self.replica.is_behind(label) and self._fetch(status.addr, self._current_state_kind):
                 return
 
@@ -318,7 +320,7 @@
 
     def _fetch(self, address: Address, what: bytes) -> bool:
         pulled = self.snapshot_exchange.fetch(address, what, self.replica.is_behind)
-        if pulled.is_err():
+        if isinstance(pulled, Err):
             return False
         snapshot, state = pulled.ok_value
         prebuild_trees([state.settings.doc] if len(state.settings.doc) > LARGE_DOC_BYTES else [])
@@ -345,7 +347,7 @@
 
     def _query_revision(self, address: Address, body: bytes) -> None:
         reply = self.node.transport.request(address, "round", body, 1.0, wire.decode_revision_reply)
-        if reply.is_err() or not self.replica.receive_revision_reply(reply.ok_value):
+        if isinstance(reply, Err) or not self.replica.receive_revision_reply(reply.ok_value):
             return
         if self._fetching:
             return
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -4,7 +4,8 @@
 
 import random
 import secrets
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
 
 import gevent
 import msgspec
@@ -20,31 +21,26 @@
 from mallowvalve.control.bootstrap_task import BootstrapTask
 from mallowvalve.control.core import Core
 from mallowvalve.control.core_events import CoreEvents
-from mallowvalve.control.frames import register_frames
+from mallowvalve.control.detector_verdicts import report_detector_verdicts
+from mallowvalve.control.frames import register_frames, send_raft_messages
 from mallowvalve.control.outcome import RETRYABLE, Code
 from mallowvalve.control.sessions import Session, SessionCall
 from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, SnapshotExchange, collect_pieces
 from mallowvalve.control.snapshot_transfer import FetchProgress
 from mallowvalve.control.state import ReplicatedState
 from mallowvalve.finding import Findings
-from mallowvalve.membership.wire import FAILED, LEFT
 from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
-from mallowvalve.raft.messages import (
-    Envelope,
-    GroupId,
-    InstallSnapshot,
-    RaftSnapshot,
-    encode,
-    without_snapshot_pieces,
-)
+from mallowvalve.raft.messages import Envelope, GroupId, InstallSnapshot, RaftSnapshot
 from mallowvalve.raft.progress import RaftTimings
 from mallowvalve.storage.log import DiskLog
 from mallowvalve.supervision import exit_on_failure, restart_on_failure
 from mallowvalve.types import Address
 
+Event = Callable[[float], object]
+"""An event of the core's loop, which calls it with the time (s)."""
+
 SNAPSHOT_RETRY_DELAY_S = 2.0
-DETECTOR_POLL_INTERVAL_S = 0.25
 MAX_EVENTS_PER_SAVE = 512
 """How many queued events are handled before the result is stored and sent."""
 
@@ -105,11 +101,15 @@
         self._jobs = [
             exit_on_failure(gevent.spawn(self._run)),
             restart_on_failure("bootstrap", self.bootstrap_task.run, counts),
-            restart_on_failure("detector_verdicts", self._report_detector_verdicts, counts),
+            restart_on_failure(
+                "detector_verdicts",
+                lambda: report_detector_verdicts(self.core, self.node.membership, self.post),
+                counts,
+            ),
         ]
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops; pending calls end as undecided before the server closes their connections."""
         self._stopping = True
         gevent.killall(self._jobs)
@@ -128,9 +128,10 @@
             self._tree = (state.settings.doc_revision, built.unwrap_or(self._tree[1]))
         return self._tree[1]
 
-    def check(self, doc: dict) -> Result[Tree, Findings]:
+    def check(self, doc: dict[str, Any]) -> Result[Tree, Findings]:
         """Compiles a document off the event loop; returns the tree or its findings."""
-        return gevent.get_hub().threadpool.apply(build, (doc,))
+        built: Result[Tree, Findings] = gevent.get_hub().threadpool.apply(build, (doc,))
+        return built
 
     def offer(
         self, command: bytes, limit: float, attempt: float = 60.0, effect: float | None = None
@@ -160,7 +161,7 @@
             return response
         to, self._leader_hint = response.leader, None
         reply = self.node.transport.call(to, "offer", wire.encode(request), limit)
-        if reply.is_err():
+        if isinstance(reply, Err):
             return wire.CommandResponse(Code.UNDECIDED)
         response = wire.decode_command_response(reply.ok_value)
         self._leader_hint = response.leader if response.code in RETRYABLE else to
@@ -179,7 +180,7 @@
         if response.code != Code.LEADER or response.leader is None or response.leader == self.node.settings.transport:
             return response
         reply = self.node.transport.call(response.leader, "read", b"", limit)
-        if reply.is_err():
+        if isinstance(reply, Err):
             return wire.CommandResponse(Code.UNDECIDED)
         response = wire.decode_command_response(reply.ok_value)
         while response.code == Code.OK and (self.core.state is None or self.core.state.revision < response.revision):
@@ -192,40 +193,35 @@
         """Returns the outcome of a read at this process, which must lead, within `limit` (s)."""
         if self._stopping:
             return wire.CommandResponse(Code.LEADER)
-        response = self._await_reply(lambda token, now: self.core.read(token, now + limit, now), limit + 0.5)
+        response: wire.CommandResponse | None = self._await_reply(
+            lambda token, now: self.core.read(token, now + limit, now), limit + 0.5
+        )
         return response or wire.CommandResponse(Code.UNDECIDED)
 
     def begin_leaving(self) -> None:
         """Begins to leave: transfers the leadership and offers its seat to a caught-up member."""
         self.core.members.leaving = True
-        self.post(lambda now: self.core.raft and self.core.raft.transfer_leadership())
+        self.post(lambda now: self._transfer_leadership())
         self.bootstrap_task.announce()
 
+    def _transfer_leadership(self) -> None:
+        if self.core.raft is not None:
+            self.core.raft.transfer_leadership()
+
     def _report_detector_verdicts(self) -> None:
-        """Passes the failure detector's verdicts on the members to the core while this process leads."""
-        while True:
-            gevent.sleep(DETECTOR_POLL_INTERVAL_S)
-            raft = self.core.raft
-            if raft is None or not raft.leads:
-                continue
-            view = self.node.membership.membership.view
-            records = [view[address] for address in raft.log.configuration.members().values() if address in view]
-            departed = {record.addr: record.boot for record in records if record.state in (FAILED, LEFT)}
-            reassigned_addresses = {record.addr for record in records if record.role != "control"}
-            verdicts = departed, reassigned_addresses
-            self.post(lambda now, verdicts=verdicts: self.core.members.update_detector_verdicts(*verdicts))
+        report_detector_verdicts(self.core, self.node.membership, self.post)
 
     def offer_locally(self, request: wire.CommandRequest) -> wire.CommandResponse:
         """Returns the outcome of a command at this process, which must lead."""
         if self._stopping:
             return wire.CommandResponse(Code.LEADER)
-        response = self._await_reply(
+        response: wire.CommandResponse | None = self._await_reply(
             lambda token, now: self.core.propose(request.command, token, now + request.limit, now), request.limit + 0.5
         )
         return response or wire.CommandResponse(Code.UNDECIDED)
 
-    def _await_reply(self, event, limit: float):
-        waiter = AsyncResult()
+    def _await_reply(self, event: Callable[[AsyncResult[Any], float], None], limit: float) -> Any:
+        waiter: AsyncResult[Any] = AsyncResult()
         self._waiters.add(waiter)
         self.post(lambda now: event(waiter, now))
         try:
@@ -235,14 +231,16 @@
         finally:
             self._waiters.discard(waiter)
 
-    def post(self, event) -> None:
+    def post(self, event: Event) -> None:
         """Queues `event`, which the event loop calls with the time (s)."""
         self._events.put(event)
 
     def replicate(self, request: wire.ReplicationRequest) -> wire.ReplicationResponse:
         """Returns the entries that a replica asks for, as soon as there are some."""
         self.bootstrap_task.record_state_holder(request)
-        response = self._await_reply(lambda token, now: self.core.replicate(request, token, now), 2.0)
+        response: wire.ReplicationResponse | None = self._await_reply(
+            lambda token, now: self.core.replicate(request, token, now), 2.0
+        )
         return response or wire.ReplicationResponse(None)
 
     def receive(self, envelope: Envelope) -> None:
@@ -255,33 +253,37 @@
             and envelope.body.snapshot.index > self.core.raft.commit_index
             and self._fetching.on_announcement(envelope.body.snapshot.index)
         ):
-            gevent.spawn(self._fetch_snapshot, envelope)
+            gevent.spawn(self._fetch_snapshot, envelope, envelope.body)
 
-    def _fetch_snapshot(self, envelope: Envelope) -> None:
+    def _fetch_snapshot(self, envelope: Envelope, announcement: InstallSnapshot) -> None:
         """Fetches the pieces of an announced snapshot and stores it beside the log before the core installs it."""
-        group, index = envelope.group, envelope.body.snapshot.index
+        group, index = envelope.group, announcement.snapshot.index
         try:
             pulled = self.snapshot_exchange.fetch(
                 envelope.address, BASE_SNAPSHOT, lambda label: label.group == group and label.index >= index
             )
-            if pulled.is_err():
-                return self.node.counts.add("snapshots_not_fetched")
+            if isinstance(pulled, Err):
+                self.node.counts.add("snapshots_not_fetched")
+                return
             snapshot, state = pulled.ok_value
             name = self._store_snapshot(snapshot)
             if name is None:
                 return
-            whole = msgspec.structs.replace(envelope, body=msgspec.structs.replace(envelope.body, snapshot=snapshot))
-            self.post(lambda now: self._install_snapshot(whole, state, name, now))
+            whole = msgspec.structs.replace(announcement, snapshot=snapshot)
+            self.post(lambda now: self._install_snapshot(envelope, whole, state, name, now))
         finally:
             self.node.counts.add("snapshots_overtaken", self._fetching.end())
 
-    def _install_snapshot(self, envelope: Envelope, state: ReplicatedState, name: str, now: float) -> None:
-        raft, term, snapshot = self.core.raft, envelope.body.term, envelope.body.snapshot
+    def _install_snapshot(
+        self, envelope: Envelope, message: InstallSnapshot, state: ReplicatedState, name: str, now: float
+    ) -> None:
+        raft, term, snapshot = self.core.raft, message.term, message.snapshot
         if raft is None or raft.group != envelope.group or snapshot.index <= raft.commit_index or term < raft.term:
-            return self.persist(lambda: self.disk_log.drop_snapshot(name))
+            self.persist(lambda: self.disk_log.drop_snapshot(name))
+            return
         self._stored_snapshot = {(envelope.group, snapshot.index): name}
         self.core.keep_fetched_state(snapshot, state)
-        self.core.receive(envelope, now)
+        self.core.receive(msgspec.structs.replace(envelope, body=message), now)
 
     def _store_snapshot(self, snapshot: RaftSnapshot) -> str | None:
         """Stores a snapshot beside the log; None if that fails, as the disk may still have room for log entries."""
@@ -292,7 +294,8 @@
                 return name
             except OSError as error:
                 self.node.counts.add("snapshots_not_stored")
-                return log_event("snapshot_not_stored", error=str(error), bytes=sum(map(len, snapshot.state)))
+                log_event("snapshot_not_stored", error=str(error), bytes=sum(map(len, snapshot.state)))
+                return None
 
     def process_status(self) -> wire.ProcessStatus:
         """Returns the status that this process reports to others."""
@@ -307,8 +310,8 @@
             self._flush()
             self._core_events.log()
 
-    def _take_events(self, wait: float) -> list:
-        events: list = []
+    def _take_events(self, wait: float) -> list[Event]:
+        events: list[Event] = []
         try:
             events.append(self._events.get(timeout=wait))
             while len(events) < MAX_EVENTS_PER_SAVE:
@@ -318,27 +321,33 @@
         return events
 
     def _flush(self) -> None:
-        ready = self.core.ready(clock.now())
-        if ready is not None:
-            group = self.core.raft.group
-            self._send(group, ready.before_save)
+        ready, raft = self.core.ready(clock.now()), self.core.raft
+        if ready is not None and raft is not None:
+            group = raft.group
+            send_raft_messages(self.core, self.node.transport, group, ready.before_save)
             if ready.entries or ready.hard_state is not None:
                 self.node.counts.add("log_batches")
                 self.node.counts.add("log_entries", len(ready.entries))
                 self.node.counts.add("log_bytes", sum(len(entry.data) for entry in ready.entries))
             installed = ready.snapshot
             stored = self._stored_snapshot.pop((group, installed.index), None) if installed is not None else None
-            self.persist(lambda: store.save(self.disk_log, ready, self.core.raft.hard_state(), stored))
-            self._send(group, ready.after_save)
+            self.persist(lambda: store.save(self.disk_log, ready, raft.hard_state(), stored))
+            send_raft_messages(self.core, self.node.transport, group, ready.after_save)
             self.core.saved(ready, clock.now())
-            if self.disk_log.snapshot_due() and not self._compacting and not self.snapshot_exchange.retains_log():
-                self._compacting = True
-                gevent.spawn(self._compact, *self.core.snapshot())
+            self._compact_if_due()
         replies, self.core.replies = self.core.replies, []
         for waiter, body in replies:
             waiter.set(body)
 
-    def persist(self, write) -> None:
+    def _compact_if_due(self) -> None:
+        if not self.disk_log.snapshot_due() or self._compacting or self.snapshot_exchange.retains_log():
+            return
+        snapshot = self.core.snapshot()
+        if snapshot is not None:
+            self._compacting = True
+            gevent.spawn(self._compact, *snapshot)
+
+    def persist(self, write: Callable[[], object]) -> None:
         """Runs a disk write off the event loop and retries it until it succeeds."""
         pool = gevent.get_hub().threadpool
         while True:
@@ -382,12 +391,3 @@
         self.persist(lambda: store.restart_log(self.disk_log, snapshot, log_head, name))
         self.core.compact(snapshot)
         self.node.counts.add("snapshots_taken")
-
-    def _send(self, group: GroupId, messages: list) -> None:
-        for to, message in messages:
-            address = self.core.address_of(to)
-            if address is None:
-                self.node.counts.add("raft_unaddressed")
-                continue
-            envelope = Envelope(group, self.core.id, to, self.node.settings.transport, without_snapshot_pieces(message))
-            self.node.transport.cast(address, "raft", encode(envelope))
--- a/mallowvalve/control/waiting.py
+++ b/mallowvalve/control/waiting.py
@@ -10,7 +10,6 @@
 from mallowvalve.control.state import (
     COORDINATION_COMMANDS,
     SETTINGS_COMMANDS,
-    Outcome,
     ReplicatedState,
     command_tag,
     command_tags,
@@ -49,7 +48,6 @@
     limit: float
     changes_settings: bool
     acknowledgement: str
-    outcome: Outcome | None = None
     required_index: int = 0
 
 
--- a/mallowvalve/control/wire.py
+++ b/mallowvalve/control/wire.py
@@ -41,6 +41,16 @@
     boot: int = 0
     leaving: bool = False
 
+    @property
+    def generation(self) -> int:
+        """The generation of its group, 0 without one."""
+        return self.group.generation if self.group is not None else 0
+
+    @property
+    def configuration(self) -> ClusterConfiguration:
+        """The newest configuration that it knows, without members if it knows none."""
+        return self.voters if self.voters is not None else ClusterConfiguration({})
+
 
 class ReplicationRequest(msgspec.Struct, array_like=True, frozen=True):
     """A replica's request for the entries after `index`; `scope` is all or settings.
--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from http import HTTPStatus
+from typing import Any, Protocol, TypeAlias
 
 import msgspec
 from gevent import GreenletExit, socket
 from gevent.pywsgi import WSGIHandler
 
 from mallowvalve import clock
-from mallowvalve.body_budget import BodyReservation
+from mallowvalve.body_budget import BodyBudget, BodyRefusals, BodyReservation
 from mallowvalve.connection_close import discard_rest
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
+from mallowvalve.metrics import Counts
 from mallowvalve.request_body import BodyReader, make_body_reader
 
+Socket: TypeAlias = socket.socket
 OUTCOME = "Mallow-Outcome"
 NOT_RUN = "not-run"
 UNDECIDED = "undecided"
@@ -57,6 +60,36 @@
         discard_rest(sock, lambda: end)
 
 
+class RequestLimits(Protocol):
+    """Limits on a request's head (bytes, ms) and on the time without a request (ms): `configuration.items.Limits`."""
+
+    @property
+    def header_bytes(self) -> int:
+        """The most bytes of a head."""
+
+    @property
+    def header_ms(self) -> float:
+        """How long a head may take to arrive."""
+
+    @property
+    def idle_ms(self) -> float:
+        """How long a connection may be idle."""
+
+
+class ConnectionServer(Protocol):
+    """The server of a connection: `web.Server`, whose attributes these are."""
+
+    counts: Counts
+    connections: set[ConnectionHandler]
+    draining: bool
+    minimal_environ: bool
+    stop_deadline: float | None
+    body_budget: BodyBudget
+    body_refusals: BodyRefusals
+    limits: Callable[[], RequestLimits | None]
+    application: Callable[..., Any]
+
+
 class UnreadInput:
     """Replaces the input of a request whose rest is discarded when its connection is closed."""
 
@@ -79,13 +112,20 @@
     idle_s: float | None = None
     body: BodyReservation | None = None
     body_reader: BodyReader
-
-    def __init__(self, sock, address, server, rfile=None):
+    socket: Socket
+    wsgi_input: BodyReader | UnreadInput
+    response_headers: list[tuple[bytes, bytes]]
+    provided_date: str | None
+    server: ConnectionServer
+
+    def __init__(
+        self, sock: Socket, address: tuple[str, int], server: ConnectionServer, rfile: RequestReader | None = None
+    ):
         """Serves the connection `sock`, which is read through a `RequestReader`."""
         super().__init__(sock, address, server, rfile or RequestReader(sock))
         self.opened_at = clock.now()
 
-    def handle(self):
+    def handle(self) -> None:
         """Handles requests until either side closes the connection."""
         self.server.connections.add(self)
         self.busy = False
@@ -101,7 +141,7 @@
             self.server.connections.discard(self)
             self._close()
 
-    def handle_one_request(self):
+    def handle_one_request(self) -> bytes | bool | None:
         """Returns True if another request may follow, None to close the connection, else an error response to send."""
         limits = self.server.limits()
         max_head_bytes, head_timeout_s, idle_s = DEFAULT_MAX_HEAD_BYTES, DEFAULT_HEAD_TIMEOUT_S, None
@@ -159,7 +199,7 @@
             self.body.release()
             self.body = None
 
-    def get_environ(self):
+    def get_environ(self) -> dict[str, Any]:
         """Returns the WSGI environment, or a minimal one; `full_environ` returns the complete one later."""
         head = self.request
         self.body_reader = self.wsgi_input = make_body_reader(self.rfile, head)
@@ -175,16 +215,16 @@
             "mallow.handler": self,
         }
 
-    def full_environ(self):
+    def full_environ(self) -> dict[str, Any]:
         """Returns the complete WSGI environment."""
-        environ = super().get_environ()
+        environ: dict[str, Any] = super().get_environ()
         environ["wsgi.input"] = self.wsgi_input = self.body_reader
         environ["mallow.target"] = self.path
         environ["mallow.head"] = self.request
         environ["mallow.handler"] = self
         return environ
 
-    def finalize_headers(self):
+    def finalize_headers(self) -> None:
         """Sets the Connection and Keep-Alive headers; a long rest of a body ends the connection."""
         self.provided_date = self.provided_date or ""
         if not self.body_reader.may_skip():
@@ -203,7 +243,7 @@
                 header for header in self.response_headers if header[0].lower() != b"content-length"
             ]
 
-    def _write_with_headers(self, data):
+    def _write_with_headers(self, data: bytes) -> None:
         """Sends the head together with a small body in one call."""
         self.headers_sent = True
         self.finalize_headers()
@@ -216,27 +256,26 @@
             return
         self._sendall(head + data)
 
-    def _sendall(self, data):
+    def _sendall(self, data: bytes) -> None:
         sent = self.socket.send(data)
         if sent < len(data):
             self.socket.sendall(memoryview(data)[sent:])
         self.response_length += len(data)
 
-    def _headers(self):
+    def _headers(self) -> Iterator[tuple[str, str]]:
         for name, value in self.headers.header_map.items():
             if "_" not in name and name not in ("content-type", "content-length"):
                 yield "HTTP_" + name.replace("-", "_").upper(), value
 
     def _close(self) -> None:
         """Closes the connection, after an early response only once its client had the time to read it."""
-        sock, self.socket = self.socket, None
+        sock = self.__dict__.pop("socket")
         try:
             if self.discards_rest:
                 discard_rest(sock, self._make_discard_end(), self.unread_bytes)
         except OSError:
             pass
         sock.close()
-        self.__dict__.pop("socket", None)
         self.__dict__.pop("rfile", None)
         self.__dict__.pop("wsgi_input", None)
 
@@ -264,11 +303,11 @@
         left_bytes = self.body_reader.left_bytes
         self.unread_bytes = None if left_bytes is None else left_bytes - len(self.rfile.buffer)
 
-    def log_request(self):
+    def log_request(self) -> None:
         """Logs nothing: requests are only counted."""
         pass
 
-    def _send_error_response_if_possible(self, error_code):
+    def _send_error_response_if_possible(self, error_code: int) -> None:
         """Sends an error response with an outcome for a request that failed or was cut off by the end of a drain."""
         self.close_without_reading()
         if self.response_length:
@@ -289,6 +328,6 @@
         except OSError:
             self.server.counts.add("web_client_error")
 
-    def log_error(self, msg, *args):
+    def log_error(self, msg: str, *args: object) -> None:
         """Logs nothing: errors of clients are only counted."""
         self.server.counts.add("web_client_error")
--- a/mallowvalve/http_head.py
+++ b/mallowvalve/http_head.py
@@ -23,9 +23,17 @@
 
     __slots__ = ("method", "target", "version", "header_pairs", "header_map", "length", "chunked", "close")
 
+    method: str
+    target: str
+    version: str
+    header_pairs: list[tuple[str, str]]
+    header_map: dict[str, str]
+    length: int | None
+    chunked: bool
+    close: bool
     status = ""
 
-    def get(self, name: str, default=None):
+    def get(self, name: str, default: str | None = None) -> str | None:
         """Returns a header by its name, in any case."""
         return self.header_map.get(name.lower(), default)
 
@@ -72,7 +80,7 @@
     return head
 
 
-def wait_until_readable(sock) -> None:
+def wait_until_readable(sock: socket.socket) -> None:
     """Waits until the socket is readable; saves the system call of a read that would block first."""
     sock._wait(sock._read_event)
 
@@ -83,11 +91,12 @@
     This reads the operating system's socket, which never blocks, because it is called for every request.
     """
     try:
-        return sock._sock.recv(1, socket.MSG_PEEK)
+        data: bytes = sock._sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return None
     except OSError:
         return b""
+    return data
 
 
 def peer_has_closed(sock: socket.socket) -> bool:
@@ -103,7 +112,7 @@
 
     __slots__ = ("sock", "buffer", "closed", "has_received")
 
-    def __init__(self, sock):
+    def __init__(self, sock: socket.socket):
         """Starts with an empty buffer."""
         self.sock, self.buffer, self.closed, self.has_received = sock, bytearray(), False, False
 
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import gevent
 from gevent import socket
 from gevent.pool import Group, Pool
 from gevent.pywsgi import WSGIServer
+from result import Err
 
 from mallowvalve import body_budget, clock, finding
 from mallowvalve.body_budget import (
@@ -42,6 +43,9 @@
 if TYPE_CHECKING:
     import falcon
 
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Any]
+Document = TypeVar("Document")
+
 DRAIN_POLL_S = 0.02
 ACCEPT_STOP_MARGIN_S = 0.3
 """A stopping server closes its listener this long before its end, even if no other process accepts connections."""
@@ -65,7 +69,7 @@
 
     handler_class = ConnectionHandler
 
-    def __init__(self, address: Address, app, counts: Counts, max_connections: int):
+    def __init__(self, address: Address, app: WsgiApp, counts: Counts, max_connections: int):
         """Serves `app` at an address."""
         super().__init__(address.pair, app, log=None, error_log=None, spawn=Pool(max_connections))
         self.counts = counts
@@ -83,7 +87,7 @@
         self.start()
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops; does nothing more after a complete drain."""
         self.shut_down()
 
@@ -244,14 +248,16 @@
     return reservation
 
 
-def read_json(kind: type, req: falcon.Request, resp: falcon.Response, max_bytes: int = 65536):
+def read_json(
+    kind: type[Document], req: falcon.Request, resp: falcon.Response, max_bytes: int = 65536
+) -> Document | None:
     """Reads the JSON body as a struct of type `kind`; on an error, sends all findings and returns None."""
     data = read_body(req, max_bytes)
     if data is None:
         reject_early(req, resp, 413, [Finding("body", f"larger than {max_bytes} bytes")])
         return None
     result = parse_json(data).and_then(lambda doc: finding.read(kind, doc))
-    if result.is_err():
+    if isinstance(result, Err):
         reject_early(req, resp, 400, result.err_value)
         return None
     return result.ok_value
@@ -265,27 +271,27 @@
 
     __slots__ = ("plain_routes", "_app", "_pending_calls")
 
-    def __init__(self):
+    def __init__(self) -> None:
         """Does not load falcon yet."""
         self.plain_routes: dict[str, Callable[[], tuple[int, object]]] = {}
         self._app: falcon.App | None = None
-        self._pending_calls: list[tuple] = []
+        self._pending_calls: list[tuple[str, tuple[Any, ...], dict[str, Any]]] = []
 
-    def add_route(self, *args, **kwargs) -> None:
+    def add_route(self, *args: Any, **kwargs: Any) -> None:
         """Adds a route as `falcon.App.add_route` does."""
         self._add("add_route", args, kwargs)
 
-    def add_sink(self, *args, **kwargs) -> None:
+    def add_sink(self, *args: Any, **kwargs: Any) -> None:
         """Adds a sink as `falcon.App.add_sink` does."""
         self._add("add_sink", args, kwargs)
 
-    def _add(self, method: str, args: tuple, kwargs: dict) -> None:
+    def _add(self, method: str, args: tuple[Any, ...], kwargs: dict[str, Any]) -> None:
         if self._app is None:
             self._pending_calls.append((method, args, kwargs))
         else:
             getattr(self._app, method)(*args, **kwargs)
 
-    def __call__(self, environ: dict, start_response: Callable):
+    def __call__(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> Any:
         """Answers a request (WSGI)."""
         answer = self.plain_routes.get(environ["PATH_INFO"]) if environ["REQUEST_METHOD"] == "GET" else None
         if answer is None:
@@ -312,7 +318,8 @@
     import falcon
 
     app = falcon.App()
-    app.resp_options.default_media_type = None
+    options: Any = app.resp_options
+    options.default_media_type = None
     app.set_error_serializer(
         lambda req, resp, error: reject_early(req, resp, error.status_code, [Finding("request", error.title or "")])
     )
@@ -322,16 +329,16 @@
     return app
 
 
-def _refuse_body(req, resp, _error, _params) -> None:
+def _refuse_body(req: falcon.Request, resp: falcon.Response, _error: Exception, _params: dict[str, Any]) -> None:
     found = [Finding("body", "no room for it just now")]
     reject_early(req, resp, HTTPStatus.SERVICE_UNAVAILABLE, found, BODY_RETRY_AFTER_S)
 
 
-def _reject_broken_body(req, resp, _error, _params) -> None:
+def _reject_broken_body(req: falcon.Request, resp: falcon.Response, _error: Exception, _params: dict[str, Any]) -> None:
     reject_early(req, resp, HTTPStatus.BAD_REQUEST, [Finding("body", "broken off or badly chunked")])
 
 
-def _handle_error(req, resp, error, _params) -> None:
+def _handle_error(req: falcon.Request, resp: falcon.Response, error: Exception, _params: dict[str, Any]) -> None:
     from falcon import HTTPError
 
     if isinstance(error, HTTPError):
