An answer names the first hundred findings and the number of the others

The same list is kept as the outcome of a refused call.

Change: finding.shorten keeps the first hundred and says how many more there are; answers of falcon's servers and the outcomes in the replicated state use it.

Measured: the test's call of 5,000 invalid routes: 101 findings, under 20,000 bytes; without the change 5,000 findings (the test fails).

--- a/mallowvalve/control/state.py
+++ b/mallowvalve/control/state.py
@@ -21,7 +21,7 @@
     Renew,
     Unlock,
 )
-from mallowvalve.finding import Finding
+from mallowvalve.finding import Finding, shorten
 from mallowvalve.ledger.asks import IdempotencyTable, RecordedOutcome
 from mallowvalve.ledger.ledger import Claim, Done, Forfeit, Ledger, Lose, Release
 from mallowvalve.types import Address, Locality, Revision
@@ -329,9 +329,9 @@
     def _amend(self, amend: Amend) -> Outcome:
         turn = self.items.evaluate(amend)
         if turn.found:
-            return Outcome(Code.INVALID, self.settings.revision, encode(turn.found))
+            return Outcome(Code.INVALID, self.settings.revision, encode(shorten(turn.found)))
         if turn.conflicts:
-            return Outcome(Code.CONFLICT, self.settings.revision, encode(turn.conflicts))
+            return Outcome(Code.CONFLICT, self.settings.revision, encode(shorten(turn.conflicts)))
         self.items.apply_evaluation(turn, self.revision)
         if self.items.revision == self.revision:
             self.settings.revision = self.revision
--- a/mallowvalve/finding.py
+++ b/mallowvalve/finding.py
@@ -26,6 +26,16 @@
 
 
 Findings = list[Finding]
+MAX_REPORTED = 100
+"""How many findings an answer or a stored outcome holds; the number of the others follows as one more."""
+
+
+def shorten(findings: Findings) -> Findings:
+    """Returns the first findings and, if they are more than `MAX_REPORTED`, the number of the others."""
+    others = len(findings) - MAX_REPORTED
+    if others <= 1:
+        return findings
+    return [*findings[:MAX_REPORTED], Finding("findings", f"{others} more are left out")]
 
 
 def join(place: str, key: str) -> str:
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -24,7 +24,7 @@
     BodyTooLargeError,
 )
 from mallowvalve.configuration.items import Limits
-from mallowvalve.finding import Finding, Findings, parse_json
+from mallowvalve.finding import Finding, Findings, parse_json, shorten
 from mallowvalve.handshake_filter import refuse_handshakes
 from mallowvalve.http_connection import (
     NOT_RUN,
@@ -200,8 +200,8 @@
 def reject(
     resp: falcon.Response, status: int, outcome: str, findings: Findings, retry_after: float | None = None
 ) -> None:
-    """Sends an error response with its outcome and findings; `retry_after` is in seconds."""
-    send_json(resp, {"outcome": outcome, "findings": findings}, status)
+    """Sends an error response with its outcome and the first findings; `retry_after` is in seconds."""
+    send_json(resp, {"outcome": outcome, "findings": shorten(findings)}, status)
     resp.set_header(OUTCOME, outcome)
     if retry_after is not None:
         resp.set_header("Retry-After", str(max(1, math.ceil(retry_after))))
--- a/tests/test_http_items.py
+++ b/tests/test_http_items.py
@@ -92,6 +92,22 @@
     assert not task.offered
 
 
+def test_a_call_with_many_mistakes_names_the_first_and_the_number_of_the_others(control):
+    """Guards against an answer that is larger than the call, and that is kept with the outcomes of calls."""
+    task, client = control
+    wrong = call([route(f"r{index}", limit_ms=0) for index in range(5000)])
+    response = client.simulate_patch("/items", body=wrong)
+    findings = response.json["findings"]
+    assert response.status_code == 400 and len(findings) == 101 and len(response.content) < 20_000
+    assert findings[0]["place"] == "set.routes[0].limit_ms"
+    assert findings[-1] == {"place": "findings", "text": "4900 more are left out"}
+    assert not task.offered
+    clashing = call([route(f"r{index}", prefix=f"/{index}/", service="nobody") for index in range(5000)])
+    task.state = ReplicatedState(3)
+    outcome = task.leader.apply(1, 0, encode(parse_amend(clashing).unwrap()))
+    assert outcome.code == "invalid" and len(outcome.body) < 20_000
+
+
 def test_a_repeated_request_is_acknowledged_by_an_empty_command_and_changes_nothing(control):
     task, client = control
     first = client.simulate_patch("/items", body=FIRST).json
