A failing handler is counted and logged, and each soak takes it for a finding

Cause: a 500 by an error of a handler's own was one line without a traceback, and none at all from the proxies' server; no soak and no test looked for it.

--- a/mallowvalve/http_connection.py
+++ b/mallowvalve/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from http import HTTPStatus
@@ -17,7 +18,7 @@
 from mallowvalve.connection_close import discard_rest
 from mallowvalve.finding import Finding
 from mallowvalve.http_head import RequestReader, peer_has_closed, read_head
-from mallowvalve.metrics import Counts
+from mallowvalve.metrics import Counts, log_event_rarely
 from mallowvalve.request_body import BodyReader, make_body_reader
 
 Socket: TypeAlias = socket.socket
@@ -28,6 +29,7 @@
 MAX_COMBINED_BYTES = 256 << 10
 """The response head and a first part of the body up to this size are sent with one call."""
 
+MAX_TRACEBACK_CHARACTERS = 2000
 DEFAULT_MAX_HEAD_BYTES = 65536
 DEFAULT_HEAD_TIMEOUT_S = 30.0
 DEFAULT_IDLE_S = 30.0
@@ -53,6 +55,12 @@
     return head.encode() + body
 
 
+def log_handler_error(where: str, error: BaseException | None) -> None:
+    """Logs an error of a request's handler, which is answered with 500, with the end of its traceback."""
+    trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARACTERS:]
+    log_event_rarely("handler_failed", where=where, error=repr(error), traceback=trace)
+
+
 def refuse_connection(sock: socket.socket, end: float) -> None:
     """Answers a connection whose request is not read, and closes it, not after `end` (s, this process's clock)."""
     with sock, suppress(OSError):
@@ -312,7 +320,11 @@
         self.close_without_reading()
         if self.response_length:
             return
-        cut_off = isinstance(sys.exc_info()[1], GreenletExit)
+        error = sys.exc_info()[1]
+        cut_off = isinstance(error, GreenletExit)
+        if error_code == HTTPStatus.INTERNAL_SERVER_ERROR and not cut_off:
+            self.server.counts.add("handler_errors")
+            log_handler_error(self.path, error)
         status, outcome = (
             (504, UNDECIDED)
             if cut_off
--- a/mallowvalve/localfleet/deployed/garbage.py
+++ b/mallowvalve/localfleet/deployed/garbage.py
@@ -66,6 +66,8 @@
     b"PUT /api/instances/i HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
     b"GET /api/watch/g.?after=-1&wait_ms=x HTTP/1.1\r\nHost: h\r\n\r\n",
     b"X" * 70_000,
+    b"PATCH /api/configuration HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + b"{" * 300_000,
+    b"PATCH /items HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + b"{" * 300_000,
 )
 
 
--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -41,11 +41,12 @@
 
 
 def check_faults(records: Records) -> list[str]:
-    """Processes that ended by themselves, that hang, and that do not become ready, with the end of their logs."""
+    """Processes that ended by themselves, hang, do not become ready or have a failing handler, by their logs."""
     found = [
         f"FAULT: {end.machine} ended by itself with code {end.code}, {end.lasted_s} s after its start: {end.log}"
         for end in records.own_ends
     ]
+    found += [f"FAULT: {error.machine} answered 500: {error.log}" for error in records.handler_errors]
     found += [f"FAULT: {hang.machine} gave no answer for {hang.silent_s} s: {hang.log}" for hang in records.hangs]
     found += [f"FAULT: {slow.machine} not ready after {slow.waited_s} s: {slow.log}" for slow in records.slow_starts]
     return found
@@ -209,6 +210,7 @@
         "stops": len(records.stops),
         "kills": len(records.kills),
         "own_ends": dict(sorted(Counter(f"{end.machine} code {end.code}" for end in records.own_ends).items())),
+        "handler_errors": len(records.handler_errors),
         "hangs": len(records.hangs),
         "slow_starts": len(records.slow_starts),
         "stalls_s": [stall.seconds for stall in records.stalls],
--- a/mallowvalve/localfleet/deployed/machines.py
+++ b/mallowvalve/localfleet/deployed/machines.py
@@ -18,7 +18,7 @@
 import psutil
 
 from mallowvalve import clock, settings
-from mallowvalve.localfleet.deployed.records import OwnEnd
+from mallowvalve.localfleet.deployed.records import HandlerError, OwnEnd
 from mallowvalve.localfleet.deployed.shape import MACHINE_FILE, DeployFile, Role, Shape
 from mallowvalve.localfleet.ports import free_ports
 from mallowvalve.localfleet.template import fill
@@ -34,6 +34,10 @@
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 FIRST_HOST = 10
 LAST_LINES_BYTES = 2000
+MAX_LINE_CHARACTERS = 500
+HANDLER_ERROR = '"message_type":"handler_failed"'
+"""What a log line on a failing handler holds."""
+
 SIGNAL_MASKS = ("SigIgn", "SigCgt")
 NETWORK = "127.{}.{}"
 
@@ -142,6 +146,15 @@
             log.seek(max(0, path.stat().st_size - LAST_LINES_BYTES))
             return log.read().decode(errors="replace")
 
+    def handler_errors(self) -> list[HandlerError]:
+        """Returns the lines of its log on requests whose handler raised an error."""
+        path = self.folder / "log"
+        if not path.exists():
+            return []
+        with path.open(errors="replace") as log:
+            lines = [line.rstrip() for line in log if HANDLER_ERROR in line]
+        return [HandlerError(self.name, line[:MAX_LINE_CHARACTERS]) for line in lines]
+
     def ignores(self, number: signal.Signals) -> bool:
         """Returns whether its process ignores or catches a signal: not before its first instruction."""
         try:
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -93,6 +93,13 @@
     log: str
 
 
+class HandlerError(msgspec.Struct, frozen=True):
+    """A line of a process's log: a request was answered with 500 because its handler raised an error of its own."""
+
+    machine: str
+    log: str
+
+
 class SlowStart(msgspec.Struct, frozen=True):
     """A process that was not ready within `waited_s` of its start."""
 
@@ -227,6 +234,7 @@
     own_ends: list[OwnEnd] = []
     hangs: list[Hang] = []
     slow_starts: list[SlowStart] = []
+    handler_errors: list[HandlerError] = []
     stalls: list[Stall] = []
     memory: list[MemoryPeak] = []
     look_ups: list[LookUp] = []
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -87,6 +87,7 @@
         if self.closing:
             self._kill_all()
         self.records.final = self.operator.read_back()
+        self.records.handler_errors = [error for machine in self.fleet.machines for error in machine.handler_errors()]
         return self.records
 
     def _kill_all(self) -> None:
--- a/mallowvalve/web.py
+++ b/mallowvalve/web.py
@@ -33,10 +33,11 @@
     UNKNOWN,
     ConnectionHandler,
     encode,
+    log_handler_error,
     refuse_connection,
 )
 from mallowvalve.http_head import peek
-from mallowvalve.metrics import Counts, log_event
+from mallowvalve.metrics import Counts
 from mallowvalve.request_body import BrokenBodyError
 from mallowvalve.types import Address
 
@@ -344,5 +345,8 @@
     if isinstance(error, HTTPError):
         reject_early(req, resp, error.status_code, [Finding(req.path, error.description or error.title)])
         return
-    log_event("crash", where=req.path, error=repr(error))
+    handler: ConnectionHandler | None = req.env.get("mallow.handler")
+    if handler is not None:
+        handler.server.counts.add("handler_errors")
+    log_handler_error(req.path, error)
     reject(resp, 500, UNKNOWN, [Finding(req.path, "internal error")])
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -44,6 +44,7 @@
         for machine in fleet.machines:
             machine.popen.terminate()
             assert machine.popen.wait(timeout=30) == 0, machine.last_lines()
+            assert machine.handler_errors() == []
 
 
 def draws_a_number(fleet):
--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -28,6 +28,7 @@
 from mallowvalve.localfleet.deployed.records import (
     Change,
     FinalState,
+    HandlerError,
     Hang,
     KeyRead,
     KeyWrite,
@@ -119,6 +120,7 @@
     "CUT before its deadline": {"requests": [cut(RequestEnd.NOT_SENT, deadline_s=4.0, ended_at=23.9)]},
     "CUT timed out": {"requests": [cut(RequestEnd.TIMED_OUT, ended_at=24.0)]},
     "FAULT end by itself": {"own_ends": [OwnEnd("core-0", 12.0, 2, 0.4, "in use")]},
+    "FAULT handler error": {"handler_errors": [HandlerError("core-0", "AttributeError")]},
     "FAULT hang": {"hangs": [Hang("core-0", 12.0, 10.5, "")]},
     "FAULT slow start": {"slow_starts": [SlowStart("edge-0", 12.0, 40.0, "")]},
     "MEMORY": {"memory": [MemoryPeak("edge-0", 100.5, 100.0)]},
