Operators see which losses the core survives, and the fault budget is a setting

Change: the setting fault_budget (machines, zones, regions; one each by default) is filled from the platform's, and decides the preferred number of voters. The leader shows how many machines and which regions and zones may be lost: /metrics (core_survives_loss_of), its page (/leader, "survives") and two events, core_below_fault_budget and core_meets_fault_budget.

--- a/mallowvalve/control/core.py
+++ b/mallowvalve/control/core.py
@@ -34,6 +34,7 @@
     encode,
     is_command,
 )
+from mallowvalve.control.voter_placement import Tolerance
 from mallowvalve.control.waiting import (
     CommitMarkTimer,
     PendingCommand,
@@ -265,6 +266,10 @@
             and index + lease.MAX_WATCH_LAG_ENTRIES >= raft.known_commit_index
         )
 
+    def tolerance(self, now: float) -> Tolerance | None:
+        """Returns which losses the voters survive; None unless this process leads and knows the places of all."""
+        return self.members.tolerance(self.raft, now) if self.raft is not None and self.leads else None
+
     def contact(self) -> float:
         """Returns when this process sent the newest question that a majority has confirmed since (s)."""
         return self.raft.last_quorum_contact() if self.raft is not None else lease.NO_CONTACT
--- a/mallowvalve/control/http_operators.py
+++ b/mallowvalve/control/http_operators.py
@@ -16,6 +16,7 @@
 from mallowvalve.control.outcome import Code
 from mallowvalve.control.state import Change, Evacuate, ReplicatedSettings, Strike, command_key, encode
 from mallowvalve.control.task import ControlTask
+from mallowvalve.control.tolerance_report import describe
 from mallowvalve.control.wire import CommandResponse
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.planner.plan import ReadyUpstream, plan
@@ -234,7 +235,7 @@
         raft, state = core.raft, core.state
         if raft is None or state is None:
             return web.send_json(resp, {"leader": None, "blank": True})
-        configuration = raft.log.configuration
+        configuration, tolerance = raft.log.configuration, core.tolerance(clock.now())
         web.send_json(
             resp,
             {
@@ -248,6 +249,7 @@
                 "learners": sorted(map(str, configuration.learners.values())),
                 "roster": sorted(state.settings.roster),
                 "disk": "refuses" if self.task.stalled else "well",
+                "survives": describe(tolerance) if tolerance is not None else None,
             },
         )
 
--- a/mallowvalve/control/main.py
+++ b/mallowvalve/control/main.py
@@ -142,6 +142,7 @@
     node.set_service_filter(lambda service: service in task.tree().doc.services)
     register_memory_gauges(node)
     node.gauge("role", lambda: task.core.raft.role if task.core.raft else "blank")
+    node.gauge("core_survives_loss_of", task.tolerance_report.gauge)
     node.gauge("votes", lambda: task.core.raft.counts.snapshot() if task.core.raft else {})
     pages = directory_pages(node, task)
     node.app.add_route("/-/named", directory.NamedResource(pages))
--- a/mallowvalve/control/reconfiguration.py
+++ b/mallowvalve/control/reconfiguration.py
@@ -11,7 +11,7 @@
   that left is known at once.
 - `SILENT`: Raft has not heard it for `SILENCE_TIMEOUT_S`. This bounds the repair: the detector's verdict on a crash
   takes 3.3 s on average but 6.5 s at the 95th percentile (docs/measurements/membership.md), and a successor counts as
-  safe `catch-up-s` (4 s) after its start, so that the next loss inside `fault-budget` may come then.
+  safe `catch-up-s` (4 s) after its start, so that the next loss inside the fault budget may come then.
   `SILENCE_TIMEOUT_S` and the two rounds of the replacement, each under 0.5 s, end before that. A member that was only
   frozen or partitioned loses its seat to one that has caught up, and comes back as a learner by the log alone.
 
@@ -35,10 +35,11 @@
 
 import msgspec
 
-from mallowvalve.control.voter_placement import FaultBudget, better_exchange, evenly_chosen, preferred_seats
+from mallowvalve.control.voter_placement import Tolerance, better_exchange, evenly_chosen, preferred_seats, tolerance
 from mallowvalve.control.wire import ProcessStatus
 from mallowvalve.raft.messages import ClusterConfiguration
 from mallowvalve.raft.raft import Raft
+from mallowvalve.settings import FaultBudget
 from mallowvalve.types import Address, Locality
 
 CHECK_INTERVAL_S = 0.1
@@ -148,6 +149,17 @@
             return None
         return self._with_better_places(voters, raft.me, self._eligible(caught_up, now))
 
+    def tolerance(self, raft: Raft, now: float) -> Tolerance | None:
+        """Returns which further losses the present voters survive; None until all of their places are known.
+
+        A voter counts as lost once Raft has not heard it for `VERDICT_CONFIRMATION_S`.
+        """
+        voters = raft.log.configuration.all_voters()
+        if not voters.keys() <= self.announcements.keys():
+            return None
+        lost = {id for id in voters if _is_silent(raft, id, now, VERDICT_CONFIRMATION_S)}
+        return tolerance({id: self.announcements[id].locality for id in voters}, lost)
+
     def _lagging_commit_index(self, commit_index: int, now: float) -> int:
         """Returns the commit index `CATCH_UP_LAG_S` ago; the present one if no check is that old."""
         while self._commit_samples and self._commit_samples[0][1] > commit_index:
--- a/mallowvalve/control/task.py
+++ b/mallowvalve/control/task.py
@@ -28,6 +28,7 @@
 from mallowvalve.control.snapshot_fetch import BASE_SNAPSHOT, SnapshotExchange, collect_pieces
 from mallowvalve.control.snapshot_transfer import FetchProgress
 from mallowvalve.control.state import ReplicatedState
+from mallowvalve.control.tolerance_report import ToleranceReport
 from mallowvalve.finding import Findings
 from mallowvalve.metrics import log_event
 from mallowvalve.node import Node
@@ -56,6 +57,7 @@
         "_jobs",
         "stalled",
         "_core_events",
+        "tolerance_report",
         "_tree",
         "snapshot_exchange",
         "_compacting",
@@ -75,12 +77,13 @@
         settings, rng, id = node.settings, random.Random(node.boot), disk_log.identity.id
         timings = RaftTimings(min_broadcast_interval=settings.pace, election_timeout=settings.election)
         self.core = Core(id, settings.transport, settings.locality, rng, settings.acks, timings)
-        self.core.members.boot = node.boot
+        self.core.members.boot, self.core.members.fault_budget = node.boot, settings.fault_budget
         if loaded.snapshot is not None:
             self.core.start(loaded.snapshot, loaded.hard, loaded.entries, clock.now())
         self._events: Queue = Queue()
         self.stalled = self._compacting = self._stopping = False
         self._core_events = CoreEvents(self.core, node.counts)
+        self.tolerance_report = ToleranceReport(self.core, settings.fault_budget)
         self._tree: tuple[int, Tree] = (0, EMPTY_TREE)
         self.snapshot_exchange = SnapshotExchange(
             node.transport, self.core.snapshot, self.core.base_snapshot, self.core.settings_snapshot
@@ -309,6 +312,7 @@
             self.core.tick(clock.now())
             self._flush()
             self._core_events.log()
+            self.tolerance_report.log()
 
     def _take_events(self, wait: float) -> list[Event]:
         events: list[Event] = []
--- a/mallowvalve/control/voter_placement.py
+++ b/mallowvalve/control/voter_placement.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from mallowvalve.settings import FaultBudget
 from mallowvalve.types import Locality
 
 MAX_VOTERS = 5
@@ -23,14 +24,6 @@
 """The numbers of voters in each region, then in each zone, each in descending order; the smaller, the more even."""
 
 
-class FaultBudget(msgspec.Struct, frozen=True, kw_only=True):
-    """What may be lost at once: so many machines of the core, or zones, or regions."""
-
-    machines: int = 1
-    zones: int = 1
-    regions: int = 1
-
-
 class Exchange(msgspec.Struct, frozen=True):
     """A voter that is to give its seat to another member."""
 
@@ -39,9 +32,14 @@
 
 
 class Tolerance(msgspec.Struct, frozen=True):
-    """Which losses leave a majority of the voters: any `machines` of them, any region or zone but the critical ones."""
+    """Which losses leave a majority of the voters: of any `machines` of them, and of which regions and zones.
+
+    A majority does not survive the loss of a critical region or zone. Places without a voter are not named.
+    """
 
     machines: int
+    regions: tuple[str, ...]
+    zones: tuple[str, ...]
     critical_regions: tuple[str, ...]
     critical_zones: tuple[str, ...]
 
@@ -67,15 +65,22 @@
     """Returns which further losses leave a majority, of voters of which some are lost already."""
     alive = [place for voter, place in voters.items() if voter not in lost]
     spare = len(alive) - len(voters) // 2 - 1
-    zones = Counter(alive)
     regions = Counter(place.region for place in alive)
+    zones = Counter(map(str, alive))
     return Tolerance(
         max(0, spare),
-        tuple(sorted(region for region, count in regions.items() if count > spare)),
-        tuple(sorted(str(zone) for zone, count in zones.items() if count > spare)),
+        regions=_places(regions, 0, spare),
+        zones=_places(zones, 0, spare),
+        critical_regions=_places(regions, max(0, spare + 1), MAX_VOTERS),
+        critical_zones=_places(zones, max(0, spare + 1), MAX_VOTERS),
     )
 
 
+def _places(counts: Counter[str], least: int, most: int) -> tuple[str, ...]:
+    """Returns the places with `least` to `most` voters, in order."""
+    return tuple(sorted(place for place, count in counts.items() if least <= count <= most))
+
+
 def evenly_chosen(members: Mapping[str, Locality], seats: int, kept: Collection[str] = ()) -> list[str]:
     """Returns this many members, spread as evenly as possible around those that are `kept`."""
     chosen = list(kept)
--- a/mallowvalve/settings.py
+++ b/mallowvalve/settings.py
@@ -66,6 +66,14 @@
     coordination: Literal["held", "commit"] = "held"
 
 
+class FaultBudget(msgspec.Struct, frozen=True, kw_only=True):
+    """What may be lost at once while all promises hold: so many core machines, or zones, or regions."""
+
+    machines: int = 1
+    zones: int = 1
+    regions: int = 1
+
+
 class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
     """Names of the HTTP headers between clients, proxies and upstreams; an empty name disables the header.
 
@@ -96,7 +104,7 @@
     of the state that it replicates. `coordination_at` is the path of the coordination resources, `heartbeats`
     selects where upstreams are kept (`told`: gossiped between nodes, `registered`: in the replicated state),
     `heartbeat_ms` is the expected interval. `pace` is the shortest time between two rounds of a leader to its
-    voters (s), `election` the shortest election timeout (s).
+    voters (s), `election` the shortest election timeout (s). `fault_budget` is what the core should survive.
     """
 
     name: str
@@ -120,6 +128,7 @@
     budget: RetryBudgetBounds = RetryBudgetBounds()
     cold: ColdStartBounds = ColdStartBounds()
     acks: Acks = Acks()
+    fault_budget: FaultBudget = FaultBudget()
     terms: HeaderNames = HeaderNames()
 
 
@@ -159,7 +168,15 @@
     flags: dict[str, Any] = {}
 
 
-NOT_NEGATIVE_FIELDS = ("budget.ratio", "budget.slack", "cold.slack", "pace")
+NOT_NEGATIVE_FIELDS = (
+    "budget.ratio",
+    "budget.slack",
+    "cold.slack",
+    "pace",
+    "fault_budget.machines",
+    "fault_budget.zones",
+    "fault_budget.regions",
+)
 POSITIVE_FIELDS = (
     "budget.span",
     "cold.over",
--- a/tests/test_voter_placement.py
+++ b/tests/test_voter_placement.py
@@ -7,7 +7,6 @@
 from mallowvalve.control.reconfiguration import MAX_SEATS_GIVEN, SEAT_WINDOW_S, MemberAnnouncement, MemberObservations
 from mallowvalve.control.voter_placement import (
     MAX_VOTERS,
-    FaultBudget,
     better_exchange,
     evenly_chosen,
     preferred_seats,
@@ -17,6 +16,7 @@
 from mallowvalve.raft.log import Log
 from mallowvalve.raft.messages import ClusterConfiguration, GroupId, RaftSnapshot
 from mallowvalve.raft.progress import Progress
+from mallowvalve.settings import FaultBudget
 from mallowvalve.types import Address, Locality
 
 MAX_MEMBERS = 9
