--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -123,6 +123,18 @@
     assert sorted(services) == ["control_plane", "edge", "resolver"]
 
 
+def test_the_fault_budget_is_taken_from_the_platform_and_may_be_missing(load):
+    """Guards against a core that plans for other losses than the platform names, or does not start without them."""
+    budget = {"machines": 2, "zones": 1, "regions": 1, "racks": 3}
+    for given, wanted in (
+        (budget, settings.FaultBudget(machines=2)),
+        ({}, settings.FaultBudget()),
+        (None, settings.FaultBudget()),
+    ):
+        filled = fill(template("control"), recorded("control", **{"fault-budget": given}))
+        assert load("control", filled).unwrap().fault_budget == wanted
+
+
 def test_the_platforms_names_are_used_only_in_its_own_files():
     wire = tomllib.loads((ROOT / "deploy/wire.toml").read_text())
     names = {name for name in wire["fields"] if "-" in name}
