--- a/mallowvalve/localfleet/acknowledged.py
+++ b/mallowvalve/localfleet/acknowledged.py
@@ -5,6 +5,7 @@
 import random
 import time
 import uuid
+from collections.abc import Callable
 
 from mallowvalve.localfleet.call import call
 from mallowvalve.localfleet.fleet import FleetProcess, LocalFleet, wait_until
@@ -22,7 +23,7 @@
         fleet.start(process.name)
         wait_until(lambda: call(process.web_port, "GET", "/-/ready", timeout_s=2)[0] == 200, 15)
 
-    def send_to_control(method: str, path: str, body) -> tuple[FleetProcess, dict] | None:
+    def send_to_control(method: str, path: str, body: object) -> tuple[FleetProcess, dict] | None:
         process = rng.choice(fleet.with_role("control"))
         status, data, _ = call(process.web_port, method, path, body, {"Mallow-Key": uuid.uuid4().hex}, 10)
         return (process, data) if status == 200 else None
@@ -58,7 +59,7 @@
     acknowledged = send_to_control("POST", "/locks/acked/take", {"holder": "x", "ttl_ms": 60000})
     if acknowledged:
         restart(acknowledged[0])
-        again = wait_until(
+        status_again = wait_until(
             lambda: next(
                 (
                     status
@@ -71,7 +72,7 @@
             ),
             15,
         )
-        findings += [] if again == 409 else [f"a held lock answered {again}"]
+        findings += [] if status_again == 409 else [f"a held lock answered {status_again}"]
     acknowledged = send_to_control("POST", "/evacuations", {"zone": "ap-b", "evacuated": True})
     if acknowledged:
         restart(acknowledged[0])
@@ -81,7 +82,7 @@
     return findings
 
 
-def _after_order(fleet: LocalFleet, rng: random.Random, restart) -> list[str]:
+def _after_order(fleet: LocalFleet, rng: random.Random, restart: Callable[[FleetProcess], None]) -> list[str]:
     """Kills a proxy right after it answered an order; a repeat must not run the order again."""
     share = next(share for share in fleet.shape.shares if share[3])
     key = uuid.uuid4().hex
@@ -100,7 +101,7 @@
     )
 
 
-def _after_notice(fleet: LocalFleet, restart) -> list[str]:
+def _after_notice(fleet: LocalFleet, restart: Callable[[FleetProcess], None]) -> list[str]:
     """Kills a proxy right after it acknowledged a leaving notice; no later request may reach the upstream."""
     upstream = next(process for process in fleet.with_role("upstream") if process.is_running)
     process = fleet.with_role("proxy")[0]
--- a/mallowvalve/localfleet/acts.py
+++ b/mallowvalve/localfleet/acts.py
@@ -257,7 +257,8 @@
 
     They may run without it here because nothing fails during this act.
     """
-    original, durations_s = fleet.shape.config, {"with": [], "without": []}
+    original = fleet.shape.config
+    durations_s: dict[str, list[list[float]]] = {"with": [], "without": []}
     without_ledger = {
         **original,
         "routes": {name: {**route, "kind": "read"} for name, route in original["routes"].items()},
--- a/mallowvalve/localfleet/cost.py
+++ b/mallowvalve/localfleet/cost.py
@@ -58,6 +58,6 @@
     status, data, _ = call(process.web_port, "GET", "/-/counts")
     counts = Counter(data["counts"]) if status == 200 else Counter()
     counts["membership_sent"] = sum(value for name, value in counts.items() if name.startswith("membership_sent_"))
-    with open(f"/proc/{process.popen.pid}/stat") as stat:
+    with open(f"/proc/{process.pid}/stat") as stat:
         fields = stat.read().rpartition(")")[2].split()
     return dict(counts) | {"cpu": (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S}
--- a/mallowvalve/localfleet/fleet.py
+++ b/mallowvalve/localfleet/fleet.py
@@ -4,18 +4,23 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 
 from mallowvalve.fault import TRIAL_FLEET
 from mallowvalve.localfleet.ports import HOST, free_ports
 
+Value = TypeVar("Value")
+
 
 class NodePlacement(msgspec.Struct):
     """A process of a role and its locality, REGION/ZONE."""
@@ -83,6 +88,28 @@
         """Whether the process runs."""
         return self.popen is not None and self.popen.poll() is None
 
+    @property
+    def started(self) -> subprocess.Popen[bytes]:
+        """The process; raises RuntimeError if it was never started."""
+        if self.popen is None:
+            raise RuntimeError(f"{self.name} was not started")
+        return self.popen
+
+    @property
+    def pid(self) -> int:
+        """The id of the process; raises RuntimeError if it was never started."""
+        return self.started.pid
+
+
+class FleetOperators(Protocol):
+    """The operators of a trial: `operators.ConfigurationOperators`, whose methods these are."""
+
+    def pick_control_port(self, rng: random.Random | None = None) -> int:
+        """Returns the web port of a random running control process."""
+
+    def apply_base(self, doc: dict[str, Any], name: str) -> bool:
+        """Makes `doc` the configuration; returns whether that was acknowledged."""
+
 
 class LocalFleet:
     """All processes by name; entering the context starts them. `faults` are the faults currently injected."""
@@ -92,10 +119,17 @@
         self.shape, self.folder, self.stop_grace_s = shape, folder, stop_grace_s
         self.processes: dict[str, FleetProcess] = {}
         self.faults: dict = {}
-        self.operators = None
+        self.running_operators: FleetOperators | None = None
         folder.mkdir(parents=True, exist_ok=True)
         self._plan()
 
+    @property
+    def operators(self) -> FleetOperators:
+        """The operators of the trial; raises RuntimeError outside one."""
+        if self.running_operators is None:
+            raise RuntimeError("no operators run")
+        return self.running_operators
+
     def _plan(self) -> None:
         ports = iter(free_ports(2 * len(self.shape.nodes) + sum(len(pool.localities) for pool in self.shape.upstreams)))
         planned = [
@@ -232,38 +266,40 @@
             self.start(name)
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Kills all processes."""
         for process in self.processes.values():
             if process.is_running:
-                process.popen.send_signal(signal.SIGCONT)
-                process.popen.kill()
+                process.started.send_signal(signal.SIGCONT)
+                process.started.kill()
         for process in self.processes.values():
             if process.popen is not None:
                 process.popen.wait()
 
     def kill(self, name: str) -> None:
         """Kills a process with SIGKILL and waits for its end."""
-        self.processes[name].popen.kill()
-        self.processes[name].popen.wait()
+        self.processes[name].started.kill()
+        self.processes[name].started.wait()
 
     def stop(self, name: str, timeout_s: float = 10.0) -> int:
         """Sends SIGTERM and returns the exit code; raises subprocess.TimeoutExpired after `timeout_s`."""
-        popen = self.processes[name].popen
+        popen = self.processes[name].started
         popen.terminate()
         return popen.wait(timeout=timeout_s)
 
     def freeze(self, name: str) -> None:
         """Suspends a process with SIGSTOP."""
-        os.kill(self.processes[name].popen.pid, signal.SIGSTOP)
+        os.kill(self.processes[name].pid, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
         """Resumes a suspended process with SIGCONT."""
-        os.kill(self.processes[name].popen.pid, signal.SIGCONT)
+        os.kill(self.processes[name].pid, signal.SIGCONT)
 
     def delete_data(self, name: str) -> None:
         """Deletes the data folder of a process."""
-        shutil.rmtree(self.processes[name].data, ignore_errors=True)
+        data = self.processes[name].data
+        if data is not None:
+            shutil.rmtree(data, ignore_errors=True)
 
     def cut_links(self, pairs: list[tuple[FleetProcess, FleetProcess]], one_way: bool = False) -> None:
         """Drops transport messages from the first to the second of each pair, and back unless `one_way`."""
@@ -277,7 +313,7 @@
         """Cuts every process of `left` off from every process of `right`."""
         self.cut_links([(a, b) for a in left for b in right], one_way)
 
-    def set_disk_faults(self, full: list[str] = (), stalls: dict[str, float] | None = None) -> None:
+    def set_disk_faults(self, full: Sequence[str] = (), stalls: dict[str, float] | None = None) -> None:
         """Makes the disks of the processes in `full` refuse writes, and delays each write of those in `stalls` (s)."""
         self.faults |= {"full": list(full), "stalls": stalls or {}}
         self._write_faults()
@@ -306,7 +342,7 @@
         return rows
 
 
-def wait_until(test, timeout_s: float, interval_s: float = 0.1):
+def wait_until(test: Callable[[], Value], timeout_s: float, interval_s: float = 0.1) -> Value:
     """Polls `test` every `interval_s` until its result is true or `timeout_s` have passed; returns the last result."""
     end = time.monotonic() + timeout_s
     while True:
--- a/mallowvalve/localfleet/history.py
+++ b/mallowvalve/localfleet/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import Any
 
 import msgspec
 
@@ -201,7 +202,8 @@
 
 def check_lock_exclusion(history: CoordinationHistory) -> list[str]:
     """Checks that holds of a lock by different clients do not overlap and that their tokens increase."""
-    findings, latest = [], {}
+    findings: list[str] = []
+    latest: dict[str, Any] = {}
     for hold in sorted(history.holds, key=lambda hold: hold.start):
         previous = latest.get(hold.name)
         if previous is not None and hold.start < previous.end and hold.who != previous.who:
--- a/mallowvalve/localfleet/judge.py
+++ b/mallowvalve/localfleet/judge.py
@@ -39,12 +39,12 @@
 ) -> list[OfferedConfiguration]:
     """Returns the configurations that may have been in force at a moment."""
     certain = [offer for offer in offers if offer.revision is not None and offer.ended <= at - grace_s]
-    newest = max(certain, key=lambda offer: offer.revision, default=None)
+    newest = max((offer.revision for offer in certain if offer.revision is not None), default=None)
     possible = []
     for offer in offers:
         if offer.begun > at:
             continue
-        if offer.revision is not None and (newest is None or offer.revision >= newest.revision):
+        if offer.revision is not None and (newest is None or offer.revision >= newest):
             possible.append(offer)
         if offer.revision is None and not any(later.begun > offer.ended for later in certain):
             possible.append(offer)
@@ -78,7 +78,7 @@
 
 def check_reported_outcomes(asked_rows: list[dict], ran_rows: list[dict]) -> list[str]:
     """Checks that requests reported as done ran once, and that requests reported as not run did not run."""
-    runs = defaultdict(int)
+    runs: defaultdict[str, int] = defaultdict(int)
     for row in ran_rows:
         runs[row["key"] or row["request"]] += 1
     findings = []
@@ -95,7 +95,8 @@
 
 def check_routing(offers: list[OfferedConfiguration], ran_rows: list[dict]) -> list[str]:
     """Checks that each run was allowed by a configuration that may have been in force at its time."""
-    findings, trees = [], {}
+    findings: list[str] = []
+    trees: dict[str, Tree] = {}
     for offer in offers:
         key = repr(offer.doc)
         trees[key] = trees.get(key) or build(offer.doc).unwrap()
@@ -106,11 +107,13 @@
         interval = bisect_right(boundaries, row["at"])
         docs = docs_by_interval.get(interval)
         if docs is None:
-            docs = docs_by_interval[interval] = {offer.doc for offer in in_force_at(offers, row["at"])}
+            docs = docs_by_interval[interval] = {str(offer.doc) for offer in in_force_at(offers, row["at"])}
         violations = [_violation(trees[doc], row) for doc in docs]
         if all(violations):
             request = f"{row['method']} {row['path']} for {row['tenant']}"
-            findings.append(f"{row['service']} in {row['locality']} ran {request}: {sorted(set(violations))}")
+            findings.append(
+                f"{row['service']} in {row['locality']} ran {request}: {sorted({str(text) for text in violations})}"
+            )
     return findings
 
 
--- a/mallowvalve/localfleet/main.py
+++ b/mallowvalve/localfleet/main.py
@@ -9,6 +9,7 @@
 
 import click
 import msgspec
+from result import Err
 
 from mallowvalve import finding
 from mallowvalve.localfleet import trial
@@ -28,7 +29,7 @@
         click.echo(f"mallowvalve: {path}: {error}", err=True)
         sys.exit(2)
     result = finding.read(FleetShape, data)
-    if result.is_err():
+    if isinstance(result, Err):
         for problem in result.err_value:
             click.echo(f"mallowvalve: {path}: {problem}", err=True)
         sys.exit(2)
@@ -108,9 +109,7 @@
         is_settled = wait_until_settled(fleet)
         click.echo("settled" if is_settled else "not settled")
         for process in fleet.processes.values():
-            click.echo(
-                f"{process.name:24} {process.locality:12} web 127.0.0.1:{process.web_port} pid {process.popen.pid}"
-            )
+            click.echo(f"{process.name:24} {process.locality:12} web 127.0.0.1:{process.web_port} pid {process.pid}")
         if acts and is_settled:
             findings, statistics = trial.run_trial(fleet, list(acts), seed, rate, coordination)
             for line in findings:
--- a/mallowvalve/localfleet/mishaps.py
+++ b/mallowvalve/localfleet/mishaps.py
@@ -17,6 +17,14 @@
     return [process for role in ("control", "directory", "proxy") for process in fleet.with_role(role)]
 
 
+def _require_leader(fleet: LocalFleet) -> FleetProcess:
+    """Returns the control process that leads; raises RuntimeError without one."""
+    leader = _find_leader(fleet)
+    if leader is None:
+        raise RuntimeError("no control process leads")
+    return leader
+
+
 def _find_leader(fleet: LocalFleet) -> FleetProcess | None:
     def running_leader() -> FleetProcess | None:
         return next(
@@ -45,7 +53,7 @@
 
 def core_split(fleet: LocalFleet) -> list[str]:
     """Partitions the fleet: the leader with a minority on one side, all other processes on the other side."""
-    leader = _find_leader(fleet)
+    leader = _require_leader(fleet)
     controls = [leader, *(process for process in fleet.with_role("control") if process is not leader)]
     minority = controls[: max(1, (min(5, len(controls)) - 1) // 2)]
     fleet.partition(minority, [process for process in _nodes(fleet) if process not in minority])
@@ -89,7 +97,7 @@
 
 def one_way(fleet: LocalFleet) -> list[str]:
     """Drops what a process of each role sends, one role after the other, while it still receives from the others."""
-    for process in (_find_leader(fleet), fleet.with_role("proxy")[1], fleet.with_role("directory")[0]):
+    for process in (_require_leader(fleet), fleet.with_role("proxy")[1], fleet.with_role("directory")[0]):
         fleet.partition([process], [node for node in _nodes(fleet) if node is not process], one_way=True)
         time.sleep(4)
         fleet.clear_faults()
@@ -99,7 +107,7 @@
 
 def full_disk(fleet: LocalFleet) -> list[str]:
     """Fills the leader's disk; the leader must report it, and service must continue."""
-    leader = _find_leader(fleet)
+    leader = _require_leader(fleet)
     fleet.set_disk_faults(full=[leader.name])
     is_reported = wait_until(
         lambda: call(leader.web_port, "GET", "/leader", timeout_s=2)[1].get("disk") == "refuses", 6
@@ -113,7 +121,7 @@
 
 def stalled_disk(fleet: LocalFleet) -> list[str]:
     """Delays each write of the leader by 2.5 s; service must continue."""
-    leader = _find_leader(fleet)
+    leader = _require_leader(fleet)
     fleet.set_disk_faults(stalls={leader.name: 2.5})
     findings = _check_service(fleet, 6, "the leader's disk stalled")
     fleet.set_disk_faults()
@@ -225,7 +233,8 @@
 
 def bad_changes(fleet: LocalFleet) -> list[str]:
     """Submits invalid, ill-typed, stale and large configurations beside the two operators that race."""
-    findings, control_port = [], fleet.operators.pick_control_port
+    findings: list[str] = []
+    control_port = fleet.operators.pick_control_port
     original = fleet.shape.config
     invalid = {
         **original,
@@ -273,7 +282,8 @@
 
 def evacuation_raced(fleet: LocalFleet) -> list[str]:
     """Evacuates a zone while a region is down, and again while proxies restart; gives it back each time."""
-    findings, zone = [], "eu-b"
+    findings: list[str] = []
+    zone = "eu-b"
     for act in ("region", "rolling"):
         down = (
             [process for process in fleet.processes.values() if process.locality.startswith("ap/")]
@@ -305,7 +315,8 @@
 
 def core_replaced(fleet: LocalFleet) -> list[str]:
     """Replaces every control process by an empty one at a new address, one after the other, while clients run."""
-    findings, voter_count = [], len(_voters(_find_leader(fleet)))
+    findings: list[str] = []
+    voter_count = len(_voters(_require_leader(fleet)))
     for number, process in enumerate(list(fleet.with_role("control"))):
         fleet.kill(process.name)
         del fleet.processes[process.name]
--- a/mallowvalve/localfleet/operators.py
+++ b/mallowvalve/localfleet/operators.py
@@ -6,6 +6,7 @@
 import random
 import time
 from threading import RLock
+from typing import Any
 
 from mallowvalve.localfleet.call import call
 from mallowvalve.localfleet.fleet import LocalFleet
@@ -32,7 +33,7 @@
         controls = self.fleet.with_role("control")
         return (rng or self.rng).choice([process for process in controls if process.is_running] or controls).web_port
 
-    def submit(self, doc: dict, key: str, base: int | None = None, port: int | None = None) -> tuple[int, object]:
+    def submit(self, doc: dict, key: str, base: int | None = None, port: int | None = None) -> tuple[int, Any]:
         """Submits a configuration once, records the outcome, and returns the status and body of the answer."""
         begun = time.time()
         status, data, _ = call(
--- a/mallowvalve/localfleet/ports.py
+++ b/mallowvalve/localfleet/ports.py
@@ -23,7 +23,7 @@
 
     __slots__ = ("_lock_descriptors", "_remaining", "_folder")
 
-    def __init__(self):
+    def __init__(self) -> None:
         """Creates an allocator that has reserved no block yet."""
         self._lock_descriptors: list[int] = []
         self._remaining: list[int] = []
--- a/mallowvalve/localfleet/soak.py
+++ b/mallowvalve/localfleet/soak.py
@@ -74,7 +74,7 @@
             ConfigurationOperators(self.fleet, self.schedule.seed) as operators,
             CoordinationClients(self.fleet, self.schedule.seed) as coordination_clients,
         ):
-            self.fleet.operators = operators
+            self.fleet.running_operators = operators
             self._play(started_at)
         self.fleet.stop("clients", 30)
         time.sleep(IDLE_BEFORE_COUNT_S)
@@ -256,7 +256,7 @@
     def _read(self, process: FleetProcess, read: Callable[[psutil.Process], int]) -> int:
         """Reads a value of a process; 0 if it has ended."""
         with suppress(psutil.Error):
-            return read(psutil.Process(process.popen.pid))
+            return read(psutil.Process(process.pid))
         return 0
 
     def _check_memory(self) -> list[str]:
--- a/mallowvalve/localfleet/template.py
+++ b/mallowvalve/localfleet/template.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from typing import Any
 
 TAG = re.compile(r"\{\{([#^/]?)([^{}|]+)(\|json)?\}\}")
 
@@ -13,12 +14,12 @@
 
     __slots__ = ("value", "key", "last")
 
-    def __init__(self, value, key=None, last=True):
+    def __init__(self, value: Any, key: str | int | None = None, last: bool = True):
         """Without a key for a value that is no entry."""
         self.value, self.key, self.last = value, key, last
 
 
-def find(scopes: list[TemplateEntry], name: str):
+def find(scopes: list[TemplateEntry], name: str) -> Any:
     """Returns the value of a dotted name in the innermost scope that has it; `.` is the innermost value itself."""
     if name == ".":
         return scopes[-1].value
@@ -29,7 +30,7 @@
     return None
 
 
-def _walk(value, parts: list[str]):
+def _walk(value: Any, parts: list[str]) -> Any:
     for part in parts:
         if isinstance(value, dict):
             value = value.get(part)
@@ -40,7 +41,7 @@
     return value
 
 
-def _text(value) -> str:
+def _text(value: Any) -> str:
     if value is None or isinstance(value, str):
         return value or ""
     if isinstance(value, list):
@@ -48,20 +49,21 @@
     return json.dumps(value)
 
 
-def _entries(value) -> list[TemplateEntry]:
+def _entries(value: Any) -> list[TemplateEntry]:
     if not isinstance(value, (list, dict)):
         return [TemplateEntry(value)] if value not in (None, False) else []
-    rows = list(value.items()) if isinstance(value, dict) else list(enumerate(value))
+    rows: list[tuple[Any, Any]] = list(value.items()) if isinstance(value, dict) else list(enumerate(value))
     return [TemplateEntry(entry, key, index == len(rows) - 1) for index, (key, entry) in enumerate(rows)]
 
 
-def fill(text: str, settings: dict) -> str:
+def fill(text: str, settings: dict[str, Any]) -> str:
     """Returns the template `text` rendered with `settings`."""
     return _render(text, [TemplateEntry(settings)])
 
 
 def _render(text: str, scopes: list[TemplateEntry]) -> str:
-    rendered, position = [], 0
+    rendered: list[str] = []
+    position = 0
     while (match := TAG.search(text, position)) is not None:
         rendered.append(text[position : match.start()])
         kind, name, as_json = match.groups()
--- a/mallowvalve/localfleet/trial.py
+++ b/mallowvalve/localfleet/trial.py
@@ -63,7 +63,7 @@
         ConfigurationOperators(fleet, seed) as operators,
         CoordinationClients(fleet, seed, coordination) as coordination_clients,
     ):
-        fleet.operators = operators
+        fleet.running_operators = operators
         for name in names:
             act_started_at = time.time()
             act_findings = ACTS[name](fleet)
--- a/mallowvalve/localfleet/users.py
+++ b/mallowvalve/localfleet/users.py
@@ -40,7 +40,7 @@
         controls = self.fleet.with_role("control")
         return rng.choice([process for process in controls if process.is_running] or controls).web_port
 
-    def _call_until_decided(self, rng: random.Random, method: str, path: str, body=None) -> tuple[int, dict]:
+    def _call_until_decided(self, rng: random.Random, method: str, path: str, body: object = None) -> tuple[int, dict]:
         """Repeats a call under one idempotency key until its outcome is known; status 0 after MAX_TRIES."""
         key = {"Mallow-Key": uuid.uuid4().hex}
         for _ in range(MAX_TRIES):
