--- a/mallowvalve/localfleet/deployed/judge.py
+++ b/mallowvalve/localfleet/deployed/judge.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from mallowvalve.localfleet.deployed.judge_coordination import check_coordination
+from mallowvalve.localfleet.deployed.judge_departures import check_departures, departure_statistics
 from mallowvalve.localfleet.deployed.judge_regions import check_regions
 from mallowvalve.localfleet.deployed.records import MemoryPeak, Records, RequestEnd, RequestRecord, Stop
 
@@ -37,6 +38,7 @@
         *check_stops(records.stops, grace_s),
         *check_coordination(records),
         *check_regions(records),
+        *check_departures(records),
     ]
 
 
@@ -98,9 +100,10 @@
 
 
 def _was_disturbed(records: Records, request: RequestRecord) -> bool:
-    """Returns whether the machine was being stopped or started, or was killed, while the request lasted."""
+    """Returns whether the machine was stopped, started, killed or suspended while the request lasted."""
     spans = [(stop.machine, stop.signalled_at, stop.ready_at) for stop in records.stops]
     spans += [(kill.machine, kill.at, kill.ready_at) for kill in records.kills]
+    spans += [(still.machine, still.at, still.ended_at) for still in records.standstills]
     return any(
         machine == request.machine and begun <= request.ended_at and (not ready or request.began_at <= ready)
         for machine, begun, ready in spans
@@ -225,6 +228,7 @@
         "changes_without_answer": sum(not change.acknowledged_at for change in records.changes),
         "regions_lost": len(records.region_losses),
         "longest_pause_of_runs_s": _longest_pause(records),
+        **departure_statistics(records),
     }
 
 
--- a/mallowvalve/localfleet/deployed/machines.py
+++ b/mallowvalve/localfleet/deployed/machines.py
@@ -67,6 +67,7 @@
         self.first_start = True
         self.started_at = 0.0
         self.end_expected = False
+        self.stands_still = False
         (self.data or self.folder).mkdir(parents=True, exist_ok=True)
 
     @property
@@ -177,6 +178,16 @@
             with suppress(ProcessLookupError):
                 self.popen.send_signal(number)
 
+    def stand_still(self) -> None:
+        """Suspends its process until `resume`, also if it is held to a share of its processor time."""
+        self.stands_still = True
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets its process run again."""
+        self.stands_still = False
+        self.signal(signal.SIGCONT)
+
     def wait(self, seconds: float) -> int | None:
         """Returns the exit code, or None if the process still runs after `seconds`."""
         end = clock.now() + seconds
@@ -292,5 +303,6 @@
         while True:
             machine.signal(signal.SIGSTOP)
             gevent.sleep(self.period_s * (1.0 - self.share))
-            machine.signal(signal.SIGCONT)
+            if not machine.stands_still:
+                machine.signal(signal.SIGCONT)
             gevent.sleep(self.period_s * self.share)
--- a/mallowvalve/localfleet/deployed/main.py
+++ b/mallowvalve/localfleet/deployed/main.py
@@ -16,7 +16,12 @@
 from mallowvalve.finding import Finding, Findings
 from mallowvalve.localfleet.deployed.judge import check_faults, check_records, statistics
 from mallowvalve.localfleet.deployed.machines import Fleet
-from mallowvalve.localfleet.deployed.plan import draw_region_schedule, draw_schedule, load_schedule
+from mallowvalve.localfleet.deployed.plan import (
+    draw_departure_schedule,
+    draw_region_schedule,
+    draw_schedule,
+    load_schedule,
+)
 from mallowvalve.localfleet.deployed.shape import Shape, load_deploy_file, load_shape
 from mallowvalve.localfleet.deployed.soak import DeployedSoak
 from mallowvalve.localfleet.schedule import Schedule, save_schedule
@@ -34,6 +39,7 @@
     seconds: float
     trouble: bool
     regions: bool
+    departures: bool
     share: float
     closing: bool
     lookups: bool | None
@@ -55,6 +61,9 @@
 @click.option("--for", "seconds", default=60.0, help="duration in seconds")
 @click.option("--trouble/--planned", default=False, help="also kill processes")
 @click.option("--regions", is_flag=True, help="instead lose and roll whole regions, one at a time, and nothing else")
+@click.option(
+    "--departures", is_flag=True, help="instead end edge machines for long, and let upstreams leave beside a standstill"
+)
 @click.option("--share", default=1.0, help="share of processor time that each process gets, above 0 and up to 1")
 @click.option("--closing", is_flag=True, help="kill all processes at the end, before everything is read back")
 @click.option("--lookups/--no-lookups", default=None, help="clients ask directories; by default as the shape says")
@@ -99,6 +108,8 @@
         found.append(Finding("--for", f"must be {MIN_SECONDS:.0f} s at least"))
     if options.regions and options.trouble:
         found.append(Finding("--regions", "not with --trouble: both together lose more than one region at a time"))
+    if options.departures and (options.trouble or options.regions):
+        found.append(Finding("--departures", "neither with --trouble nor with --regions"))
     if options.folder is not None and Path(options.folder).exists() and any(Path(options.folder).iterdir()):
         found.append(Finding("--folder", "must be empty or not exist: the state of another run would be taken up"))
     return found
@@ -108,6 +119,8 @@
     """Returns the drawn or the saved schedule; ends the program with code 2 on findings."""
     if options.saved is None and options.regions:
         return draw_region_schedule(shape, options.seed, options.seconds)
+    if options.saved is None and options.departures:
+        return draw_departure_schedule(shape, options.seed, options.seconds)
     if options.saved is None:
         return draw_schedule(shape, options.seed, options.seconds, options.trouble)
     loaded = load_schedule(Path(options.saved), shape)
--- a/mallowvalve/localfleet/deployed/plan.py
+++ b/mallowvalve/localfleet/deployed/plan.py
@@ -42,6 +42,8 @@
     ActKind.GARBAGE,
     ActKind.LOSE_REGION,
     ActKind.ROLL_REGION,
+    ActKind.END_FOR_LONG,
+    ActKind.LEAVE_BESIDE_STANDSTILL,
     *START_FAULTS,
 )
 REGION_LOSS_S = (5.0, 9.0)
@@ -53,6 +55,16 @@
 
 ROLL_RATIO = 0.25
 
+END_S = 13.0
+"""How long ended machines stay off: longer than a directory may name them."""
+
+ENDED_SHARE = 0.4
+DEPARTURE_GAP_S = 5.0
+"""From the start of ended machines to the next departure."""
+
+STANDSTILL_ACT_S = 12.0
+"""How long an upstream that leaves beside a standstill takes, about."""
+
 
 def machine_names(shape: Shape) -> tuple[list[str], list[str]]:
     """Returns the names of the core and of the edge machines."""
@@ -101,6 +113,25 @@
     return Schedule(SCHEDULE_VERSION, seed, seconds, acts)
 
 
+def draw_departure_schedule(shape: Shape, seed: int, seconds: float) -> Schedule:
+    """Draws ends of several edge machines at one moment, for long, and upstreams that leave beside a standstill."""
+    rng = random.Random(f"departures/{seed}")
+    _, edge = machine_names(shape)
+    services = sorted(shape.services)
+    acts: list[ScheduledAct] = []
+    at, turn = rng.uniform(QUIET_START_S, 4.0), rng.randrange(2)
+    while at <= seconds - QUIET_END_S:
+        if turn % 2:
+            acts.append(ScheduledAct(round(at, 3), ActKind.LEAVE_BESIDE_STANDSTILL, rng.choice(services)))
+            at += STANDSTILL_ACT_S
+        else:
+            ended = sorted(rng.sample(edge, max(1, int(ENDED_SHARE * len(edge)))))
+            acts += [ScheduledAct(round(at, 3), ActKind.END_FOR_LONG, name, END_S) for name in ended]
+            at += END_S + DEPARTURE_GAP_S
+        turn += 1
+    return Schedule(SCHEDULE_VERSION, seed, seconds, acts)
+
+
 def _in_turn(
     rng: random.Random, kind: ActKind, targets: list[str], at: float, gap_s: float, last: float
 ) -> list[ScheduledAct]:
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -45,7 +45,7 @@
 
 
 class Run(msgspec.Struct, frozen=True):
-    """A request that an upstream began to work on."""
+    """A request that reached an upstream; `at` is when its head arrived."""
 
     id: str
     instance: str
@@ -71,6 +71,38 @@
     ready_at: float
 
 
+class LongEnd(msgspec.Struct):
+    """A process that was killed without notice, and started again much later (`started_at`, 0.0 before that)."""
+
+    machine: str
+    at: float
+    started_at: float = 0.0
+
+
+class Standstill(msgspec.Struct, frozen=True):
+    """A span in which a machine's process was suspended."""
+
+    machine: str
+    at: float
+    ended_at: float
+
+
+class DirectoryAnswer(msgspec.Struct, frozen=True):
+    """The machines that a directory named for a region, in answer to a question sent at `at`."""
+
+    at: float
+    directory: str
+    region: str
+    machines: list[str]
+
+
+class Leaving(msgspec.Struct, frozen=True):
+    """An upstream whose notice that it leaves was acknowledged."""
+
+    instance: str
+    acknowledged_at: float
+
+
 class OwnEnd(msgspec.Struct, frozen=True):
     """A process that ended though nobody stopped or killed it; `code` is negative for a signal.
 
@@ -231,6 +263,10 @@
     runs: list[Run] = []
     stops: list[Stop] = []
     kills: list[Kill] = []
+    long_ends: list[LongEnd] = []
+    standstills: list[Standstill] = []
+    directory_answers: list[DirectoryAnswer] = []
+    leavings: list[Leaving] = []
     own_ends: list[OwnEnd] = []
     hangs: list[Hang] = []
     slow_starts: list[SlowStart] = []
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -13,6 +13,7 @@
 from mallowvalve.localfleet.deployed.applications import GROUPS, Application
 from mallowvalve.localfleet.deployed.clients import Client
 from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
+from mallowvalve.localfleet.deployed.departure_acts import DepartureActs, DirectoryProbes
 from mallowvalve.localfleet.deployed.garbage import GarbageSource, send_to_all_ports
 from mallowvalve.localfleet.deployed.machines import Fleet, Machine, ProcessorShare
 from mallowvalve.localfleet.deployed.operator import Operator
@@ -55,6 +56,7 @@
         self.regions = RegionActs(
             fleet, self.records, self.operator, self._rng("regions"), self._start_again, self._stop
         )
+        self.departures = DepartureActs(fleet, self.records, self._rng("departures"), self._start_again)
 
     def _rng(self, name: str) -> random.Random:
         return random.Random(f"deployed/{self.schedule.seed}/{name}")
@@ -118,6 +120,8 @@
             watcher = Application(self.fleet, self.records, f"watcher-{group}", self._rng(f"watch/{group}"))
             load.spawn(watcher.watch, group, end)
         load.spawn(self.operator.run, end)
+        if any(act.kind is ActKind.END_FOR_LONG for act in self.schedule.acts):
+            DirectoryProbes(self.fleet, self.records).start(load, end)
         return load
 
     def _start_upstream(self, service: str) -> None:
@@ -152,6 +156,10 @@
                 self.regions.lose(act.target, act.lasts)
             case ActKind.ROLL_REGION:
                 self.regions.roll(act.target)
+            case ActKind.END_FOR_LONG:
+                self.departures.end_for_long(self._machine(act.target), act.lasts)
+            case ActKind.LEAVE_BESIDE_STANDSTILL:
+                self._leave_beside_standstill(act.target)
 
     def _machine(self, name: str) -> Machine:
         return next(machine for machine in self.fleet.machines if machine.name == name)
@@ -244,4 +252,13 @@
         self._start_upstream(service)
         gevent.sleep(RELEASE_OVERLAP_S)
         with suppress(StopIteration):
-            next(upstream for upstream in self.upstreams[service] if upstream.state == "ready").leave()
+            self._oldest_ready(service).leave()
+
+    def _leave_beside_standstill(self, service: str) -> None:
+        self._start_upstream(service)
+        gevent.sleep(RELEASE_OVERLAP_S)
+        self.departures.leave_beside_standstill(self._oldest_ready(service))
+
+    def _oldest_ready(self, service: str) -> StandinUpstream:
+        """Returns the oldest upstream that has not said that it leaves."""
+        return next(upstream for upstream in self.upstreams[service] if upstream.state == "ready")
--- a/mallowvalve/localfleet/deployed/upstream.py
+++ b/mallowvalve/localfleet/deployed/upstream.py
@@ -13,7 +13,7 @@
 from mallowvalve import clock, web
 from mallowvalve.localfleet.deployed.control_calls import STATUS_OK, ControlCaller
 from mallowvalve.localfleet.deployed.machines import Fleet
-from mallowvalve.localfleet.deployed.records import Records, Run
+from mallowvalve.localfleet.deployed.records import Leaving, Records, Run
 from mallowvalve.metrics import Counts
 from mallowvalve.request_body import BrokenBodyError
 from mallowvalve.types import Address
@@ -55,6 +55,8 @@
         self.sequence = 0
         self.address = Address(fleet.next_address(), fleet.ports.web)
         self.server = web.Server(self.address, self, Counts(), MAX_CONNECTIONS)
+        self.acknowledged_at: float | None = None
+        self._serves_on_s = LEAVING_S
         self._leave = gevent.event.Event()
 
     def run(self) -> None:
@@ -66,12 +68,15 @@
             self.state = "leaving"
             while not self._heartbeat():
                 gevent.sleep(RETRY_S)
-            gevent.sleep(LEAVING_S)
+            self.acknowledged_at = clock.now()
+            self.records.leavings.append(Leaving(self.instance, self.acknowledged_at))
+            gevent.sleep(self._serves_on_s)
             self.caller.once("DELETE", f"/upstreams/{self.instance}")
             self.server.drain(0.0, 2.0)
 
-    def leave(self) -> None:
-        """Asks it to leave."""
+    def leave(self, serves_on_s: float = LEAVING_S) -> None:
+        """Asks it to leave, and to serve on for so long after its notice was acknowledged (s)."""
+        self._serves_on_s = serves_on_s
         self._leave.set()
 
     def _heartbeat(self) -> bool:
@@ -99,14 +104,15 @@
             return self._respond(
                 start_response, HTTPStatus.MISDIRECTED_REQUEST, {terms.ask: request_id, terms.not_run: "1"}, b""
             )
-        deadline = clock.now() + int(head.get(terms.limit, "5000")) / 1000
+        arrived_at = clock.now()
+        deadline = arrived_at + int(head.get(terms.limit, "5000")) / 1000
         try:
             body_bytes = sum(map(len, iter(lambda: environ["wsgi.input"].read(PART_BYTES), b"")))
         except BrokenBodyError:
             return self._respond(
                 start_response, HTTPStatus.BAD_REQUEST, {terms.ask: request_id, terms.not_run: "1"}, b""
             )
-        self.records.runs.append(Run(request_id, self.instance, clock.now()))
+        self.records.runs.append(Run(request_id, self.instance, arrived_at))
         gevent.sleep(min(self.rng.uniform(0.02, 0.3), max(0.0, deadline - clock.now() - DEADLINE_MARGIN_S)))
         answer = {"id": request_id, "by": self.instance, "bytes": body_bytes}
         headers = {terms.ask: request_id, terms.seal: f"s.{self.instance}.{request_id}"}
--- a/mallowvalve/localfleet/schedule.py
+++ b/mallowvalve/localfleet/schedule.py
@@ -41,6 +41,8 @@
     GARBAGE = "garbage"
     LOSE_REGION = "lose-region"
     ROLL_REGION = "roll-region"
+    END_FOR_LONG = "end-for-long"
+    LEAVE_BESIDE_STANDSTILL = "leave-beside-standstill"
 
 
 PLANNED_KINDS = frozenset({ActKind.STOP, ActKind.RELOAD, ActKind.EVACUATE, ActKind.HOMES, ActKind.RELEASE})
--- a/sim/members.py
+++ b/sim/members.py
@@ -27,8 +27,10 @@
         spread: bool = True,
         role: str = "proxy",
         locality: Locality | None = None,
+        max_timer_delay_s: float = 0.0,
     ):
         super().__init__(world, addr)
+        self.max_timer_delay_s = max_timer_delay_s
         self.rng = random.Random(world.rng.random())
         me = initial_record(addr, self.rng.getrandbits(60), role, str(addr), locality or ZONES[n % 6], addr)
         self.membership = Membership(
@@ -63,7 +65,8 @@
         self._arm()
 
     def _arm(self) -> None:
-        self._armed = max(self.now + 0.001, self.membership.timer())
+        delay = self.max_timer_delay_s * self.rng.random() if self.max_timer_delay_s else 0.0
+        self._armed = max(self.now + 0.001, self.membership.timer()) + delay
         self.wake(self._armed - self.now, self._tick)
 
 
