A confirmation to a replica says as of when, and covers only a complete answer

What callers saw: requests reached upstreams that had said they leave (DRAIN).

Cause, the first part: a replica's confirmed time was when it had sent its last answered question. With questions parked for 1 s it was up to 2 s old in calm, so no bound below the drain time could be asked of it.

Change: the leader adds the time for which a confirmed question had waited when the newest confirmed round was sent (both on its own steady clock), and confirms only with a complete answer from a state that has its own term. Never later than now by the replica's clock. The wire format is the same.

--- a/mallowvalve/control/acknowledgement.py
+++ b/mallowvalve/control/acknowledgement.py
@@ -12,6 +12,7 @@
 from mallowvalve.control.state import Enrol, ReplicatedSettings, Seats, Strike
 from mallowvalve.control.wire import ReplicationRequest
 from mallowvalve.raft.messages import GroupId
+from mallowvalve.raft.rounds import HeartbeatRounds
 from mallowvalve.types import Address, Locality
 
 CLOCK_SLACK_S = 0.1
@@ -29,18 +30,30 @@
 MAX_REQUESTS_KEPT = 17
 """For how many requests of a replica the leader keeps the time at which they were sent."""
 NEVER = -1e9
+UNCONFIRMED = -1.0
+
+
+class PendingConfirmation(msgspec.Struct, frozen=True):
+    """A replica's request that `round_number` or a later round confirms.
+
+    `sent_at` is a time of the replica's clock, `arrived_at` one of the leader's (s).
+    """
+
+    round_number: int
+    sent_at: float
+    arrived_at: float
 
 
 class ReplicaStatus(msgspec.Struct):
     """The last request of a replica and when it arrived (s).
 
-    `confirmations` has, for each recent request, the round that confirms it and the time at which it was sent.
+    `confirmations` are those of its recent requests.
     """
 
     request: ReplicationRequest
     requested_at: float
     name: str
-    confirmations: list[tuple[int, float]]
+    confirmations: list[PendingConfirmation]
     answered_at: float | None = None
     entries_sent_at: float = NEVER
 
@@ -102,7 +115,8 @@
         if status is None or status.request.boot != request.boot:
             status = self.status_by_address[request.addr] = ReplicaStatus(request, now, str(request.addr), [])
         status.request, status.requested_at, status.answered_at = request, now, None
-        status.confirmations = [*status.confirmations[1 - MAX_REQUESTS_KEPT :], (confirming_round, request.sent_at)]
+        pending = PendingConfirmation(confirming_round, request.sent_at, now)
+        status.confirmations = [*status.confirmations[1 - MAX_REQUESTS_KEPT :], pending]
 
     def record_response(self, address: Address, now: float, has_entries: bool = True) -> None:
         """Records a response to the replica, with new entries or without."""
@@ -116,14 +130,19 @@
         status = self.status_by_address.get(address)
         return status.entries_sent_at if status is not None else NEVER
 
-    def confirmed_at(self, address: Address, confirmed: int) -> float:
-        """Returns when the replica sent its newest confirmed request (s, the replica's clock), or -1 if none is."""
+    def confirmed_at(self, address: Address, rounds: HeartbeatRounds) -> float:
+        """Returns the newest time for which a majority has confirmed this leader to a replica (s, the replica's clock).
+
+        That is when the replica sent a confirmed request, plus the time for which the request had waited here when the
+        newest confirmed round was sent; -1 if none is confirmed.
+        """
         status = self.status_by_address.get(address)
-        return (
-            max((sent for round_, sent in status.confirmations if round_ <= confirmed), default=-1.0)
-            if status
-            else -1.0
-        )
+        if status is None:
+            return UNCONFIRMED
+        confirmed = [pending for pending in status.confirmations if pending.round_number <= rounds.confirmed]
+        round_sent_at = rounds.confirmed_at()
+        times = [pending.sent_at + max(0.0, round_sent_at - pending.arrived_at) for pending in confirmed]
+        return max(times, default=UNCONFIRMED)
 
     def is_replicated(self, index: int, now: float, settings: bool = False) -> bool:
         """Whether the replicas hold the entry; a replica of the settings part counts for `settings` only.
--- a/mallowvalve/control/replica.py
+++ b/mallowvalve/control/replica.py
@@ -89,9 +89,13 @@
 
     @property
     def confirmed_at(self) -> float:
-        """When this process sent the newest question that a majority has confirmed since (s)."""
+        """The newest time up to which a majority has confirmed the held state (s)."""
         return self._confirmed_at
 
+    def age(self, now: float) -> float:
+        """Returns the time since a majority last confirmed the held state (s); very long if it never did."""
+        return now - self._confirmed_at
+
     def fresh(self, now: float) -> bool:
         """Whether a majority confirmed the state within the last `FRESHNESS_WINDOW_S`."""
         return self.state is not None and now - self._confirmed_at <= FRESHNESS_WINDOW_S
@@ -145,7 +149,7 @@
             self._leader_time = (response.leader_time_ms, now)
         self._apply(response)
         if self.revision >= response.revision and response.confirmed_at >= 0:
-            self._confirmed_at = max(self._confirmed_at, response.confirmed_at)
+            self._confirmed_at = max(self._confirmed_at, min(response.confirmed_at, now))
 
     def revision_query(self, now: float) -> RevisionQuery | None:
         """Returns a query to all replicas on the roster, for when no leader answers; None if nothing is held."""
--- a/mallowvalve/control/replication.py
+++ b/mallowvalve/control/replication.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from mallowvalve.control.acknowledgement import Replicas
+from mallowvalve.control.acknowledgement import UNCONFIRMED, Replicas
 from mallowvalve.control.settings_log import SettingsLog
 from mallowvalve.control.state import ReplicatedState
 from mallowvalve.control.wire import ReplicationRequest, ReplicationResponse
@@ -109,7 +109,8 @@
         raft, state, replicas = source.raft, source.state, source.replicas
         needs_snapshot = _needs_snapshot(source, request)
         entries, complete_to = ([], state.index) if needs_snapshot else _entries(source, request)
-        confirmed_at = replicas.confirmed_at(request.addr, raft.rounds.confirmed)
+        is_complete = not needs_snapshot and complete_to >= _newest(source, request) and _holds_own_term(source)
+        confirmed_at = replicas.confirmed_at(request.addr, raft.rounds) if is_complete else UNCONFIRMED
         replicas.record_response(request.addr, now, request.index < _newest(source, request) <= complete_to)
         return ReplicationResponse(
             self._me,
@@ -125,6 +126,11 @@
         )
 
 
+def _holds_own_term(source: ReplicationSource) -> bool:
+    """Whether the state has an entry of the leader's own term, so that it has all that former leaders acknowledged."""
+    return source.raft.log.term(source.state.index) == source.raft.term
+
+
 def _newest(source: ReplicationSource, request: ReplicationRequest) -> int:
     """Returns the index of the newest entry in the scope of the replica."""
     return source.state.settings_index if request.scope == "settings" else source.state.index
--- a/mallowvalve/control/wire.py
+++ b/mallowvalve/control/wire.py
@@ -73,7 +73,8 @@
 class ReplicationResponse(msgspec.Struct, array_like=True, frozen=True):
     """The entries after the index of the request; a replica of the settings part is complete up to `index` with them.
 
-    `confirmed_at` is the newest `sent_at` of the replica that a majority has confirmed since, -1 if none is.
+    `confirmed_at` is the newest time, on the replica's clock, for which a majority has confirmed the leader: this
+    response has all that was acknowledged by then; -1 if there is none.
     `state_time_ms` is the fleet time of the state at `index`, `leader_time_ms` the leader's as it responds.
     """
 
