A proxy asks for a confirmation before it sends by a view that is too old

What callers saw: requests reached an upstream over 2.5 s after it was told that its notice is acknowledged (DRAIN).

Cause: acting on a view without looking how old it is. A proxy that stood still, or that follows a leader that is gone, sends by the registry it holds; 'fresh' guarded only the 404.

Change: ViewGuard, the one place that looks at the age before a lease is given: first sends, retries, hedges, requests that waited for capacity or for a connection.

--- a/mallowvalve/control/replica_task.py
+++ b/mallowvalve/control/replica_task.py
@@ -14,6 +14,7 @@
 from mallowvalve.configuration.build import build_document
 from mallowvalve.configuration.model import Tree
 from mallowvalve.control import wire
+from mallowvalve.control.confirmation import Confirmation
 from mallowvalve.control.outcome import RETRYABLE, Code
 from mallowvalve.control.replica import DEFAULT_MAX_WAIT_S, Replica
 from mallowvalve.control.sessions import Session, SessionCall
@@ -60,6 +61,7 @@
         "_last_settings_search_at",
         "settings_available",
         "_session",
+        "confirmation",
     )
 
     def __init__(self, node: Node):
@@ -86,6 +88,7 @@
         self._last_settings_search_at = -1e9
         self._session = Session(lambda: secrets.randbits(64))
         self.settings_available = Event()
+        self.confirmation = Confirmation(self.replica, self._request_entries, self._handle_response)
         on = node.transport.on
         on(
             "round",
@@ -227,6 +230,10 @@
         if response.needs_snapshot and not self._fetch(sender, what):
             gevent.sleep(0.05)
 
+    def ask_for_confirmation(self) -> bool:
+        """Asks several control processes to confirm the held state; returns whether a question is under way."""
+        return self.confirmation.ask(self._control_processes()[:MAX_LEADER_SEARCH_TARGETS])
+
     def _find_leader(self) -> None:
         """Asks a few control processes in parallel; the first to name a leader that is not unresponsive decides."""
         responses: Queue = Queue()
--- a/mallowvalve/exposition.py
+++ b/mallowvalve/exposition.py
@@ -11,15 +11,20 @@
 from collections.abc import Iterator, Mapping
 
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from mallowvalve.metrics import DistributionSnapshot
+
 PREFIX = "mallowvalve_"
 CONTENT_TYPE = CONTENT_TYPE_LATEST
 _INVALID_NAME_CHARACTER = re.compile(r"[^a-zA-Z0-9_]")
 
-Gauge = int | float | bool | str | Mapping[str, int | float] | None
-"""A number is one sample; a text or a table of numbers has one labelled sample for each entry; None is left out."""
+Gauge = int | float | bool | str | Mapping[str, int | float] | DistributionSnapshot | None
+"""A number is one sample; a text or a table of numbers has one labelled sample for each entry; None is left out.
+
+A distribution is a histogram.
+"""
 
 
 class MetricsCollector(Collector):
@@ -46,7 +51,18 @@
     return PREFIX + _INVALID_NAME_CHARACTER.sub("_", name)
 
 
-def _gauge_family(name: str, gauge: int | float | bool | str | Mapping[str, int | float]) -> Metric:
+def _histogram_family(name: str, snapshot: DistributionSnapshot) -> Metric:
+    buckets = [(str(bound), float(count)) for bound, count in zip(snapshot.bounds, snapshot.cumulative, strict=True)]
+    family = HistogramMetricFamily(name, "distribution since the process started")
+    family.add_metric([], [*buckets, ("+Inf", float(snapshot.count))], snapshot.total)
+    return family
+
+
+def _gauge_family(
+    name: str, gauge: int | float | bool | str | Mapping[str, int | float] | DistributionSnapshot
+) -> Metric:
+    if isinstance(gauge, DistributionSnapshot):
+        return _histogram_family(name, gauge)
     if isinstance(gauge, (bool, int, float)):
         return GaugeMetricFamily(name, "as it is now", value=float(gauge))
     rows = {gauge: 1.0} if isinstance(gauge, str) else gauge
--- a/mallowvalve/metrics.py
+++ b/mallowvalve/metrics.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from bisect import bisect_left
 from collections import Counter, deque
+from itertools import accumulate
 from typing import Any
 
 import eliot
+import msgspec
 
 
 class Counts:
@@ -31,6 +34,37 @@
         return dict(sorted(self._counts.items()))
 
 
+class DistributionSnapshot(msgspec.Struct, frozen=True):
+    """How many values were at most each bound, in ascending order of the bounds, and the sum of all values."""
+
+    bounds: tuple[float, ...]
+    cumulative: list[int]
+    count: int
+    total: float
+
+
+class Distribution:
+    """Counts values in buckets; the exposition makes a histogram of them."""
+
+    __slots__ = ("_bounds", "_buckets", "_total")
+
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        """Starts empty; `bounds` are the upper bounds of the buckets, in ascending order, without infinity."""
+        self._bounds = bounds
+        self._buckets = [0] * (len(bounds) + 1)
+        self._total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Counts a value."""
+        self._buckets[bisect_left(self._bounds, value)] += 1
+        self._total += value
+
+    def snapshot(self) -> DistributionSnapshot:
+        """Returns the counts so far."""
+        cumulative = list(accumulate(self._buckets))
+        return DistributionSnapshot(self._bounds, cumulative[:-1], cumulative[-1], self._total)
+
+
 class RecentEvents:
     """The most recent log events, kept in memory for queries to a node."""
 
--- a/mallowvalve/proxy/host_forwarder.py
+++ b/mallowvalve/proxy/host_forwarder.py
@@ -37,6 +37,7 @@
     StreamedRequestBody,
     UpstreamResponse,
 )
+from mallowvalve.proxy.view_guard import ViewGuard
 from mallowvalve.settings import HeaderNames, Settings
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -60,6 +61,7 @@
         "settings",
         "admission",
         "rejections",
+        "view",
         "leases",
         "writer",
         "_not_run",
@@ -82,7 +84,8 @@
         self.now = now
         self.admission = Admission(replica, settings, now, rng)
         self.rejections = Rejections(counts, now, self.admission.jitter)
-        self.leases = LeaseAcquirer(replica, hosts, self.admission, self.rejections)
+        self.view = ViewGuard(replica, settings.drain_s, counts, now)
+        self.leases = LeaseAcquirer(replica, hosts, self.admission, self.rejections, self.view)
         terms: HeaderNames = settings.terms
         self._not_run = terms.not_run.lower()
         self._seal = terms.seal.lower()
@@ -165,6 +168,7 @@
                 self.hosts.budget(call.service).record_first(now)
             call.sends += 1
             call.tried.add(lease.state.upstream.instance)
+            self.view.on_send(now)
             lease.on_send(now)
             hedge_at = call.hedge_at(lease.state.latency, now)
             method = call.client_request.method
--- a/mallowvalve/proxy/host_request.py
+++ b/mallowvalve/proxy/host_request.py
@@ -40,6 +40,7 @@
     `retry_reserved`: the retry budget has already granted the next retry. `client_left`: the client has closed its
     connection. `silent_leases`: leases of upstreams that have not responded yet and still may, while the request is
     hedged to another upstream. `body` is the body, or the held part of it if `body_stream` brings the rest.
+    `unconfirmed_question` is the question about the age of the view for which the request has waited in vain.
     """
 
     client_request: ClientRequest
@@ -60,6 +61,7 @@
     retry_reserved: bool = False
     client_left: bool = False
     silent_leases: list[UpstreamLease] = msgspec.field(default_factory=list)
+    unconfirmed_question: float | None = None
 
     @property
     def idempotent(self) -> bool:
--- a/mallowvalve/proxy/lease_acquirer.py
+++ b/mallowvalve/proxy/lease_acquirer.py
@@ -10,6 +10,7 @@
 from mallowvalve.proxy.host_upstreams import HostUpstreams, UpstreamLease
 from mallowvalve.proxy.rejections import MIN_TIME_LEFT_S, Rejections
 from mallowvalve.proxy.steps import CLIENT_LEFT, ClientCheck, OpenConnection, ProxyResponse, Step, WaitForCapacity
+from mallowvalve.proxy.view_guard import ViewGuard
 
 CONNECT_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.2
@@ -21,10 +22,13 @@
 class LeaseAcquirer:
     """Takes leases as a state machine without I/O: it yields steps and receives their results."""
 
-    __slots__ = ("replica", "hosts", "admission", "rejections", "counts", "now")
+    __slots__ = ("replica", "hosts", "admission", "rejections", "view", "counts", "now")
 
-    def __init__(self, replica: Replica, hosts: HostUpstreams, admission: Admission, rejections: Rejections):
+    def __init__(
+        self, replica: Replica, hosts: HostUpstreams, admission: Admission, rejections: Rejections, view: ViewGuard
+    ):
         """Takes slots and idle connections from `hosts`; the counters and the clock are those of `rejections`."""
+        self.view = view
         self.replica = replica
         self.hosts = hosts
         self.admission = admission
@@ -33,9 +37,13 @@
         self.now = rejections.now
 
     def acquire(self, call: HostRequest) -> Generator[Step, object, UpstreamLease | ProxyResponse]:
-        """Returns a lease with a connection that is ready to send on, or the rejection."""
+        """Returns a lease with a connection that is ready to send on, or the rejection.
+
+        Nothing waits between the last look at the age of the view and the return.
+        """
         end = max(call.queue_end, self.now() + QUEUE_POLL_S)
         while True:
+            yield from self.view.wait(call)
             now = self.now()
             rejection = self.revalidate(call, now)
             if rejection is not None:
@@ -61,7 +69,8 @@
                 continue
             now = self.now()
             rejection = self.revalidate(call, now)
-            if rejection is None and self.hosts.still_eligible(state, call.service, call.route.homes, now):
+            eligible = self.hosts.still_eligible(state, call.service, call.route.homes, now) if not rejection else False
+            if eligible and not self.view.must_wait(call, now):
                 return lease
             lease.release(keep=True)
             if rejection is not None:
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -105,6 +105,8 @@
     node.app.add_route("/-/rejections", RejectionsPage(tenant_forwarder))
     hosts = HostUpstreams(replica.replica, settings, random.Random(), clock.now)
     host_forwarder = HostForwarder(replica.replica, hosts, settings, node.counts, clock.now, random.Random())
+    host_forwarder.view.ask = replica.ask_for_confirmation
+    node.gauge("view_age_at_send_s", host_forwarder.view.ages.snapshot)
     _mount(node, tenant_frontend, hosts, host_forwarder)
     register_memory_gauges(node)
     node.gauge(
--- a/mallowvalve/settings.py
+++ b/mallowvalve/settings.py
@@ -99,8 +99,9 @@
     `fleet` is the name shared by all processes of a fleet, `log` a file (standard error if None), `polite` the
     grace period of a stop (s), `connections` the limit for each server, `body_bytes` the largest body of a request
     routed by the tree, `memory_mb` the memory that the process may use (megabytes), `start_wait_s` the time that a
-    start waits for its lock and ports (s), `faults` a file of injected faults for trials. `zones` maps zones to
-    regions, `serve_on` lets a proxy continue with its last known state without a leader, `holds` selects the part
+    start waits for its lock and ports (s), `drain_s` the time after an upstream's acknowledged notice from which it
+    gets no more requests, `faults` a file of injected faults for trials. `zones` maps zones to regions, `serve_on` lets
+    a proxy continue with its last known state without a leader, `holds` selects the part
     of the state that it replicates. `coordination_at` is the path of the coordination resources, `heartbeats`
     selects where upstreams are kept (`told`: gossiped between nodes, `registered`: in the replicated state),
     `heartbeat_ms` is the expected interval. `pace` is the shortest time between two rounds of a leader to its
@@ -116,6 +117,7 @@
     body_bytes: int = 1 << 20
     memory_mb: float = 300.0
     start_wait_s: float = START_WAIT_LIMIT_S
+    drain_s: float = 2.5
     faults: str | None = None
     zones: dict[str, str] = {}
     serve_on: bool = False
@@ -188,6 +190,7 @@
     "body_bytes",
     "memory_mb",
     "start_wait_s",
+    "drain_s",
     "polite",
 )
 PROBABILITY_FIELDS = ("detector.fail", "detector.loss", "detector.mistake")
