The notice of an upstream is acknowledged for what the registry holds

What callers may see: an upstream that leaves in order gets requests after its acknowledged notice (DRAIN).

Cause, found by reading and now by tests: a leaving notice whose sequence is below the last one heard (calls that overtake each other) was answered 200 as a plain heartbeat, though the registry had the upstream as ready; and a command that changed no row was acknowledged all the same.

Change: a notice is acknowledged only once the registry as applied at this process has the upstream as leaving or gone; else the answer is 503 and the upstream says it again (notice_not_held counts that).

Measured: both tests answered 200 before.

--- a/mallowvalve/control/registry_task.py
+++ b/mallowvalve/control/registry_task.py
@@ -25,6 +25,8 @@
 COMMAND_TIMEOUT_S = 0.9
 ATTEMPT_TIMEOUT_S = 0.45
 SILENCE_CHECK_INTERVAL_S = 0.25
+APPLY_POLL_S = 0.01
+"""How often to look whether an acknowledged command is applied at this process too."""
 REPORT_INTERVAL_S = 1.0
 REPORT_ACCEPTED = b"1"
 decode_report = msgspec.msgpack.Decoder(list[HeardInstance]).decode
@@ -85,7 +87,9 @@
             return False
         changed = self.liveness.observe(upstream, state.registry, self.liveness.fleet_time_ms(state.clock, now), now)
         if changed is None:
-            return self.has_recent_contact(now)
+            is_held = upstream.state != "leaving" or self._holds_notice(upstream)
+            self.task.node.counts.add("notice_not_held", not is_held)
+            return is_held and self.has_recent_contact(now)
         if changed.instance not in state.registry.rows and state.registry.full(changed.service):
             self.task.node.counts.add("registry_full")
             return False
@@ -101,11 +105,23 @@
         return known and self.task.core.may_answer(AnswerKind.NOTICE, clock.now()) or self._offer_notice(upstream)
 
     def _offer_notice(self, upstream: Upstream) -> bool:
+        """Whether the registry holds the upstream's end or notice, by the state applied here after its command."""
+        end = clock.now() + COMMAND_TIMEOUT_S
         if not self.offer(upstream):
             return False
+        while not self._holds_notice(upstream):
+            if clock.now() >= end:
+                self.task.node.counts.add("notice_not_held")
+                return False
+            gevent.sleep(APPLY_POLL_S)
         self.liveness.mark_acknowledged(upstream)
         return True
 
+    def _holds_notice(self, upstream: Upstream) -> bool:
+        """Whether the registry as applied here has the upstream as gone, or as leaving if it said that."""
+        row = self.registry.rows.get(upstream.instance) if self.registry is not None else None
+        return row is not None and row.state in ("gone", upstream.state)
+
     def offer(self, upstream: Upstream) -> bool:
         """Whether the change was acknowledged in time; changes offered at about the same time share a command."""
         acknowledged = AsyncResult()
--- a/tests/test_http_upstreams.py
+++ b/tests/test_http_upstreams.py
@@ -137,6 +137,29 @@
     assert client.simulate_delete("/upstreams/never").status_code == 200
 
 
+def test_guards_against_a_late_leaving_notice_acknowledged_though_the_registry_holds_the_upstream_as_ready(control):
+    """A notice whose sequence is below the last one heard was answered 200 as a plain heartbeat."""
+    process, client, _ = control
+    client.simulate_put("/upstreams/i1", json=HEARTBEAT | {"sequence": 9})
+    leaving = HEARTBEAT | {"state": "leaving", "sequence": 8}
+    assert client.simulate_put("/upstreams/i1", json=leaving).status_code == 503
+    assert states_by_instance(process.state.registry) == {"i1": "ready"}
+    assert client.simulate_put("/upstreams/i1", json=leaving | {"sequence": 10}).status_code == 200
+    assert client.simulate_put("/upstreams/i1", json=leaving | {"sequence": 8}).status_code == 200
+
+
+def test_guards_against_a_notice_acknowledged_though_its_command_changed_no_row(control, monkeypatch):
+    """The command was taken, and the registry did not hold what it said (a newer sequence, a full table)."""
+    monkeypatch.setattr(registry_task, "COMMAND_TIMEOUT_S", 0.05)
+    process, client, _ = control
+    client.simulate_put("/upstreams/i1", json=HEARTBEAT)
+    monkeypatch.setattr(process, "offer", lambda data, limit, attempt: CommandResponse("ok"))
+    assert client.simulate_put("/upstreams/i1", json=HEARTBEAT | {"state": "leaving", "sequence": 2}).status_code == 503
+    assert process.counts.get("notice_not_held") == 1
+    monkeypatch.undo()
+    assert client.simulate_put("/upstreams/i1", json=HEARTBEAT | {"state": "leaving", "sequence": 3}).status_code == 200
+
+
 def test_a_control_process_without_a_state_or_long_cut_from_the_leader_acknowledges_nothing(control):
     process, client, task = control
     assert client.simulate_put("/upstreams/i1", json=HEARTBEAT).status_code == 200
