Metrics tell a late declaration from a lost one, and how long a process stood still

Changed check: test_a_node_exposes_all_its_counters_and_gauges names the two histograms and holds that they are empty.

--- a/mallowvalve/membership/detector.py
+++ b/mallowvalve/membership/detector.py
@@ -32,6 +32,7 @@
     Tell,
     Want,
 )
+from mallowvalve.metrics import Distribution
 from mallowvalve.types import Address, Locality
 
 FORGET_AFTER_S = 600.0
@@ -44,6 +45,8 @@
 """The maximum number of failed members notified in a round; also how many notify one member, on average."""
 WATCHED_EACH_SIDE = 2
 """How many ring neighbours on each side a member watches: four others watch each member."""
+SILENCE_BOUNDS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 7.0, 10.0, 15.0, 30.0)
+"""The buckets of the time for which a member was not heard here when its failure became known."""
 SUCCESSORS_MAX = 3
 """The maximum number of neighbours in a leaving member's update, so that the datagram stays small."""
 
@@ -66,6 +69,7 @@
         "_heard_at",
         "_notified_at",
         "_direct_probes",
+        "silence_s",
     )
 
     def __init__(
@@ -89,6 +93,7 @@
         self._heard_at: dict[Address, float] = {}
         self._notified_at = float("-inf")
         self._direct_probes = DirectProbes()
+        self.silence_s = Distribution(SILENCE_BOUNDS_S)
 
     def timer(self) -> float:
         """Returns the time at which `tick` is to be called next."""
@@ -259,6 +264,7 @@
         for probe, verdict in self._probes.take_ended(now):
             if verdict is Verdict.VOID:
                 self.counts.add("membership_void_period")
+                self.counts.add(f"membership_void_{probe.void_cause()}")
                 if self._view.is_live(probe.target.addr):
                     self._begin_probe(probe.target.addr, now, probe.staged)
             elif verdict is Verdict.FAILED:
@@ -277,6 +283,7 @@
         if not self._apply_record(failed, now, reason):
             return False
         self.counts.add("membership_declared")
+        self.silence_s.observe(silent_s)
         self._disseminate([failed], failed.addr)
         return True
 
@@ -346,6 +353,8 @@
                 self._schedule_introduction(record.addr, now)
             return
         self._probe_silent_neighbours(now)
+        if record.state == FAILED and record.addr in self._heard_at:
+            self.silence_s.observe(now - self._heard_at[record.addr])
         if record.state == FAILED and self.rng.random() < FAILURE_NOTICES / (len(self._view.live) + 1):
             self._send(record.addr, Tell(self._header(), [record]))
 
--- a/mallowvalve/membership/probes.py
+++ b/mallowvalve/membership/probes.py
@@ -55,6 +55,10 @@
             return (self.first_requests_at or self.began_at) + (1 + MAX_DELAY_PERIODS) * period
         return max(self.began_at + period, self.first_requests_at + 2 * round_trip, self.last_requests_at + round_trip)
 
+    def void_cause(self) -> str:
+        """Returns why the probe is void: helpers were not asked in time, or its end was not noticed in time."""
+        return "late_end" if self.last_requests_at is not None else "late_requests"
+
 
 class Probes:
     """The probes in flight, one for each target at most. `period` and `round_trip` are seconds."""
--- a/mallowvalve/membership/task.py
+++ b/mallowvalve/membership/task.py
@@ -14,7 +14,7 @@
 from mallowvalve.membership.dissemination import DIRECT_SEND_MEMBERS_MAX, OutgoingDatagrams
 from mallowvalve.membership.members import DepartedMember
 from mallowvalve.membership.wire import ALIVE, MemberRecord, MemberState, Message, decode, encode
-from mallowvalve.metrics import log_event, log_event_rarely
+from mallowvalve.metrics import Distribution, log_event, log_event_rarely
 from mallowvalve.supervision import restart_on_failure
 from mallowvalve.types import Address
 
@@ -26,6 +26,10 @@
 WAIT_MIN_S = 0.005
 """A shorter wait would make the loop spin."""
 
+STANDSTILL_S = 0.5
+"""A turn that comes later than this is counted as a standstill."""
+
+STANDSTILL_BOUNDS_S = (1.0, 2.0, 4.0, 8.0, 16.0)
 LIBEV_READ = 1
 """The libev event for a readable socket."""
 
@@ -41,12 +45,13 @@
     Pending datagrams are always read before the clock: an ack that came while the process was suspended still counts.
     """
 
-    __slots__ = ("membership", "faults", "_socket", "_greenlet", "_logged_states")
+    __slots__ = ("membership", "faults", "standstills", "_socket", "_greenlet", "_logged_states")
 
     def __init__(self, membership: Membership, faults: InjectedFaults | None = None) -> None:
         """Sends and receives for `membership`, except where `faults` cuts the path."""
         self.membership = membership
         self.faults = faults or InjectedFaults()
+        self.standstills = Distribution(STANDSTILL_BOUNDS_S)
         self._logged_states: dict[Address, tuple[int, MemberState]] = {}
 
     def __enter__(self) -> MembershipTask:
@@ -126,6 +131,7 @@
                 if wait > 0:
                     with gevent.Timeout(max(WAIT_MIN_S, wait), False):
                         hub.wait(readable)
+                    self._note_standstill(clock.now() - self.membership.timer())
                 self._read(1 if clock.now() < self.membership.timer() else DATAGRAMS_PER_READ)
                 now = clock.now()
                 if now >= self.membership.timer():
@@ -133,6 +139,12 @@
         finally:
             readable.close()
 
+    def _note_standstill(self, late_s: float) -> None:
+        """Counts and logs a turn of this process that came late: what it holds is as old as that."""
+        if late_s >= STANDSTILL_S:
+            self.standstills.observe(late_s)
+            log_event_rarely("standstill", late_ms=int(1000 * late_s))
+
     def _read(self, count: int) -> None:
         for _ in range(count):
             try:
--- a/mallowvalve/node.py
+++ b/mallowvalve/node.py
@@ -103,6 +103,8 @@
         self._gauges: dict[str, Callable[[], Any]] = {}
         self.gauge("start_waited_ms", lambda: {name: int(1000 * s) for name, s in self.start_wait.waited_s.items()})
         self.gauge("log_lines_lost", lost_lines)
+        self.gauge("standstill_s", self.membership.standstills.snapshot)
+        self.gauge("failed_member_silence_s", self.membership.membership.silence_s.snapshot)
         self._service_filter: Callable[[str], bool] = lambda service: True
         self.defers_web_server = False
         self._stop_requested_at = clock.now()
--- a/tests/test_detection_bound.py
+++ b/tests/test_detection_bound.py
@@ -10,7 +10,7 @@
 from mallowvalve.membership.view import Ring
 from mallowvalve.membership.wire import ALIVE, FAILED, Ack, DatagramHeader, MemberRecord, Ping, PingReq, Sum, Tell
 from mallowvalve.types import Address, Locality
-from sim.detection_tail import TailCase, measure_tail
+from sim.detection_tail import TailCase, TailGroup, measure_tail
 
 ADDRESSES = [Address("10.0.0.1", port) for port in range(1, 31)]
 ME, PEERS = ADDRESSES[0], ADDRESSES[1:]
@@ -69,6 +69,39 @@
     assert result.mistakes == 0
 
 
+def test_a_member_that_stood_still_learns_at_once_who_ended_meanwhile():
+    """A directory must not name for long after its own standstill what ended during it."""
+    for seed in range(1, 9):
+        group = TailGroup(TailCase(90, 8, loss=0.05), seed)
+        group.run(6.0)
+        group.world.freeze(group.addresses[0])
+        ended = group.rng.sample(group.addresses[1:], 8)
+        for address in ended:
+            group.world.nodes[address].crash()
+        group.run(10.0)
+        group.world.thaw(group.addresses[0])
+        group.run(1.0)
+        view = group.members[0].membership.view
+        assert {view[address].state for address in ended} == {FAILED}
+
+
+def test_the_silence_of_failed_members_and_the_causes_of_void_probes_are_counted():
+    member = new_member()
+    silent = neighbours(member)[0]
+    others = [peer for peer in PEERS if peer != silent]
+    hear(member, [silent], 9.0)
+    hear(member, others, 11.9)
+    for target in set(pinged(member.tick(12.0))) - {silent}:
+        member.receive(Ack(header(target), ME, target, 1), 12.1)
+    member.tick(12.5)
+    member.tick(13.0)
+    hear(member, others, 13.9)
+    member.tick(14.0)
+    assert member.silence_s.snapshot().total == pytest.approx(5.0)
+    member.tick(40.0)
+    assert member.counts.get("membership_void_late_requests") == member.counts.get("membership_void_period") > 0
+
+
 def test_a_silent_neighbour_is_probed_beside_the_drawn_member_and_one_that_was_heard_is_not():
     member = new_member()
     silent = neighbours(member)[1]
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,7 @@
 
 from mallowvalve import settings
 from mallowvalve.exposition import CONTENT_TYPE, render_metrics
-from mallowvalve.metrics import Counts
+from mallowvalve.metrics import Counts, Distribution
 from mallowvalve.node import Node
 from mallowvalve.node_pages import MetricsResource
 
@@ -34,6 +34,19 @@
     }
 
 
+def test_a_distribution_is_exposed_as_a_histogram():
+    ages = Distribution((1.0, 2.0))
+    for age in (0.5, 1.0, 1.5, 9.0):
+        ages.observe(age)
+    assert samples(render_metrics({}, {"age_s": ages.snapshot()})) == {
+        "mallowvalve_age_s_bucket{1.0}": 2.0,
+        "mallowvalve_age_s_bucket{2.0}": 3.0,
+        "mallowvalve_age_s_bucket{+Inf}": 4.0,
+        "mallowvalve_age_s_count": 4.0,
+        "mallowvalve_age_s_sum": 12.0,
+    }
+
+
 def test_counters_whose_metric_names_coincide_are_added():
     assert samples(render_metrics({"a-b": 1, "a_b": 2}, {})) == {"mallowvalve_a_b_total": 3.0}
 
@@ -52,7 +65,16 @@
     node.app.add_route("/-/metrics", MetricsResource(node))
     response = TestClient(node.app.load()).simulate_get("/-/metrics")
     assert response.status_code == 200 and response.headers["content-type"] == CONTENT_TYPE
-    assert samples(response.content) == {
+    exposed = samples(response.content)
+    histograms = {
+        name: value for name, value in exposed.items() if "_bucket" in name or name.endswith(("_sum", "_count"))
+    }
+    assert {name.rpartition("_")[0] for name in histograms} == {
+        "mallowvalve_standstill_s",
+        "mallowvalve_failed_member_silence_s",
+    }
+    assert set(histograms.values()) == {0.0}
+    assert {name: value for name, value in exposed.items() if name not in histograms} == {
         "mallowvalve_requests_total": 2.0,
         "mallowvalve_membership_declared_total": 1.0,
         "mallowvalve_heartbeat_new_total": 1.0,
