--- a/tests/test_hostsoak.py
+++ b/tests/test_hostsoak.py
@@ -16,24 +16,30 @@
 
 from mallowvalve.cli import main
 from mallowvalve.localfleet.deployed import judge, judge_coordination, watch
+from mallowvalve.localfleet.deployed.judge_departures import NAMED_AFTER_END_S
 from mallowvalve.localfleet.deployed.machines import Fleet
 from mallowvalve.localfleet.deployed.plan import (
+    ENDED_SHARE,
     PLAYED_KINDS,
     REGION_GAP_S,
     START_FAULTS,
+    draw_departure_schedule,
     draw_region_schedule,
     draw_schedule,
     load_schedule,
 )
 from mallowvalve.localfleet.deployed.records import (
     Change,
+    DirectoryAnswer,
     FinalState,
     HandlerError,
     Hang,
     KeyRead,
     KeyWrite,
     Kill,
+    Leaving,
     LockHold,
+    LongEnd,
     LookUp,
     MemoryPeak,
     NumberDrawn,
@@ -96,6 +102,14 @@
     watches=[WatchAnswer("w", "g.", 2, 3, 200, 1.0, [("g.k", 3, "v")]), WatchAnswer("w", "g.", 1, 0, 410, 30.0, [])],
     changes=[Change(4, 1.0, 2.0), Change(5, 3.0, 0.0)],
     region_losses=[RegionLoss("eu", 30.0, 34.0, 34.1, 40.0)],
+    leavings=[Leaving("i-1", 8.0), Leaving("i-2", 10.0)],
+    long_ends=[LongEnd("edge-1", 30.0, 43.0), LongEnd("edge-2", 30.0)],
+    directory_answers=[
+        *(DirectoryAnswer(37.5, "core-0", "eu", ["edge-0", "edge-1"]) for _ in range(3)),
+        *(DirectoryAnswer(36.9, "core-0", "eu", ["edge-0", "edge-1"]) for _ in range(9)),
+        *(DirectoryAnswer(40.0, "core-0", "eu", ["edge-1", "edge-2"]) for _ in range(9)),
+        *(DirectoryAnswer(43.1, "core-0", "eu", ["edge-0", "edge-1"]) for _ in range(9)),
+    ],
     voter_places=[
         VoterPlaces("eu was lost", 46.0, {"eu": 1, "us": 2, "ap": 2}, {"eu": 3, "us": 3, "ap": 3}),
         VoterPlaces("eu was lost", 46.0, {"eu": 4, "us": 1}, {"eu": 5, "us": 1}),
@@ -109,6 +123,13 @@
 
 
 BREACHES = {
+    "DRAIN late request": {"leavings": [Leaving("i-1", 7.5)]},
+    "DRAIN named for long": {
+        "directory_answers": [DirectoryAnswer(37.1, "core-0", "eu", ["edge-0", "edge-1"]) for _ in range(4)]
+    },
+    "DRAIN named for ever": {
+        "directory_answers": [DirectoryAnswer(50.0 + i, "core-0", "eu", ["edge-0", "edge-2"]) for i in range(4)]
+    },
     "ACKS region lost": {"region_losses": [RegionLoss("eu", 30.0, 34.0, 0.0, 40.0)]},
     "SPREAD nobody answers": {"voter_places": [VoterPlaces("eu was lost", 46.0, {}, {"eu": 3, "us": 3})]},
     "SPREAD uneven": {"voter_places": [VoterPlaces("", 46.0, {"eu": 3, "us": 2}, {"eu": 3, "us": 3, "ap": 3})]},
@@ -201,7 +222,8 @@
 
 def test_trouble_hinders_starts_kills_all_and_sends_made_up_input():
     kinds = {act.kind for seed in range(5) for act in draw_schedule(SHAPE, seed, 60.0, True).acts}
-    assert kinds == set(PLAYED_KINDS) - {ActKind.LOSE_REGION, ActKind.ROLL_REGION}
+    elsewhere = {ActKind.LOSE_REGION, ActKind.ROLL_REGION, ActKind.END_FOR_LONG, ActKind.LEAVE_BESIDE_STANDSTILL}
+    assert kinds == set(PLAYED_KINDS) - elsewhere
     planned = {act.kind for act in draw_schedule(SHAPE, 1, 60.0, False).acts}
     assert not planned & {*START_FAULTS, ActKind.KILL, ActKind.KILL_ALL, ActKind.GARBAGE}
 
@@ -217,10 +239,21 @@
     assert kinds == {ActKind.LOSE_REGION, ActKind.ROLL_REGION}
 
 
+def test_departures_end_a_part_of_the_edges_at_one_moment_and_upstreams_leave_beside_a_standstill():
+    for seed in range(5):
+        acts = draw_departure_schedule(SHAPE, seed, 90.0).acts
+        ends = [act for act in acts if act.kind is ActKind.END_FOR_LONG]
+        assert {act.kind for act in acts} == {ActKind.END_FOR_LONG, ActKind.LEAVE_BESIDE_STANDSTILL}
+        assert all(act.lasts > NAMED_AFTER_END_S and act.target.startswith("edge-") for act in ends)
+        for at in {act.at for act in ends}:
+            assert sum(act.at == at for act in ends) == int(ENDED_SHARE * SHAPE.edge)
+
+
 def test_a_saved_schedule_is_played_as_it_was_drawn(tmp_path):
     for shape, drawn in (
         (SHAPE, draw_schedule(SHAPE, 5, 60.0, trouble=True)),
         (NINE, draw_region_schedule(NINE, 5, 60.0)),
+        (SHAPE, draw_departure_schedule(SHAPE, 5, 60.0)),
     ):
         save_schedule(drawn, tmp_path / "schedule.json")
         assert load_schedule(tmp_path / "schedule.json", shape).unwrap() == drawn
