--- a/mallowvalve/localfleet/deployed/judge_departures.py
+++ b/mallowvalve/localfleet/deployed/judge_departures.py
@@ -65,6 +65,7 @@
         "late_answers": len(late_answers(records)),
         "leavings": len(records.leavings),
         "late_runs": len(late_runs(records)),
+        "view_ages": records.view_ages,
     }
 
 
--- a/mallowvalve/localfleet/deployed/records.py
+++ b/mallowvalve/localfleet/deployed/records.py
@@ -267,6 +267,7 @@
     standstills: list[Standstill] = []
     directory_answers: list[DirectoryAnswer] = []
     leavings: list[Leaving] = []
+    view_ages: dict[str, int] = {}
     own_ends: list[OwnEnd] = []
     hangs: list[Hang] = []
     slow_starts: list[SlowStart] = []
--- a/mallowvalve/localfleet/deployed/soak.py
+++ b/mallowvalve/localfleet/deployed/soak.py
@@ -21,6 +21,7 @@
 from mallowvalve.localfleet.deployed.region_acts import RegionActs
 from mallowvalve.localfleet.deployed.start_faults import kill_and_hinder_start
 from mallowvalve.localfleet.deployed.upstream import StandinUpstream
+from mallowvalve.localfleet.deployed.view_ages import read_view_ages
 from mallowvalve.localfleet.deployed.watch import Watch, answers_readiness
 from mallowvalve.localfleet.schedule import ActKind, Schedule, ScheduledAct
 
@@ -86,6 +87,7 @@
             gevent.sleep(max(0.0, end - clock.now()))
             acts.join(timeout=END_SLACK_S, raise_error=True)
             load.join(timeout=END_SLACK_S)
+        self.records.view_ages = read_view_ages(self.fleet)
         if self.closing:
             self._kill_all()
         self.records.final = self.operator.read_back()
