--- a/mallowvalve/proxy/idle_tenant_connections.py
+++ b/mallowvalve/proxy/idle_tenant_connections.py
@@ -27,7 +27,7 @@
 
     __slots__ = ("_idle",)
 
-    def __init__(self):
+    def __init__(self) -> None:
         """Starts without connections."""
         self._idle: dict[tuple[str, int], list[IdleTenantConnection]] = {}
 
--- a/mallowvalve/proxy/lease_acquirer.py
+++ b/mallowvalve/proxy/lease_acquirer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
+from typing import Any
 
 from mallowvalve.control.replica import Replica
 from mallowvalve.proxy.admission import Admission
@@ -10,6 +11,7 @@
 from mallowvalve.proxy.host_upstreams import HostUpstreams, UpstreamLease
 from mallowvalve.proxy.rejections import MIN_TIME_LEFT_S, Rejections
 from mallowvalve.proxy.steps import CLIENT_LEFT, ClientCheck, OpenConnection, ProxyResponse, Step, WaitForCapacity
+from mallowvalve.proxy.upstream_state import UpstreamState
 from mallowvalve.proxy.view_guard import ViewGuard
 
 CONNECT_TIMEOUT_S = 0.4
@@ -76,7 +78,7 @@
             if rejection is not None:
                 return rejection
 
-    def _open(self, call: HostRequest, lease: UpstreamLease) -> Generator[Step, object, bool]:
+    def _open(self, call: HostRequest, lease: UpstreamLease) -> Generator[Step, Any, bool]:
         """Opens a connection and returns whether that succeeded; the lease is released if not."""
         began, state = self.now(), lease.state
         state.connecting_since.append(began)
@@ -100,7 +102,7 @@
     def revalidate(self, call: HostRequest, now: float) -> ProxyResponse | None:
         """Checks the request against the current snapshot, which may have changed since it was admitted."""
         state = self.replica.state
-        if not self.admission.settings.serve_on and not self.replica.admits(now):
+        if state is None or not self.admission.settings.serve_on and not self.replica.admits(now):
             return self.rejections.reject(call, "its settings may be out of date")
         if now >= call.end or call.sends and call.end - now < MIN_TIME_LEFT_S:
             return self.rejections.reject(call, "the limit is over")
@@ -121,7 +123,7 @@
             call.service = self.admission.service_of(route)
         return None
 
-    def _pick(self, call: HostRequest, now: float):
+    def _pick(self, call: HostRequest, now: float) -> tuple[UpstreamState | None, bool]:
         picked = self.hosts.pick(call.service, call.route.homes, call.tried, now)
         if picked[1] or call.sends or not call.route.split:
             return picked
--- a/mallowvalve/proxy/main.py
+++ b/mallowvalve/proxy/main.py
@@ -10,6 +10,7 @@
 import gevent
 
 from mallowvalve import clock, web
+from mallowvalve.configuration.items import Limits
 from mallowvalve.control.replica_task import ReplicaTask
 from mallowvalve.memory_gauges import register_memory_gauges
 from mallowvalve.metrics import Counts
@@ -45,7 +46,7 @@
         self._greenlet = exit_on_failure(gevent.spawn(self._run))
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops the server."""
         self._greenlet.kill()
         self.node.server.shut_down()
@@ -71,7 +72,7 @@
         self._greenlet = restart_on_failure("pruner", self._run, self.counts)
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Closes all idle connections."""
         self._greenlet.kill()
         self.pool.idle_connections.prune(set())
@@ -144,7 +145,7 @@
     node.server.limits = lambda: _limits(host_forwarder)
 
 
-def _limits(host_forwarder: HostForwarder):
+def _limits(host_forwarder: HostForwarder) -> Limits | None:
     state = host_forwarder.replica.state
     return state.items.limits if state is not None and state.items.revision else None
 
@@ -153,4 +154,4 @@
     state = replica.replica.state
     if settings.serve_on and state is not None and state.items.revision > 0:
         return True
-    return replica.admits() and not is_evacuated(settings.locality, state.settings.evacuated)
+    return state is not None and replica.admits() and not is_evacuated(settings.locality, state.settings.evacuated)
--- a/mallowvalve/proxy/retry_budget.py
+++ b/mallowvalve/proxy/retry_budget.py
@@ -17,7 +17,7 @@
 
     __slots__ = ("_first_attempts", "_available")
 
-    def __init__(self):
+    def __init__(self) -> None:
         self._first_attempts: deque[float] = deque()
         self._available = 0.0
 
--- a/mallowvalve/proxy/retry_detector.py
+++ b/mallowvalve/proxy/retry_detector.py
@@ -27,7 +27,7 @@
 
     __slots__ = ("_failures",)
 
-    def __init__(self):
+    def __init__(self) -> None:
         self._failures: OrderedDict[bytes, list[float]] = OrderedDict()
 
     def record_failure(self, fingerprint: bytes, now: float) -> None:
@@ -64,7 +64,7 @@
         self._job = restart_on_failure("retry_detector", self._run, self.transport.counts)
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, *_: object) -> None:
         """Stops the broadcasts."""
         self._job.kill()
 
--- a/mallowvalve/proxy/upstream_state.py
+++ b/mallowvalve/proxy/upstream_state.py
@@ -28,7 +28,7 @@
 
     __slots__ = ("silent_since", "sent", "latency")
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.silent_since, self.sent, self.latency = NEVER, 0, 0.1
 
     def on_send(self, now: float) -> None:
@@ -114,10 +114,8 @@
         """Returns the estimated requests of all proxies; reported usage decays and counts newer sends on top."""
         if self.reported_at <= NEVER:
             return float(self.in_flight * local_proxies)
-        return max(
-            float(self.in_flight),
-            self.reported_load * 0.5 ** ((now - self.reported_at) / USAGE_HALF_LIFE_S) + self.sent_since_report,
-        )
+        decay: float = 0.5 ** ((now - self.reported_at) / USAGE_HALF_LIFE_S)
+        return max(float(self.in_flight), self.reported_load * decay + self.sent_since_report)
 
     def utilization(self, now: float, local_proxies: int) -> float:
         """Returns the load with one more request, as a share of the upstream's slots."""
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -9,7 +9,7 @@
 FILES = [p for d in ("mallowvalve", "sim", "tests", "verification") for p in sorted((ROOT / d).rglob("*.py"))]
 MOST = 400
 EXCEPTIONS = 45
-TYPED = 175
+TYPED = 191
 MARKED = ["tests/test_again.py"]
 
 
