--- a/mallowvalve/control/confirmation.py
+++ b/mallowvalve/control/confirmation.py
@@ -44,8 +44,10 @@
     def _ask_all(self, controls: Sequence[Address]) -> None:
         began_at = clock.now()
         leader = self._replica.leader
-        asked = set(controls) | ({leader} if leader is not None else set())
-        gevent.joinall([gevent.spawn(self._ask_one, address, asked, began_at) for address in list(asked)])
+        first = [leader] if leader is not None else []
+        addresses = [*first, *(address for address in controls if address != leader)]
+        asked = set(addresses)
+        gevent.joinall([gevent.spawn(self._ask_one, address, asked, began_at) for address in addresses])
 
     def _ask_one(self, address: Address, asked: set[Address], began_at: float) -> None:
         """Asks a process until it has confirmed the state, or the leader that it names if nobody asks that one."""
--- a/mallowvalve/membership/detector.py
+++ b/mallowvalve/membership/detector.py
@@ -235,7 +235,7 @@
         if self._period_start is None:
             return
         for address in self._view.ring.neighbours(self.me.addr, WATCHED_EACH_SIDE):
-            heard_at = max(self._heard_at.get(address, float("-inf")), self._known_since[address])
+            heard_at = max(times.get(address, float("-inf")) for times in (self._heard_at, self._known_since))
             if now >= heard_at + self.period / 2:
                 self._begin_probe(address, now, staged=True)
 
--- a/mallowvalve/membership/view.py
+++ b/mallowvalve/membership/view.py
@@ -109,6 +109,12 @@
         """Creates an empty ring."""
         self._members: list[tuple[int, Address]] = []
 
+    def copy(self) -> Ring:
+        """Returns a ring with the same members."""
+        other = Ring()
+        other._members = self._members.copy()
+        return other
+
     def add(self, address: Address) -> None:
         """Adds a member that is not on the ring."""
         insort(self._members, (ring_position(address), address))
